--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -0,0 +1,739 @@
+package dev.dunefront.book;
+
+import dev.dunefront.config.Settings;
+import dev.dunefront.config.Tunables;
+import dev.dunefront.fleet.Catalog;
+import dev.dunefront.job.JobRecord;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.HttpServer.Answer;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Peers;
+import dev.dunefront.store.Membership;
+import dev.dunefront.store.Store;
+import dev.dunefront.store.Txn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.JobSpec;
+import dev.dunefront.wire.Order;
+import dev.dunefront.wire.Report;
+import dev.dunefront.wire.Size;
+import dev.dunefront.wire.TaskId;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The machines that this controller holds: takes reports, keeps a book for each, deals freed room,
+ * sends orders. A machine's baton is raised whenever it changes hands and whenever the fate of an
+ * order is unknown, so that whatever is still on its way to the worker is refused there.
+ */
+public final class Books {
+  private static final System.Logger LOG = System.getLogger(Books.class.getName());
+  private static final double ORDER_S = 3.0;
+  private static final double REPEAT_S = 2.0;
+  private static final double ASK_S = 0.5;
+
+  /** Steady clocks differ by this part at most. */
+  private static final double DRIFT = 0.001;
+
+  private static final int MAX_ORDERS = 200;
+  private static final int MAX_IMAGES = 12;
+
+  private final Settings settings;
+  private final Tunables tunables;
+  private final Membership membership;
+  private final Holds holds;
+  private final JobTable jobs;
+  private final Catalog catalog;
+  private final Store store;
+  private final Caller caller;
+  private final Peers peers;
+  private final Timers timers;
+  private final Ward ward;
+  private final Map<String, Machine> held = new HashMap<>();
+
+  private record Waiter(Report report, Answer answer) {}
+
+  /** Reports that wait for a hold to be taken. */
+  private final Map<String, List<Waiter>> taking = new HashMap<>();
+
+  /** Reports that wait for another controller to say whether it still hears the machine. */
+  private final Map<String, List<Waiter>> asking = new HashMap<>();
+
+  private final Map<String, Double> lookedUp = new HashMap<>();
+  private long offers;
+
+  public Books(
+      Settings settings,
+      Tunables tunables,
+      Membership membership,
+      Holds holds,
+      JobTable jobs,
+      Catalog catalog,
+      Store store,
+      Caller caller,
+      Peers peers,
+      Timers timers,
+      Ward ward) {
+    this.settings = settings;
+    this.tunables = tunables;
+    this.membership = membership;
+    this.holds = holds;
+    this.jobs = jobs;
+    this.catalog = catalog;
+    this.store = store;
+    this.caller = caller;
+    this.peers = peers;
+    this.timers = timers;
+    this.ward = ward;
+  }
+
+  // ---- reports ----
+
+  public void report(Report r, Answer answer) {
+    Machine m = held.get(r.host());
+    if (m != null) {
+      reportOfHeld(m, r, answer);
+      return;
+    }
+    if (taking.containsKey(r.host())) {
+      taking.get(r.host()).add(new Waiter(r, answer));
+      return;
+    }
+    if (asking.containsKey(r.host())) {
+      asking.get(r.host()).add(new Waiter(r, answer));
+      return;
+    }
+    if (membership.self() == null || !catalog.known()) {
+      answer.send(503, null, 1);
+      return;
+    }
+    Holds.Hold hold = holds.get(r.host());
+    if (hold == null || !hold.dead() && !membership.alive(hold.holder())) {
+      take(r, answer);
+    } else if (hold.dead()) {
+      answer.send(503, null, 5);
+    } else {
+      ask(Membership.nodeOf(hold.holder()), r, answer);
+    }
+  }
+
+  /** The machine has a live holder; yet a worker comes here only when that one did not answer. */
+  private void ask(String holder, Report r, Answer answer) {
+    if (holder.equals(settings.node())) {
+      // Our own hold that is not in memory: the incarnation that took it is still listed.
+      take(r, answer);
+      return;
+    }
+    asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
+    peers.send(holder, new Message.HoldAsk(r.host()));
+    timers.after(ASK_S, () -> ward.run(() -> settleAsk(r.host(), null)));
+  }
+
+  private void holdAsked(String from, String host) {
+    Machine m = held.get(host);
+    peers.send(
+        from, new Message.HoldSay(host, m != null, m == null ? 0 : timers.now() - m.heard));
+  }
+
+  private void settleAsk(String host, Message.HoldSay say) {
+    List<Waiter> waiting = asking.remove(host);
+    if (waiting == null) {
+      return;
+    }
+    Holds.Hold hold = holds.get(host);
+    boolean heard = say != null && say.held() && say.heardAgoS() < settings.workers().reportS() * 1.5;
+    for (Waiter w : waiting) {
+      if (heard && hold != null && !hold.holder().isEmpty()) {
+        redirect(w.answer, Membership.nodeOf(hold.holder()));
+      } else if (held.containsKey(host) || taking.containsKey(host)) {
+        report(w.report, w.answer);
+      } else {
+        take(w.report, w.answer);
+      }
+    }
+  }
+
+  private static void redirect(Answer answer, String node) {
+    answer.send(421, Doc.of().put("overseer", node).encode());
+  }
+
+  /** Takes the hold of a machine, raising its baton above all that its worker has seen. */
+  private void take(Report r, Answer answer) {
+    Holds.Hold hold = holds.get(r.host());
+    if (store.down()) {
+      answer.send(503, null, 1);
+      return;
+    }
+    long baton = Math.max(r.baton(), hold == null ? 0 : hold.baton()) + 1;
+    String self = membership.self();
+    String mark = store.newMark();
+    Doc value = Holds.write(self, baton, mark);
+    taking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
+    store.tryTxn(
+        new Txn()
+            .when(Holds.key(r.host()), hold == null ? 0 : hold.stamp())
+            .put(Holds.key(r.host()), value),
+        Store.Urgency.CORE,
+        done -> {
+          List<Waiter> waiting = taking.remove(r.host());
+          if (waiting == null || !self.equals(membership.self())) {
+            return;
+          }
+          if (!done.ok()) {
+            // An unclear write may show later; the worker's next report finds it in the replica.
+            waiting.forEach(w -> w.answer.send(503, null, 1));
+            return;
+          }
+          holds.wrote(r.host(), value, done.revision());
+          LOG.log(Level.INFO, "holding {0} under baton {1}", r.host(), baton);
+          Machine m = new Machine(r, baton, done.revision(), timers.now());
+          m.blamedBy.clear();
+          held.put(r.host(), m);
+          waiting.forEach(w -> reportOfHeld(m, w.report, w.answer));
+        });
+  }
+
+  private void reportOfHeld(Machine m, Report r, Answer answer) {
+    if (r.baton() > m.baton) {
+      // Somebody with a higher baton commands this machine.
+      dropHold(m, "a higher baton is out");
+      answer.send(421, null);
+      return;
+    }
+    if (m.lost && r.tenure() <= m.tenure) {
+      // Its tasks have been given up for gone; nothing may renew this lease any more.
+      answer.send(503, null, 1);
+      return;
+    }
+    m.heard = timers.now();
+    if (r.newerThan(m.tenure, m.serial)) {
+      apply(m, r);
+    }
+    if (m.doubt) {
+      raise(m);
+    }
+    answer.send(200, Order.answer(m.baton, List.of()));
+    act(m);
+  }
+
+  private void apply(Machine m, Report r) {
+    if (r.tenure() > m.tenure) {
+      // The earlier session's tasks are gone, and orders for it are refused.
+      m.pending.clear();
+      m.stops.clear();
+      m.clears.clear();
+      m.offers.clear();
+      m.lost = false;
+    }
+    m.tenure = r.tenure();
+    m.serial = r.serial();
+    if (!r.endpoint().isEmpty()) {
+      m.endpoint = r.endpoint();
+    }
+    if (r.noticeS() != null && m.noticeS == null) {
+      LOG.log(Level.INFO, "{0} will be taken back in {1} s", m.host, r.noticeS());
+    }
+    m.noticeS = r.noticeS();
+    m.noticeAt = timers.now();
+    Map<TaskId, Report.Task> before = new HashMap<>(m.tasks);
+    m.tasks.clear();
+    for (Report.Task t : r.tasks()) {
+      m.tasks.put(t.id(), t);
+      Report.Task was = before.get(t.id());
+      if (t.exited() && t.why().equals("done") && (was == null || !was.exited())) {
+        m.blamedBy.clear();
+      }
+      if (!t.state().equals("fetching") && !t.why().equals("no_room")) {
+        JobTable.Entry job = jobs.get(t.id().job());
+        if (job != null && job.record().spec().image() != null) {
+          m.images.remove(job.record().spec().image());
+          m.images.add(job.record().spec().image());
+          if (m.images.size() > MAX_IMAGES) {
+            m.images.remove(m.images.iterator().next());
+          }
+        }
+      }
+    }
+    if (r.baton() == m.baton) {
+      m.settled = true;
+      // Orders sent under an earlier baton can no longer be carried out.
+      m.pending.values().removeIf(p -> p.sentUnder != 0 && p.sentUnder < m.baton);
+    }
+    m.pending.entrySet()
+        .removeIf(
+            e -> {
+              Report.Task t = m.tasks.get(e.getKey());
+              return t != null && t.attempt() == e.getValue().attempt;
+            });
+    forget(m.stops, m, true);
+    forget(m.clears, m, false);
+    if (!m.tasks.isEmpty() || !m.pending.isEmpty()) {
+      m.idleSince = timers.now();
+    }
+    m.dirty = true;
+  }
+
+  private static void forget(Map<TaskId, Machine.Wish> wishes, Machine m, boolean untilExited) {
+    wishes
+        .entrySet()
+        .removeIf(
+            e -> {
+              Report.Task t = m.tasks.get(e.getKey());
+              return t == null && !m.pending.containsKey(e.getKey())
+                  || t != null && t.attempt() != e.getValue().attempt
+                      && !m.pending.containsKey(e.getKey())
+                  || untilExited && t != null && t.exited()
+                      && t.attempt() == e.getValue().attempt;
+            });
+  }
+
+  /** Raises the baton, so that orders of unknown fate are refused by the worker from now on. */
+  private void raise(Machine m) {
+    if (m.raising || store.down()) {
+      return;
+    }
+    m.raising = true;
+    m.offers.clear();
+    long baton = m.baton + 1;
+    String mark = store.newMark();
+    Doc value = Holds.write(membership.self(), baton, mark);
+    store.commit(
+        new Txn().when(Holds.key(m.host), m.holdStamp).put(Holds.key(m.host), value),
+        mark,
+        done -> {
+          m.raising = false;
+          if (held.get(m.host) != m) {
+            return;
+          }
+          if (!done.ok()) {
+            dropHold(m, "another controller has taken it");
+            return;
+          }
+          m.baton = baton;
+          m.holdStamp = done.revision();
+          m.settled = false;
+          m.doubt = false;
+          m.fence.clear();
+          m.dirty = true;
+          holds.wrote(m.host, value, done.revision());
+          LOG.log(Level.DEBUG, "baton of {0} raised to {1}", m.host, baton);
+          show(m);
+        });
+  }
+
+  /** Lets the worker see the new baton at once. */
+  private void show(Machine m) {
+    send(m, List.of());
+  }
+
+  private void dropHold(Machine m, String why) {
+    if (held.remove(m.host, m)) {
+      LOG.log(Level.INFO, "no longer holding {0}: {1}", m.host, why);
+      peers.broadcast(new Message.Unheld(m.host));
+    }
+  }
+
+  /** Forgets all holds, for this controller has become another incarnation. */
+  public void reborn() {
+    for (Machine m : List.copyOf(held.values())) {
+      dropHold(m, "the lease has ended");
+    }
+    taking.values().forEach(ws -> ws.forEach(w -> w.answer.send(503, null, 1)));
+    taking.clear();
+  }
+
+  /** The replica shows a changed hold record. */
+  public void holdChanged(String host) {
+    Machine m = held.get(host);
+    Holds.Hold hold = holds.get(host);
+    if (m != null && hold != null && hold.stamp() > m.holdStamp && !m.raising) {
+      if (hold.dead() || !hold.holder().equals(membership.self()) || hold.baton() != m.baton) {
+        dropHold(m, hold.dead() ? "deleted" : "another controller has taken it");
+      }
+    }
+  }
+
+  /** A live record has changed; a job that must no longer run is stopped without being asked. */
+  public void jobChanged(String id, JobTable.Entry entry) {
+    boolean over = entry == null || entry.record().status() != JobRecord.Status.OPEN;
+    for (Machine m : held.values()) {
+      if (over) {
+        m.book.dropJob(id);
+      }
+      boolean has =
+          m.tasks.keySet().stream().anyMatch(t -> t.job().equals(id))
+              || m.pending.keySet().stream().anyMatch(t -> t.job().equals(id));
+      if (has) {
+        if (entry != null && entry.record().status() == JobRecord.Status.CANCELLED) {
+          stopJob(m, id);
+        }
+        m.dirty = true;
+        act(m);
+      }
+    }
+  }
+
+  private void stopJob(Machine m, String job) {
+    for (Report.Task t : m.tasks.values()) {
+      if (t.id().job().equals(job) && !t.exited()) {
+        stop(m, t.id(), t.attempt(), 0);
+      }
+    }
+    for (var e : Map.copyOf(m.pending).entrySet()) {
+      if (e.getKey().job().equals(job)) {
+        if (e.getValue().sentUnder == 0) {
+          m.pending.remove(e.getKey());
+          m.fence.merge(e.getKey(), e.getValue().attempt, Math::max);
+          m.dirty = true;
+        } else {
+          stop(m, e.getKey(), e.getValue().attempt, 0);
+        }
+      }
+    }
+  }
+
+  private static void stop(Machine m, TaskId id, long attempt, double graceS) {
+    Machine.Wish old = m.stops.get(id);
+    if (old == null || old.attempt != attempt || old.graceS > graceS) {
+      m.stops.put(id, new Machine.Wish(attempt, graceS));
+    }
+  }
+
+  // ---- messages ----
+
+  public void received(String from, Message message) {
+    if (message instanceof Message.Want w) {
+      Machine m = held.get(w.host());
+      if (m != null) {
+        JobTable.Entry job = jobs.get(w.job());
+        boolean over = job != null && job.record().status() != JobRecord.Status.OPEN;
+        int priority = Math.max(0, Math.min(3, w.priority()));
+        m.book.park(from, w.job(), priority, w.size(), over ? 0 : w.count());
+        act(m);
+      }
+    } else if (message instanceof Message.Decline d) {
+      Machine m = held.get(d.host());
+      if (m != null && m.offers.remove(d.offer()) != null) {
+        m.dirty = true;
+        act(m);
+      }
+    } else if (message instanceof Message.Start s) {
+      start(from, s);
+    } else if (message instanceof Message.Probe p) {
+      probed(from, p);
+    } else if (message instanceof Message.Stop s) {
+      Machine m = held.get(s.host());
+      if (m != null) {
+        stop(m, new TaskId(s.job(), s.number()), s.attempt(), s.graceS());
+        act(m);
+      }
+    } else if (message instanceof Message.Clear c) {
+      Machine m = held.get(c.host());
+      if (m != null) {
+        m.clears.putIfAbsent(new TaskId(c.job(), c.number()), new Machine.Wish(c.attempt(), 0));
+        act(m);
+      }
+    } else if (message instanceof Message.Blame b) {
+      blamed(b);
+    } else if (message instanceof Message.HoldAsk a) {
+      holdAsked(from, a.host());
+    } else if (message instanceof Message.HoldSay s) {
+      settleAsk(s.host(), s);
+    } else if (message instanceof Message.Cancelled c) {
+      for (Machine m : held.values()) {
+        stopJob(m, c.job());
+        m.book.dropJob(c.job());
+        act(m);
+      }
+    }
+  }
+
+  private void start(String from, Message.Start s) {
+    Machine m = held.get(s.host());
+    if (m == null) {
+      return;
+    }
+    TaskId id = new TaskId(s.job(), s.number());
+    Machine.Offered offer = m.offers.get(s.offer());
+    boolean good =
+        offer != null
+            && offer.node().equals(from)
+            && offer.job().equals(s.job())
+            && m.baton == s.baton()
+            && !m.doubt
+            && !m.raising
+            && s.attempt() > m.fence.getOrDefault(id, 0L)
+            && jobs.finalStatus(s.job()) == null;
+    if (!good) {
+      probed(from, new Message.Probe(s.host(), s.baton(), s.job(), s.number(), s.attempt()));
+      return;
+    }
+    m.offers.remove(s.offer());
+    m.pending.put(id, new Machine.Pending(s.attempt()));
+    m.dirty = true;
+    act(m);
+  }
+
+  private void probed(String from, Message.Probe p) {
+    Machine m = held.get(p.host());
+    if (m == null || !m.settled || m.doubt || m.raising || m.lost) {
+      return;
+    }
+    TaskId id = new TaskId(p.job(), p.number());
+    Machine.Pending pending = m.pending.get(id);
+    Report.Task task = m.tasks.get(id);
+    if (pending != null && pending.attempt == p.attempt()
+        || task != null && task.attempt() == p.attempt()) {
+      return;
+    }
+    // From now on this attempt is refused, should its start still be on the way here.
+    m.fence.merge(id, p.attempt(), Math::max);
+    peers.send(
+        from,
+        new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
+  }
+
+  private void blamed(Message.Blame b) {
+    Machine m = held.get(b.host());
+    if (m == null || m.quarantined) {
+      return;
+    }
+    m.blamedBy.add(b.job());
+    if (m.blamedBy.size() >= 2) {
+      m.quarantined = true;
+      m.dirty = true;
+      LOG.log(Level.INFO, "{0} is put in quarantine: {1} fail on it", m.host, m.blamedBy);
+      act(m);
+    }
+  }
+
+  /** A controller's link is gone, and with it all that it wanted. */
+  public void gone(String node) {
+    for (Machine m : held.values()) {
+      m.book.drop(node);
+      if (m.offers.values().removeIf(o -> o.node().equals(node))) {
+        m.dirty = true;
+        act(m);
+      }
+    }
+  }
+
+  /** A controller can be reached again: it hears of every held machine. */
+  public void reached(String node) {
+    for (Machine m : held.values()) {
+      peers.send(node, view(m));
+    }
+  }
+
+  // ---- dealing and orders ----
+
+  private Size sizeOf(String job) {
+    JobTable.Entry e = jobs.get(job);
+    return e == null ? null : e.record().spec().size();
+  }
+
+  private Message.View view(Machine m) {
+    return new Message.View(
+        m.host,
+        m.typeName,
+        m.zone,
+        m.spot,
+        m.baton,
+        m.holdStamp,
+        m.tenure,
+        m.settled && !m.doubt && !m.raising,
+        m.lost,
+        m.open(),
+        m.quarantined,
+        m.free(catalog.type(m.typeName), this::sizeOf),
+        List.copyOf(m.images),
+        m.states());
+  }
+
+  /** Deals what room there is, sends what orders there are, tells what has changed. */
+  private void act(Machine m) {
+    if (held.get(m.host) != m) {
+      return;
+    }
+    deal(m);
+    order(m);
+    if (m.dirty) {
+      m.dirty = false;
+      peers.broadcast(view(m));
+    }
+  }
+
+  private void deal(Machine m) {
+    if (!m.open() || m.book.isEmpty()) {
+      return;
+    }
+    Size free = m.free(catalog.type(m.typeName), this::sizeOf);
+    WantBook.Want w;
+    while ((w = m.book.take(free)) != null) {
+      long offer = ++offers;
+      m.offers.put(
+          offer,
+          new Machine.Offered(w.node, w.job, w.size, timers.now() + tunables.offerWaitS()));
+      free = free.minus(w.size);
+      m.dirty = true;
+      peers.send(
+          w.node, new Message.Offer(offer, m.host, w.job, m.baton, m.holdStamp, m.tenure));
+    }
+  }
+
+  private void order(Machine m) {
+    if (m.ordering || m.doubt || m.raising || !m.settled || m.lost || m.endpoint.isEmpty()) {
+      return;
+    }
+    double now = timers.now();
+    List<Order> orders = new ArrayList<>();
+    for (var e : m.pending.entrySet()) {
+      if (e.getValue().sentUnder == 0 && orders.size() < MAX_ORDERS) {
+        e.getValue().sentUnder = m.baton;
+        orders.add(new Order.Run(e.getKey(), e.getValue().attempt));
+      }
+    }
+    for (var e : m.stops.entrySet()) {
+      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
+        e.getValue().sentAt = now;
+        orders.add(new Order.Stop(e.getKey(), e.getValue().attempt, e.getValue().graceS));
+      }
+    }
+    for (var e : m.clears.entrySet()) {
+      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
+        e.getValue().sentAt = now;
+        orders.add(new Order.Clear(e.getKey(), e.getValue().attempt));
+      }
+    }
+    if (!orders.isEmpty()) {
+      send(m, orders);
+    }
+  }
+
+  private void send(Machine m, List<Order> orders) {
+    m.ordering = true;
+    byte[] body = Order.direct(m.baton, m.tenure, orders);
+    boolean runs = orders.stream().anyMatch(o -> o instanceof Order.Run);
+    String endpoint = m.endpoint;
+    ward.then(
+        () ->
+            caller.call(
+                endpoint,
+                "POST",
+                "/orders",
+                body,
+                ORDER_S,
+                reply -> ward.run(() -> ordered(m, runs, reply))));
+  }
+
+  private void ordered(Machine m, boolean runs, Caller.Reply reply) {
+    m.ordering = false;
+    if (held.get(m.host) != m) {
+      return;
+    }
+    if (reply.status() == 200 || reply.status() == 409) {
+      try {
+        Report r = Report.read(Doc.decode(reply.body()));
+        if (r.baton() > m.baton) {
+          dropHold(m, "a higher baton is out");
+          return;
+        }
+        if (r.newerThan(m.tenure, m.serial)) {
+          apply(m, r);
+        }
+        if (reply.status() == 409) {
+          // Nothing was carried out: what was sent may be sent again, if it still makes sense.
+          m.pending.values().forEach(p -> p.sentUnder = 0);
+        }
+      } catch (BadMessage e) {
+        LOG.log(Level.INFO, "{0} answers orders with nonsense: {1}", m.host, e.getMessage());
+        m.doubt |= runs;
+      }
+    } else if (runs) {
+      // The start may be carried out now, minutes later, or never.
+      m.doubt = true;
+      m.dirty = true;
+    }
+    act(m);
+  }
+
+  // ---- time ----
+
+  /** Called several times a second. */
+  public void tick() {
+    double now = timers.now();
+    double lease = settings.workers().leaseS();
+    for (Machine m : List.copyOf(held.values())) {
+      boolean expired = false;
+      for (Iterator<Machine.Offered> i = m.offers.values().iterator(); i.hasNext(); ) {
+        if (i.next().until() < now) {
+          i.remove();
+          expired = true;
+        }
+      }
+      m.dirty |= expired;
+      if (!m.lost && m.settled && now - m.heard > lease * (1 + DRIFT) + 0.3) {
+        // No report of this session has been answered for longer than its lease lasts.
+        m.lost = true;
+        m.pending.clear();
+        m.offers.clear();
+        m.dirty = true;
+        LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
+      }
+      if (m.noticeS != null) {
+        saveBeforeEnd(m, m.noticeS - (now - m.noticeAt));
+      }
+      act(m);
+    }
+    lookUpStrangers(now);
+  }
+
+  /** Tasks that can save are told to, while there is time. */
+  private void saveBeforeEnd(Machine m, double leftS) {
+    for (Report.Task t : m.tasks.values()) {
+      JobTable.Entry e = jobs.get(t.id().job());
+      if (e == null || !t.state().equals("running")) {
+        continue;
+      }
+      JobSpec spec = e.record().spec();
+      if (spec.checkpointS() > 0 && leftS < spec.saveS() + settings.workers().reportS() + 1) {
+        stop(m, t.id(), t.attempt(), Math.max(spec.saveS() + 1, leftS));
+      }
+    }
+  }
+
+  /** Tasks of jobs that no live record names: the job is over, or news of it has yet to come. */
+  private void lookUpStrangers(double now) {
+    lookedUp.values().removeIf(at -> now - at > 10);
+    for (Machine m : held.values()) {
+      for (Report.Task t : m.tasks.values()) {
+        String job = t.id().job();
+        if (jobs.get(job) != null) {
+          continue;
+        }
+        if (jobs.finalStatus(job) != null) {
+          if (t.exited()) {
+            m.clears.putIfAbsent(t.id(), new Machine.Wish(t.attempt(), 0));
+          } else {
+            stop(m, t.id(), t.attempt(), 0);
+          }
+        } else if (lookedUp.putIfAbsent(job, now) == null) {
+          jobs.read(job, Store.Urgency.BACKGROUND, found -> {});
+        }
+      }
+    }
+  }
+
+  // ---- what others ask ----
+
+  public int heldCount() {
+    return held.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -0,0 +1,150 @@
+package dev.dunefront.book;
+
+import dev.dunefront.peer.Message.State;
+import dev.dunefront.peer.Message.TaskState;
+import dev.dunefront.peer.Message.Why;
+import dev.dunefront.wire.MachineType;
+import dev.dunefront.wire.Report;
+import dev.dunefront.wire.Size;
+import dev.dunefront.wire.TaskId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A machine that this controller holds. */
+final class Machine {
+  /** A start under way; {@code sentUnder} is the baton it went out with, 0 if it has not yet. */
+  static final class Pending {
+    final long attempt;
+    long sentUnder;
+
+    Pending(long attempt) {
+      this.attempt = attempt;
+    }
+  }
+
+  record Offered(String node, String job, Size size, double until) {}
+
+  /** An attempt to be stopped or cleared, repeated until the worker's report shows it. */
+  static final class Wish {
+    final long attempt;
+    final double graceS;
+    double sentAt = Double.NEGATIVE_INFINITY;
+
+    Wish(long attempt, double graceS) {
+      this.attempt = attempt;
+      this.graceS = graceS;
+    }
+  }
+
+  final String host;
+  String endpoint;
+  final String typeName;
+  final String zone;
+  final boolean spot;
+  long baton;
+  long holdStamp;
+  long tenure;
+  long serial = -1;
+  double heard;
+  Double noticeS;
+  double noticeAt;
+  boolean settled;
+  boolean lost;
+  boolean doubt;
+  boolean raising;
+  boolean ordering;
+  final Map<TaskId, Report.Task> tasks = new LinkedHashMap<>();
+  final Map<TaskId, Pending> pending = new LinkedHashMap<>();
+  final Map<TaskId, Wish> stops = new HashMap<>();
+  final Map<TaskId, Wish> clears = new HashMap<>();
+  final Map<TaskId, Long> fence = new HashMap<>();
+  final Map<Long, Offered> offers = new HashMap<>();
+  final Set<String> blamedBy = new HashSet<>();
+  final Set<String> images = new LinkedHashSet<>();
+  final WantBook book = new WantBook();
+  boolean quarantined;
+  boolean dirty = true;
+  double idleSince;
+
+  Machine(Report r, long baton, long holdStamp, double now) {
+    this.host = r.host();
+    this.endpoint = r.endpoint();
+    this.typeName = r.type();
+    this.zone = r.zone();
+    this.spot = r.spot();
+    this.baton = baton;
+    this.holdStamp = holdStamp;
+    this.heard = now;
+    this.idleSince = now;
+  }
+
+  boolean open() {
+    return settled && !lost && !quarantined && !doubt && !raising && noticeS == null;
+  }
+
+  /** Room left on a machine of the type, or none while any task's size is unknown. */
+  Size free(MachineType type, java.util.function.Function<String, Size> sizes) {
+    if (type == null) {
+      return Size.NONE;
+    }
+    Size free = type.size();
+    for (Report.Task t : tasks.values()) {
+      if (!t.exited()) {
+        Size s = sizes.apply(t.id().job());
+        if (s == null) {
+          return Size.NONE;
+        }
+        free = free.minus(s);
+      }
+    }
+    for (TaskId id : pending.keySet()) {
+      if (!tasks.containsKey(id) || tasks.get(id).exited()) {
+        Size s = sizes.apply(id.job());
+        if (s == null) {
+          return Size.NONE;
+        }
+        free = free.minus(s);
+      }
+    }
+    for (Offered o : offers.values()) {
+      free = free.minus(o.size());
+    }
+    return free;
+  }
+
+  List<TaskState> states() {
+    List<TaskState> all = new ArrayList<>();
+    for (Report.Task t : tasks.values()) {
+      State state =
+          switch (t.state()) {
+            case "fetching" -> State.FETCHING;
+            case "saving" -> State.SAVING;
+            case "exited" -> State.EXITED;
+            default -> State.RUNNING;
+          };
+      Why why =
+          switch (t.why()) {
+            case "" -> Why.NONE;
+            case "done" -> Why.DONE;
+            case "error" -> Why.FAILED;
+            case "stopped" -> Why.STOPPED;
+            default -> Why.REFUSED;
+          };
+      all.add(new TaskState(t.id().job(), t.id().number(), t.attempt(), state, why));
+    }
+    pending.forEach(
+        (id, p) -> {
+          Report.Task t = tasks.get(id);
+          if (t == null || t.attempt() != p.attempt) {
+            all.add(new TaskState(id.job(), id.number(), p.attempt, State.PENDING, Why.NONE));
+          }
+        });
+    return all;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Quotas.java
@@ -0,0 +1,101 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.config.Settings;
+import dev.dunefront.store.Replica;
+import dev.dunefront.store.Store;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.Size;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What each limited team's recorded placements take. The record changes in the same transactions as
+ * the placements, so it is exact across controllers and crashes.
+ */
+final class Quotas {
+  private static final String PREFIX = Replica.PREFIX + "q/";
+
+  /** One team's usage; at most one transaction of this controller changes it at a time. */
+  static final class Quota {
+    final Settings.Team team;
+    long stamp;
+    Size used = Size.NONE;
+    boolean busy;
+    final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+
+    Quota(Settings.Team team) {
+      this.team = team;
+    }
+
+    String key() {
+      return PREFIX + team.name();
+    }
+
+    boolean allows(Size more, Size usedNow) {
+      Size sum = usedNow.plus(more);
+      return (team.cpusMax() <= 0 || sum.cpu() <= Math.round(team.cpusMax() * 1e6))
+          && (team.gpusMax() <= 0 || sum.gpu() <= Math.round(team.gpusMax() * 1e6));
+    }
+
+    /** How many tasks of the size may still start. */
+    int room(Size size) {
+      long n = Integer.MAX_VALUE;
+      if (team.cpusMax() > 0 && size.cpu() > 0) {
+        n = Math.min(n, (Math.round(team.cpusMax() * 1e6) - used.cpu()) / size.cpu());
+      }
+      if (team.gpusMax() > 0 && size.gpu() > 0) {
+        n = Math.min(n, (Math.round(team.gpusMax() * 1e6) - used.gpu()) / size.gpu());
+      }
+      return (int) Math.max(0, n);
+    }
+
+    void release() {
+      busy = false;
+      while (!busy && !waiting.isEmpty()) {
+        waiting.poll().run();
+      }
+    }
+  }
+
+  private final Map<String, Quota> byTeam = new HashMap<>();
+  private final Replica replica;
+
+  Quotas(Settings settings, Replica replica, Runnable changed) {
+    this.replica = replica;
+    for (Settings.Team t : settings.teams()) {
+      if (t.limited()) {
+        byTeam.put(t.name(), new Quota(t));
+      }
+    }
+    replica.listen(
+        PREFIX,
+        (team, value, stamp) -> {
+          Quota q = byTeam.get(team);
+          if (q == null || value == null) {
+            return;
+          }
+          try {
+            q.used = new Size(value.count("cpu"), value.count("gpu"), 0);
+            q.stamp = stamp;
+          } catch (BadMessage e) {
+            throw new IllegalStateException("quota record " + team + " cannot be read", e);
+          }
+          changed.run();
+        });
+  }
+
+  /** The team's quota, or null if it has no limit. */
+  Quota of(String team) {
+    return byTeam.get(team);
+  }
+
+  static Doc write(Size used, String mark) {
+    return Doc.of().put("cpu", used.cpu()).put("gpu", used.gpu()).put(Store.MARK, mark);
+  }
+
+  void saw(Quota q, Doc value, long stamp) {
+    replica.apply(q.key(), value, stamp);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Claimed jobs: their wants, placements and ends, and the teams' quotas. */
+package dev.dunefront.claim;
--- /dev/null
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -0,0 +1,220 @@
+package dev.dunefront.cli;
+
+import dev.dunefront.book.Books;
+import dev.dunefront.book.Holds;
+import dev.dunefront.claim.Claims;
+import dev.dunefront.config.Settings;
+import dev.dunefront.config.Tunables;
+import dev.dunefront.fleet.Catalog;
+import dev.dunefront.fleet.Fleet;
+import dev.dunefront.job.JobApi;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.HttpServer;
+import dev.dunefront.net.HttpServer.Answer;
+import dev.dunefront.net.HttpServer.Request;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Peers;
+import dev.dunefront.store.Membership;
+import dev.dunefront.store.Replica;
+import dev.dunefront.store.Store;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.Report;
+import java.util.function.BiFunction;
+
+/** One controller, put together from its parts; network, clock and store come from outside. */
+public final class Daemon implements Peers.Listener {
+  private static final double TICK_S = 0.25;
+  private static final double SLOW_TICK_S = 0.5;
+
+  private final Settings settings;
+  private final Store store;
+  private final Timers timers;
+  private final Ward ward;
+  private final Replica replica;
+  private final Membership membership;
+  private final Catalog catalog;
+  private final JobTable jobs;
+  private final Holds holds;
+  private final Books books;
+  private final Claims claims;
+  private final Fleet fleet;
+  private final JobApi api;
+  private final Peers peers;
+
+  public Daemon(
+      Settings settings,
+      Tunables tunables,
+      Store store,
+      Caller caller,
+      Timers timers,
+      Ward ward,
+      BiFunction<Ward, Peers.Listener, Peers> peersMaker) {
+    this.settings = settings;
+    this.store = store;
+    this.timers = timers;
+    this.ward = ward;
+    peers = peersMaker.apply(ward, this);
+    replica = new Replica(store, timers);
+    membership =
+        new Membership(settings.node(), store, replica, timers, tunables.nodeLeaseS());
+    catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
+    holds = new Holds(replica);
+    jobs = new JobTable(store, replica);
+    books =
+        new Books(
+            settings, tunables, membership, holds, jobs, catalog, store, caller, peers, timers,
+            ward);
+    claims =
+        new Claims(
+            settings, tunables, membership, replica, holds, jobs, catalog, store, peers, timers,
+            ward);
+    fleet =
+        new Fleet(
+            settings, tunables, membership, replica, holds, jobs, claims.room(), catalog, store,
+            caller, timers, ward);
+    api = new JobApi(settings, membership, jobs, claims, catalog, store, peers);
+    holds.listen(
+        host -> {
+          books.holdChanged(host);
+          claims.holdChanged(host);
+        });
+    jobs.listen(claims::jobChanged);
+    jobs.listen(books::jobChanged);
+    membership.onReborn(
+        () -> {
+          claims.reborn();
+          books.reborn();
+        });
+  }
+
+  public void start() {
+    ward.run(
+        () -> {
+          replica.start();
+          membership.start();
+          catalog.start();
+        });
+    tick();
+    slowTick();
+  }
+
+  private void tick() {
+    ward.run(
+        () -> {
+          books.tick();
+          claims.tick();
+        });
+    timers.after(TICK_S, this::tick);
+  }
+
+  private void slowTick() {
+    ward.run(
+        () -> {
+          fleet.tick();
+          String leader = fleet.leaderNode();
+          if (leader != null && membership.self() != null) {
+            peers.send(leader, claims.demand());
+          }
+        });
+    timers.after(SLOW_TICK_S, this::slowTick);
+  }
+
+  /** Whether users' requests can be taken. */
+  private boolean ready() {
+    return replica.ready() && membership.self() != null && catalog.known();
+  }
+
+  // ---- requests ----
+
+  public void handle(Request request, Answer answer) {
+    ward.run(() -> route(request, ward(answer)));
+  }
+
+  /** Answers are sent outside the lock. */
+  private Answer ward(Answer answer) {
+    return (status, body, retryAfterS) -> ward.then(() -> answer.send(status, body, retryAfterS));
+  }
+
+  private void route(Request r, Answer answer) {
+    String path = r.path();
+    if (path.equals("/up")) {
+      if (allowed(r, "GET", answer)) {
+        answer.send(ready() ? 200 : 503, null);
+      }
+    } else if (path.equals("/hello")) {
+      if (allowed(r, "POST", answer)) {
+        hello(r, answer);
+      }
+    } else if (path.equals("/v1/jobs")) {
+      if (allowed(r, "POST", answer)) {
+        if (replica.ready()) {
+          api.submit(r.body(), answer);
+        } else {
+          answer.send(503, null, 1);
+        }
+      }
+    } else if (path.startsWith("/v1/jobs/") && path.endsWith("/abort")) {
+      if (allowed(r, "POST", answer)) {
+        api.cancel(path.substring("/v1/jobs/".length(), path.length() - "/abort".length()), answer);
+      }
+    } else if (path.startsWith("/v1/jobs/")) {
+      if (allowed(r, "GET", answer)) {
+        api.poll(path.substring("/v1/jobs/".length()), answer);
+      }
+    } else {
+      answer.send(404, null);
+    }
+  }
+
+  private static boolean allowed(Request r, String method, Answer answer) {
+    if (r.method().equals(method)) {
+      return true;
+    }
+    answer.send(405, null);
+    return false;
+  }
+
+  private void hello(Request r, Answer answer) {
+    Report report;
+    try {
+      report = Report.read(Doc.decode(r.body()));
+    } catch (BadMessage e) {
+      answer.send(400, Doc.of().put("error", e.getMessage()).encode());
+      return;
+    }
+    if (replica.ready()) {
+      books.report(report, answer);
+    } else {
+      answer.send(503, null, 1);
+    }
+  }
+
+  // ---- peers ----
+
+  @Override
+  public void received(String from, Message m) {
+    if (m instanceof Message.Demand d) {
+      fleet.received(from, d);
+    } else {
+      claims.received(from, m);
+      books.received(from, m);
+    }
+  }
+
+  @Override
+  public void reached(String node) {
+    books.reached(node);
+    claims.reached(node);
+  }
+
+  @Override
+  public void gone(String node) {
+    books.gone(node);
+    claims.gone(node);
+    fleet.gone(node);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/cli/Log.java
@@ -0,0 +1,70 @@
+package dev.dunefront.cli;
+
+import java.util.Locale;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Logging to standard error, a line a record, in the amount that LOG_LEVEL sets. */
+final class Log {
+  private Log() {}
+
+  /** Sets logging up; an unknown level gets a warning and counts as info. */
+  static void start(String word) {
+    String wanted = word == null ? "info" : word.toLowerCase(Locale.ROOT);
+    Level level =
+        switch (wanted) {
+          case "error" -> Level.SEVERE;
+          case "debug" -> Level.FINE;
+          default -> Level.INFO;
+        };
+    LogManager.getLogManager().reset();
+    Logger root = Logger.getLogger("");
+    root.setLevel(Level.WARNING.intValue() > level.intValue() ? Level.WARNING : level);
+    Logger.getLogger("dev.dunefront").setLevel(level);
+    root.addHandler(new Lines());
+    if (level == Level.INFO && !wanted.equals("info")) {
+      System.getLogger(Log.class.getName())
+          .log(System.Logger.Level.WARNING, "LOG_LEVEL {0} is unknown; info is used", word);
+    }
+  }
+
+  private static final class Lines extends Handler {
+    private final Formatter formatter =
+        new Formatter() {
+          @Override
+          public String format(LogRecord r) {
+            String name = r.getLoggerName();
+            StringBuilder line = new StringBuilder(120);
+            line.append(r.getLevel() == Level.SEVERE ? "error" : r.getLevel() == Level.FINE ? "debug" : r.getLevel() == Level.WARNING ? "warning" : "info")
+                .append(' ')
+                .append(name == null ? "" : name.substring(name.lastIndexOf('.') + 1))
+                .append(": ")
+                .append(formatMessage(r));
+            if (r.getThrown() != null) {
+              line.append(' ').append(r.getThrown());
+              for (StackTraceElement e : r.getThrown().getStackTrace()) {
+                line.append(" < ").append(e);
+              }
+            }
+            return line.append('\n').toString();
+          }
+        };
+
+    @Override
+    public void publish(LogRecord r) {
+      System.err.print(formatter.format(r));
+    }
+
+    @Override
+    public void flush() {
+      System.err.flush();
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -0,0 +1,126 @@
+package dev.dunefront.cli;
+
+import dev.dunefront.config.BadSetting;
+import dev.dunefront.config.Settings;
+import dev.dunefront.config.Tunables;
+import dev.dunefront.net.HttpServer;
+import dev.dunefront.net.UndertowCaller;
+import dev.dunefront.net.Ward;
+import dev.dunefront.net.XnioTimers;
+import dev.dunefront.peer.XnioPeers;
+import dev.dunefront.store.HttpStore;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The command line. */
+@Command(
+    name = "dunefront",
+    description = "A cluster scheduler: want-books held per machine, one offer per freed room.",
+    mixinStandardHelpOptions = true,
+    version = "dunefront 0.1.0",
+    subcommands = Main.Check.class)
+public final class Main implements Callable<Integer> {
+  private static final System.Logger LOG = System.getLogger(Main.class.getName());
+
+  @Option(names = "--config", paramLabel = "FILE", description = "Run with this settings file.")
+  private Path config;
+
+  public static void main(String[] args) {
+    int code = new CommandLine(new Main()).execute(args);
+    if (code >= 0) {
+      System.exit(code);
+    }
+  }
+
+  @Override
+  public Integer call() {
+    if (config == null) {
+      System.err.println("dunefront: --config FILE is missing; see --help");
+      return 2;
+    }
+    Settings settings;
+    try {
+      settings = Settings.load(config);
+    } catch (BadSetting e) {
+      System.err.println("dunefront: " + e.getMessage());
+      return 2;
+    }
+    Log.start(System.getenv("LOG_LEVEL"));
+    try {
+      run(settings, Tunables.DEFAULTS);
+    } catch (IOException | RuntimeException e) {
+      LOG.log(Level.ERROR, "cannot start", e);
+      return 1;
+    }
+    return -1;
+  }
+
+  private static void run(Settings settings, Tunables tunables) throws IOException {
+    XnioWorker worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true)
+                    .getMap());
+    XnioIoThread thread = worker.getIoThread();
+    XnioTimers timers = new XnioTimers(thread);
+    DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 64, 4);
+    UndertowCaller caller = new UndertowCaller(thread, buffers, timers);
+    Ward ward = new Ward();
+    String marks = settings.node() + "-" + UUID.randomUUID().toString().substring(0, 13);
+    HttpStore store = new HttpStore(settings, caller, timers, ward, marks);
+    XnioPeers[] links = new XnioPeers[1];
+    Daemon daemon =
+        new Daemon(
+            settings,
+            tunables,
+            store,
+            caller,
+            timers,
+            ward,
+            (w, listener) -> links[0] = new XnioPeers(settings, worker, timers, w, listener));
+    HttpServer.start(worker, buffers, settings.listen(), daemon::handle);
+    links[0].start();
+    thread.execute(daemon::start);
+    LOG.log(Level.INFO, "{0} listens on {1}", settings.node(), settings.listen());
+  }
+
+  /** Checks files without starting anything. */
+  @Command(
+      name = "check",
+      description = "Check a settings file without starting.",
+      mixinStandardHelpOptions = true)
+  static final class Check implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The settings file.")
+    private Path file;
+
+    @Override
+    public Integer call() {
+      try {
+        Settings s = Settings.load(file);
+        System.out.println("settings of " + s.node() + " are in order");
+        return 0;
+      } catch (BadSetting e) {
+        System.err.println("dunefront: " + e.getMessage());
+        return 2;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line and the daemon that it starts. */
+package dev.dunefront.cli;
--- /dev/null
+++ b/src/main/java/dev/dunefront/config/Settings.java
@@ -0,0 +1,222 @@
+package dev.dunefront.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** The settings file that the platform hands over. Unknown fields are ignored. */
+public record Settings(
+    String node,
+    String zone,
+    InetSocketAddress listen,
+    InetSocketAddress peerListen,
+    List<Peer> peers,
+    String cloud,
+    String state,
+    List<Team> teams,
+    Workers workers,
+    StateLimits stateLimits,
+    CloudLimits cloudLimits,
+    Limits limits) {
+
+  public record Peer(String node, String zone, InetSocketAddress address) {}
+
+  /** A team's guarantee and limit; a limit of 0 means none is set. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    public boolean limited() {
+      return cpusMax > 0 || gpusMax > 0;
+    }
+  }
+
+  public record Workers(double reportS, double leaseS, double cancelS) {}
+
+  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+
+  public record CloudLimits(double rps, double listLagS) {}
+
+  public record Limits(double cores, double memoryMb, int sockets) {}
+
+  /** How many controllers there are, this one included. */
+  public int controllers() {
+    return peers.size() + 1;
+  }
+
+  public Optional<Team> team(String name) {
+    return teams.stream().filter(t -> t.name().equals(name)).findFirst();
+  }
+
+  public static Settings load(Path file) throws BadSetting {
+    String text;
+    try {
+      text = Files.readString(file);
+    } catch (NoSuchFileException e) {
+      throw new BadSetting("settings file " + file + " does not exist");
+    } catch (IOException e) {
+      throw new BadSetting("settings file " + file + " cannot be read");
+    }
+    return parse(text);
+  }
+
+  public static Settings parse(String toml) throws BadSetting {
+    JsonNode root;
+    try {
+      root = new TomlMapper().readTree(toml);
+    } catch (JsonProcessingException e) {
+      var at = e.getLocation();
+      throw new BadSetting(
+          "settings are not TOML"
+              + (at == null ? "" : " (line " + at.getLineNr() + ")"));
+    }
+    Section top = new Section("", root);
+    List<Peer> peers = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    names.add(top.text("host_name"));
+    for (Section s : top.list("others")) {
+      Peer p = new Peer(s.text("host_name"), s.text("site"), s.address("address"));
+      if (!names.add(p.node())) {
+        throw new BadSetting(s.path("host_name") + " names " + p.node() + " a second time");
+      }
+      peers.add(p);
+    }
+    Section outside = top.section("outside");
+    Section facts = top.section("facts");
+    List<Team> teams = new ArrayList<>();
+    for (Section s : facts.list("teams")) {
+      teams.add(
+          new Team(
+              s.text("name"),
+              s.amountOr("cpus", 0),
+              s.amountOr("cpus_max", 0),
+              s.amountOr("gpus", 0),
+              s.amountOr("gpus_max", 0)));
+    }
+    Section w = facts.section("workers");
+    Section st = facts.section("state");
+    Section cl = facts.section("cloud");
+    Section li = facts.section("limits");
+    return new Settings(
+        top.text("host_name"),
+        top.text("site"),
+        top.address("listen"),
+        top.address("peer_bind"),
+        List.copyOf(peers),
+        outside.hostPort("cloud"),
+        outside.hostPort("state"),
+        List.copyOf(teams),
+        new Workers(w.positive("report_s"), w.positive("lease_s"), w.positive("cancel_s")),
+        new StateLimits(
+            st.positive("rps"),
+            st.positive("write_rps"),
+            st.positive("value_kb"),
+            st.whole("txn_ops", 2)),
+        new CloudLimits(cl.positive("rps"), cl.positive("list_lag_s")),
+        new Limits(li.positive("cores"), li.positive("memory_mb"), li.whole("fd_limit", 16)));
+  }
+
+  /** A table of the file, knowing its own name for messages. */
+  private record Section(String name, JsonNode node) {
+    String path(String field) {
+      return name.isEmpty() ? field : name + "." + field;
+    }
+
+    JsonNode need(String field) throws BadSetting {
+      JsonNode v = node.get(field);
+      if (v == null) {
+        throw new BadSetting(path(field) + " is missing");
+      }
+      return v;
+    }
+
+    Section section(String field) throws BadSetting {
+      JsonNode v = need(field);
+      if (!v.isObject()) {
+        throw new BadSetting(path(field) + " is not a table");
+      }
+      return new Section(path(field), v);
+    }
+
+    List<Section> list(String field) throws BadSetting {
+      JsonNode v = node.get(field);
+      List<Section> all = new ArrayList<>();
+      if (v == null) {
+        return all;
+      }
+      if (!v.isArray()) {
+        throw new BadSetting(path(field) + " is not a list of tables");
+      }
+      for (JsonNode item : v) {
+        if (!item.isObject()) {
+          throw new BadSetting(path(field) + " is not a list of tables");
+        }
+        all.add(new Section(path(field) + "[" + all.size() + "]", item));
+      }
+      return all;
+    }
+
+    String text(String field) throws BadSetting {
+      JsonNode v = need(field);
+      if (!v.isTextual() || v.asText().isBlank()) {
+        throw new BadSetting(path(field) + " is not text");
+      }
+      return v.asText();
+    }
+
+    double amountOr(String field, double fallback) throws BadSetting {
+      JsonNode v = node.get(field);
+      if (v == null) {
+        return fallback;
+      }
+      if (!v.isNumber() || !(v.asDouble() >= 0) || Double.isInfinite(v.asDouble())) {
+        throw new BadSetting(path(field) + " is not a number of 0 or more");
+      }
+      return v.asDouble();
+    }
+
+    double positive(String field) throws BadSetting {
+      need(field);
+      double d = amountOr(field, 0);
+      if (d <= 0) {
+        throw new BadSetting(path(field) + " must be above 0");
+      }
+      return d;
+    }
+
+    int whole(String field, int least) throws BadSetting {
+      double d = positive(field);
+      if (d != Math.rint(d) || d < least || d > 1e9) {
+        throw new BadSetting(path(field) + " must be a whole number of " + least + " or more");
+      }
+      return (int) d;
+    }
+
+    String hostPort(String field) throws BadSetting {
+      address(field);
+      return text(field);
+    }
+
+    InetSocketAddress address(String field) throws BadSetting {
+      String s = text(field);
+      int colon = s.lastIndexOf(':');
+      try {
+        int port = Integer.parseInt(s.substring(colon + 1));
+        // Only numeric addresses are taken: a name would need a look-up, which the platform lacks.
+        if (colon > 0 && port > 0 && port < 65536 && s.substring(0, colon).matches("[0-9.]+")) {
+          return new InetSocketAddress(s.substring(0, colon), port);
+        }
+      } catch (NumberFormatException e) {
+        // falls through to the one message for every malformed address
+      }
+      throw new BadSetting(path(field) + " is not an IP address and port");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -0,0 +1,461 @@
+package dev.dunefront.fleet;
+
+import dev.dunefront.book.Holds;
+import dev.dunefront.claim.Room;
+import dev.dunefront.config.Settings;
+import dev.dunefront.config.Tunables;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.peer.Message;
+import dev.dunefront.store.Membership;
+import dev.dunefront.store.Replica;
+import dev.dunefront.store.Store;
+import dev.dunefront.store.Txn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.JobSpec;
+import dev.dunefront.wire.MachineType;
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Rents and returns machines. One controller at a time does so: the one whose incarnation is named
+ * by a key that lives under its lease. A late request of a former one rents machines that show up
+ * unexpectedly and are then used like any other.
+ */
+public final class Fleet {
+  private static final System.Logger LOG = System.getLogger(Fleet.class.getName());
+  private static final String KEY = Replica.PREFIX + "fleet";
+  private static final double CALL_S = 4;
+  private static final double REFUSED_S = 12;
+  private static final int MAX_HIRE = 50;
+  private static final int MAX_DELETE = 100;
+
+  /** A machine as the cloud lists it, with the steady time at which it was first listed. */
+  private record Listed(String host, String type, String zone, boolean spot, String status, double since) {}
+
+  private record Kind(String type, String zone, boolean spot) {}
+
+  private record Hire(String name, Kind kind, int count) {}
+
+  private final Settings settings;
+  private final Tunables tunables;
+  private final Membership membership;
+  private final Holds holds;
+  private final JobTable jobs;
+  private final Room room;
+  private final Catalog catalog;
+  private final Store store;
+  private final Caller caller;
+  private final Timers timers;
+  private final Ward ward;
+
+  private boolean leading;
+  private boolean asking;
+  private long keyStamp;
+  private String leader;
+  private long hires;
+  private final Map<String, Message.Demand> demands = new HashMap<>();
+  private final Map<String, Listed> listed = new HashMap<>();
+  private final Map<String, Double> deleted = new HashMap<>();
+  private final Set<String> deleting = new HashSet<>();
+  private final Map<Kind, Double> refused = new HashMap<>();
+  private final Map<String, Double> expected = new HashMap<>();
+  private final Map<String, Kind> expectedKind = new HashMap<>();
+  private final Map<String, Double> idleSince = new HashMap<>();
+  private final Map<String, Double> silentSince = new HashMap<>();
+  private final ArrayDeque<Hire> unclear = new ArrayDeque<>();
+  private boolean calling;
+  private double nextCall;
+  private double nextList;
+  private double leadingSince;
+
+  public Fleet(
+      Settings settings,
+      Tunables tunables,
+      Membership membership,
+      Replica replica,
+      Holds holds,
+      JobTable jobs,
+      Room room,
+      Catalog catalog,
+      Store store,
+      Caller caller,
+      Timers timers,
+      Ward ward) {
+    this.settings = settings;
+    this.tunables = tunables;
+    this.membership = membership;
+    this.holds = holds;
+    this.jobs = jobs;
+    this.room = room;
+    this.catalog = catalog;
+    this.store = store;
+    this.caller = caller;
+    this.timers = timers;
+    this.ward = ward;
+    replica.listen(
+        KEY,
+        (rest, value, stamp) -> {
+          try {
+            leader = value == null ? null : value.text("inc");
+          } catch (BadMessage e) {
+            leader = null;
+          }
+          keyStamp = value == null ? 0 : stamp;
+        });
+  }
+
+  /** The controller that rents, or null. */
+  public String leaderNode() {
+    return leader == null ? null : Membership.nodeOf(leader);
+  }
+
+  public void received(String from, Message.Demand demand) {
+    demands.put(from, demand);
+  }
+
+  public void gone(String node) {
+    demands.remove(node);
+  }
+
+  /** Called about every half second. */
+  public void tick() {
+    String self = membership.self();
+    if (self == null || !catalog.known()) {
+      leading = false;
+      return;
+    }
+    boolean mine = self.equals(leader);
+    if (mine && !leading) {
+      LOG.log(Level.INFO, "renting and returning machines from now on");
+      listed.clear();
+      expected.clear();
+      silentSince.clear();
+      idleSince.clear();
+      leadingSince = timers.now();
+      nextList = 0;
+    }
+    leading = mine;
+    if (!leading) {
+      if ((leader == null || !membership.alive(leader)) && !asking && !store.down()) {
+        lead(self);
+      }
+      return;
+    }
+    double now = timers.now();
+    if (calling || now < nextCall) {
+      return;
+    }
+    if (now >= nextList) {
+      nextList = now + Math.max(2, settings.cloudLimits().listLagS() / 3);
+      List<Listed> all = new ArrayList<>();
+      list("", all);
+      return;
+    }
+    List<String> doomed = doomed(now);
+    if (!doomed.isEmpty()) {
+      delete(doomed);
+      return;
+    }
+    Hire hire = unclear.poll();
+    if (hire == null) {
+      hire = needed(now);
+    }
+    if (hire != null) {
+      hire(hire);
+    }
+  }
+
+  private void lead(String self) {
+    asking = true;
+    Doc value = Doc.of().put("inc", self);
+    store.tryTxn(
+        new Txn().when(KEY, keyStamp).put(KEY, value, membership.tenancy()),
+        Store.Urgency.BACKGROUND,
+        done -> timers.after(1.0, () -> ward.run(() -> asking = false)));
+  }
+
+  private void call(String method, String path, Doc body, Consumer<Caller.Reply> then) {
+    calling = true;
+    nextCall = timers.now() + 1.15 / settings.cloudLimits().rps();
+    ward.then(
+        () ->
+            caller.call(
+                settings.cloud(),
+                method,
+                path,
+                body == null ? null : body.encode(),
+                CALL_S,
+                reply ->
+                    ward.run(
+                        () -> {
+                          calling = false;
+                          if (reply.status() == 503 || reply.status() == 429) {
+                            nextCall = Math.max(nextCall, timers.now() + 1);
+                          }
+                          then.accept(reply);
+                        })));
+  }
+
+  private void list(String from, List<Listed> all) {
+    call(
+        "GET",
+        "/machines?" + (from.isEmpty() ? "" : "from=" + from + "&") + "page=500",
+        null,
+        reply -> {
+          if (!reply.ok()) {
+            return;
+          }
+          try {
+            Doc d = Doc.decode(reply.body());
+            String last = from;
+            for (Doc m : d.docs("hosts")) {
+              last = m.text("id");
+              all.add(
+                  new Listed(
+                      last,
+                      m.text("flavor"),
+                      m.textOr("site", ""),
+                      m.flagOr("loaners", false),
+                      m.text("status"),
+                      timers.now()));
+            }
+            if (d.flagOr("more", false) && !last.equals(from)) {
+              list(last, all);
+            } else {
+              took(all);
+            }
+          } catch (BadMessage e) {
+            LOG.log(Level.INFO, "the machine list cannot be read: {0}", e.getMessage());
+          }
+        });
+  }
+
+  private void took(List<Listed> all) {
+    Map<String, Listed> next = new HashMap<>();
+    for (Listed l : all) {
+      Listed old = listed.get(l.host);
+      double since = old != null && old.status.equals(l.status) ? old.since : l.since;
+      next.put(l.host, new Listed(l.host, l.type, l.zone, l.spot, l.status, since));
+      expected.remove(l.host);
+    }
+    listed.clear();
+    listed.putAll(next);
+    double now = timers.now();
+    deleted.values().removeIf(at -> now - at > 20 * settings.cloudLimits().listLagS());
+    expected.values().removeIf(at -> now - at > 4 * settings.cloudLimits().listLagS());
+    expectedKind.keySet().retainAll(expected.keySet());
+  }
+
+  /** Machines that are to be deleted, each for a reason of its own. */
+  private List<String> doomed(double now) {
+    double lease = settings.workers().leaseS();
+    Map<String, String> why = new HashMap<>();
+    for (Listed l : listed.values()) {
+      Room.Seen seen = room.get(l.host);
+      MachineType type = catalog.type(l.type);
+      if (l.status.equals("failed")) {
+        why.put(l.host, "it failed");
+      } else if (l.status.equals("booting")) {
+        double patience = 30 + 4 * (type == null ? 30 : type.bootS());
+        if (seen == null && now - l.since > patience) {
+          why.put(l.host, "it does not boot");
+        }
+      } else if (silent(l.host, seen)) {
+        double since = silentSince.computeIfAbsent(l.host, h -> now);
+        double patience = seen != null ? lease + 10 : 2 * lease + 10;
+        if (now - since > patience && now - leadingSince > patience) {
+          why.put(l.host, "it is silent");
+        }
+      } else {
+        silentSince.remove(l.host);
+      }
+      if (seen != null && seen.view().quarantined()) {
+        why.put(l.host, "tasks fail on it");
+      }
+    }
+    for (Room.Seen s : room.all()) {
+      String host = s.view().host();
+      if (!s.view().tasks().isEmpty() || !s.view().open()) {
+        idleSince.remove(host);
+      } else if (now - idleSince.computeIfAbsent(host, h -> now) > tunables.idleReturnS()
+          && demands.values().stream().allMatch(d -> d.waiting().isEmpty())
+          && s.view().spot()) {
+        why.put(host, "it idles");
+      }
+    }
+    idleSince.keySet().removeIf(h -> room.get(h) == null);
+    List<String> doomed = new ArrayList<>();
+    why.forEach(
+        (host, reason) -> {
+          if (!deleted.containsKey(host)
+              && deleting.size() + doomed.size() < MAX_DELETE
+              && !deleting.contains(host)) {
+            LOG.log(Level.INFO, "returning {0}: {1}", host, reason);
+            doomed.add(host);
+          }
+        });
+    return doomed;
+  }
+
+  /** Nobody hears the machine, as far as can be told here. */
+  private boolean silent(String host, Room.Seen seen) {
+    if (seen != null) {
+      return seen.view().lost();
+    }
+    Holds.Hold hold = holds.get(host);
+    return hold == null || hold.dead() || !membership.alive(hold.holder());
+  }
+
+  private void delete(List<String> hosts) {
+    deleting.addAll(hosts);
+    call(
+        "POST",
+        "/machines/delete",
+        Doc.of().put("hosts", hosts),
+        reply -> {
+          deleting.removeAll(hosts);
+          if (!reply.ok()) {
+            return;
+          }
+          for (String host : hosts) {
+            deleted.put(host, timers.now());
+            listed.remove(host);
+            buried(host);
+          }
+        });
+  }
+
+  /** Records the confirmed end of a machine, by which all that ran there is proven gone. */
+  private void buried(String host) {
+    Holds.Hold hold = holds.get(host);
+    if (hold == null || hold.dead()) {
+      return;
+    }
+    String mark = store.newMark();
+    store.commit(
+        new Txn().when(Holds.key(host), hold.stamp()).put(Holds.key(host), Holds.writeDead(mark)),
+        mark,
+        done -> {
+          if (!done.ok()) {
+            timers.after(0.5, () -> ward.run(() -> buried(host)));
+          }
+        });
+  }
+
+  /** What to rent next, if anything. */
+  private Hire needed(double now) {
+    Map<Kind, Integer> coming = new HashMap<>();
+    for (Listed l : listed.values()) {
+      if (!l.status.equals("failed") && !deleted.containsKey(l.host) && room.get(l.host) == null) {
+        coming.merge(new Kind(l.type, l.zone, l.spot), 1, Integer::sum);
+      }
+    }
+    expectedKind.forEach((host, kind) -> coming.merge(kind, 1, Integer::sum));
+    refused.values().removeIf(until -> until < now);
+    List<Message.Waiting> waiting = new ArrayList<>();
+    demands.values().forEach(d -> waiting.addAll(d.waiting()));
+    waiting.removeIf(w -> jobs.get(w.job()) == null);
+    waiting.sort(Comparator.comparing(w -> jobs.get(w.job()).record().spec().priority()));
+    for (Message.Waiting w : waiting) {
+      JobSpec spec = jobs.get(w.job()).record().spec();
+      int missing = w.tasks();
+      for (var e : coming.entrySet()) {
+        MachineType t = catalog.type(e.getKey().type);
+        if (t != null && spec.allows(e.getKey().type, e.getKey().zone, e.getKey().spot)) {
+          int fit = spec.size().timesIn(t.size());
+          if (fit > 0) {
+            int used = Math.min(e.getValue(), (missing + fit - 1) / fit);
+            missing -= used * fit;
+            e.setValue(e.getValue() - used);
+          }
+        }
+        if (missing <= 0) {
+          break;
+        }
+      }
+      if (missing > 0) {
+        Hire hire = choose(spec, missing);
+        if (hire != null) {
+          return hire;
+        }
+      }
+    }
+    return null;
+  }
+
+  private Hire choose(JobSpec spec, int tasks) {
+    Kind best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (MachineType t : catalog.types()) {
+      int fit = spec.size().timesIn(t.size());
+      if (fit == 0) {
+        continue;
+      }
+      for (String zone : t.zones()) {
+        for (boolean spot : new boolean[] {false, true}) {
+          Kind kind = new Kind(t.name(), zone, spot);
+          if (!spec.allows(t.name(), zone, spot) || refused.containsKey(kind)) {
+            continue;
+          }
+          double cost = (spot ? t.spotPrice() : t.price()) / Math.min(fit, Math.max(1, tasks));
+          if (cost < bestCost) {
+            bestCost = cost;
+            best = kind;
+          }
+        }
+      }
+    }
+    if (best == null) {
+      return null;
+    }
+    int fit = spec.size().timesIn(catalog.type(best.type).size());
+    int count = Math.min(MAX_HIRE, (tasks + fit - 1) / fit);
+    return new Hire("hire-" + membership.self().replace('#', '-') + "-" + ++hires, best, count);
+  }
+
+  private void hire(Hire h) {
+    call(
+        "POST",
+        "/machines",
+        Doc.of()
+            .put("hire", h.name)
+            .put("flavor", h.kind.type)
+            .put("site", h.kind.zone)
+            .put("loaners", h.kind.spot)
+            .put("how_many", h.count),
+        reply -> {
+          if (reply.ok()) {
+            try {
+              List<String> hosts = Doc.decode(reply.body()).texts("hosts");
+              LOG.log(Level.INFO, "rented {0} of {1} {2}", hosts.size(), h.count, h.kind);
+              for (String host : hosts) {
+                expected.put(host, timers.now());
+                expectedKind.put(host, h.kind);
+              }
+              if (hosts.size() < h.count) {
+                refused.put(h.kind, timers.now() + REFUSED_S);
+              }
+            } catch (BadMessage e) {
+              LOG.log(Level.INFO, "the answer to a hire cannot be read: {0}", e.getMessage());
+            }
+          } else if (reply.status() == 503 || reply.status() == 400) {
+            refused.put(h.kind, timers.now() + REFUSED_S);
+          } else if (reply.status() != 429) {
+            // The same name asks again, so that nothing is rented twice.
+            unclear.add(h);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Machine types, renting, health and returning of machines. */
+package dev.dunefront.fleet;
--- /dev/null
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -0,0 +1,267 @@
+package dev.dunefront.job;
+
+import dev.dunefront.claim.Claims;
+import dev.dunefront.config.Settings;
+import dev.dunefront.fleet.Catalog;
+import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.net.HttpServer.Answer;
+import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Peers;
+import dev.dunefront.store.Membership;
+import dev.dunefront.store.Store;
+import dev.dunefront.store.Store.Outcome;
+import dev.dunefront.store.Store.Urgency;
+import dev.dunefront.store.Txn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.JobSpec;
+import dev.dunefront.wire.MachineType;
+import dev.dunefront.wire.Size;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
+
+/**
+ * The users' requests. Nothing is said before it is written, and what may still change is read anew
+ * for every answer. What cannot be served is refused at once.
+ */
+public final class JobApi {
+  private static final System.Logger LOG = System.getLogger(JobApi.class.getName());
+  private static final int AGAIN_S = 1;
+  private static final int TRIES = 5;
+
+  private final Settings settings;
+  private final Membership membership;
+  private final JobTable jobs;
+  private final Claims claims;
+  private final Catalog catalog;
+  private final Store store;
+  private final Peers peers;
+
+  public JobApi(
+      Settings settings,
+      Membership membership,
+      JobTable jobs,
+      Claims claims,
+      Catalog catalog,
+      Store store,
+      Peers peers) {
+    this.settings = settings;
+    this.membership = membership;
+    this.jobs = jobs;
+    this.claims = claims;
+    this.catalog = catalog;
+    this.store = store;
+    this.peers = peers;
+  }
+
+  // ---- submit ----
+
+  public void submit(byte[] body, Answer answer) {
+    JobSpec spec;
+    try {
+      spec = JobSpec.read(Doc.decode(body));
+    } catch (BadMessage e) {
+      answer.send(400, error(e.getMessage()));
+      return;
+    }
+    if (jobs.finalStatus(spec.id()) != null) {
+      answer.send(200, status(spec.id(), jobs.finalStatus(spec.id()), null));
+      return;
+    }
+    if (store.down() || membership.self() == null) {
+      again(answer);
+      return;
+    }
+    String reason = neverRuns(spec);
+    if (jobs.get(spec.id()) != null || reason != null) {
+      // A known job is never refused, whatever would be said of it today.
+      repeated(spec, reason, answer);
+    } else if (!catalog.known()) {
+      again(answer);
+    } else {
+      accept(spec, answer);
+    }
+  }
+
+  private void accept(JobSpec spec, Answer answer) {
+    String claim = claims.admits(spec) ? membership.self() : null;
+    JobRecord record = new JobRecord(spec, claim, claim == null ? 0 : 1, Status.OPEN);
+    String mark = store.newMark();
+    store.tryTxn(
+        new Txn()
+            .when(JobRecord.key(spec.id()), 0)
+            .when(JobRecord.finalKey(spec.id()), 0)
+            .put(JobRecord.key(spec.id()), record.write(mark)),
+        Urgency.USER,
+        done -> {
+          if (done.ok()) {
+            LOG.log(Level.INFO, "accepted {0}", spec.id());
+            jobs.wrote(spec.id(), record, mark, done.revision());
+            if (claim != null && claim.equals(membership.self())) {
+              claims.adopt(record, done.revision(), true);
+            }
+            answer.send(201, status(spec.id(), Status.OPEN, null));
+          } else if (done.outcome() == Outcome.CONFLICT) {
+            repeated(spec, null, answer);
+          } else {
+            again(answer);
+          }
+        });
+  }
+
+  /** Answers a submission of a job that is, or may be, known; 422 with the reason if it is not. */
+  private void repeated(JobSpec spec, String reason, Answer answer) {
+    jobs.read(
+        spec.id(),
+        Urgency.USER,
+        found -> {
+          if (found.outcome() == Outcome.OK) {
+            answer.send(200, status(spec.id(), found.status(), null));
+          } else if (found.outcome() == Outcome.MISSING && reason != null) {
+            answer.send(422, error(reason));
+          } else {
+            again(answer);
+          }
+        });
+  }
+
+  /** Why a job can never run, or null. */
+  private String neverRuns(JobSpec spec) {
+    Optional<Settings.Team> team = settings.team(spec.team());
+    if (team.isEmpty()) {
+      return "owner is not a known team";
+    }
+    if (!catalog.known()) {
+      return null;
+    }
+    Size size = spec.size();
+    boolean fits = false;
+    for (MachineType t : catalog.types()) {
+      boolean allowed = spec.types() == null || spec.types().contains(t.name());
+      boolean there = spec.zone() == null || t.zones().isEmpty() || t.zones().contains(spec.zone());
+      fits |= allowed && there && size.fits(t.size());
+    }
+    if (!fits) {
+      return "a task fits no allowed machine type";
+    }
+    double times = spec.service() ? spec.tasks() : 1;
+    if (team.get().cpusMax() > 0 && spec.cpus() * times > team.get().cpusMax() + 1e-9
+        || team.get().gpusMax() > 0 && spec.gpus() * times > team.get().gpusMax() + 1e-9) {
+      return "the job needs more than the team's limit";
+    }
+    return null;
+  }
+
+  // ---- poll ----
+
+  public void poll(String id, Answer answer) {
+    if (!JobSpec.isId(id)) {
+      answer.send(404, error("no such job"));
+      return;
+    }
+    Status known = jobs.finalStatus(id);
+    if (known != null) {
+      answer.send(200, status(id, known, jobs.get(id)));
+      return;
+    }
+    if (store.down()) {
+      again(answer);
+      return;
+    }
+    jobs.read(
+        id,
+        Urgency.USER,
+        found -> {
+          switch (found.outcome()) {
+            case OK -> answer.send(200, status(id, found.status(), found.entry()));
+            case MISSING -> answer.send(404, error("no such job"));
+            default -> again(answer);
+          }
+        });
+  }
+
+  // ---- cancel ----
+
+  public void cancel(String id, Answer answer) {
+    if (!JobSpec.isId(id)) {
+      answer.send(404, error("no such job"));
+      return;
+    }
+    cancel(id, answer, TRIES);
+  }
+
+  private void cancel(String id, Answer answer, int tries) {
+    Status known = jobs.finalStatus(id);
+    if (known != null) {
+      answer.send(200, status(id, known, jobs.get(id)));
+      return;
+    }
+    if (store.down() || tries == 0) {
+      again(answer);
+      return;
+    }
+    jobs.read(
+        id,
+        Urgency.USER,
+        found -> {
+          if (found.outcome() == Outcome.MISSING) {
+            answer.send(404, error("no such job"));
+          } else if (found.outcome() != Outcome.OK) {
+            again(answer);
+          } else if (found.status() != Status.OPEN) {
+            answer.send(200, status(id, found.status(), found.entry()));
+          } else {
+            JobRecord next = found.entry().record().with(Status.CANCELLED);
+            String mark = store.newMark();
+            store.tryTxn(
+                new Txn()
+                    .when(JobRecord.key(id), found.entry().stamp())
+                    .put(JobRecord.key(id), next.write(mark)),
+                Urgency.USER,
+                done -> {
+                  if (done.ok()) {
+                    LOG.log(Level.INFO, "cancelled {0}", id);
+                    jobs.wrote(id, next, mark, done.revision());
+                    peers.broadcast(new Message.Cancelled(id));
+                    answer.send(200, status(id, Status.CANCELLED, null));
+                  } else if (done.outcome() == Outcome.CONFLICT) {
+                    cancel(id, answer, tries - 1);
+                  } else {
+                    again(answer);
+                  }
+                });
+          }
+        });
+  }
+
+  // ---- answers ----
+
+  private byte[] status(String id, Status status, JobTable.Entry entry) {
+    Claims.Counts counts = claims.counts(id);
+    int done = counts == null ? 0 : counts.done();
+    int running = counts == null ? claims.runningElsewhere(id) : counts.running();
+    if (status == Status.DONE && entry != null) {
+      done = entry.record().spec().tasks();
+    }
+    String word =
+        switch (status) {
+          case OPEN -> running > 0 ? "running" : "queued";
+          case DONE -> "done";
+          case CANCELLED -> "cancelled";
+        };
+    return Doc.of()
+        .put("id", id)
+        .put("status", word)
+        .put("done", done)
+        .put("running", status == Status.OPEN ? running : 0)
+        .encode();
+  }
+
+  private static byte[] error(String what) {
+    return Doc.of().put("error", what).encode();
+  }
+
+  private static void again(Answer answer) {
+    answer.send(503, error("not now"), AGAIN_S);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -0,0 +1,148 @@
+package dev.dunefront.job;
+
+import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.store.Replica;
+import dev.dunefront.store.Store;
+import dev.dunefront.store.Store.Outcome;
+import dev.dunefront.store.Store.Urgency;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** What this controller knows of jobs: live records from the replica, and final states for good. */
+public final class JobTable {
+  private static final int FINALS = 50_000;
+
+  /** A live record with its stamp. */
+  public record Entry(JobRecord record, long stamp) {}
+
+  /** Hears of changes of live records; null when a record is gone. */
+  public interface Listener {
+    void changed(String id, Entry entry);
+  }
+
+  /** What a current read found; a final state has no entry. REFUSED and UNCLEAR found nothing. */
+  public record Found(Outcome outcome, Entry entry, Status status) {}
+
+  private final Store store;
+  private final Replica replica;
+  private final Map<String, Entry> live = new HashMap<>();
+  private final List<Listener> listeners = new ArrayList<>();
+  private final Map<String, Status> finals =
+      new LinkedHashMap<>(256, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Status> eldest) {
+          return size() > FINALS;
+        }
+      };
+
+  public JobTable(Store store, Replica replica) {
+    this.store = store;
+    this.replica = replica;
+    replica.listen(JobRecord.PREFIX, this::changed);
+  }
+
+  private void changed(String id, Doc value, long stamp) {
+    Entry entry = null;
+    if (value == null) {
+      live.remove(id);
+    } else {
+      try {
+        Entry known = live.get(id);
+        entry = new Entry(JobRecord.read(value, known == null ? null : known.record.spec()), stamp);
+        live.put(id, entry);
+      } catch (BadMessage | IllegalArgumentException e) {
+        throw new IllegalStateException("job record " + id + " cannot be read", e);
+      }
+      if (entry.record.status() != Status.OPEN) {
+        finals.put(id, entry.record.status());
+      }
+    }
+    for (Listener l : listeners) {
+      l.changed(id, entry);
+    }
+  }
+
+  public void listen(Listener listener) {
+    listeners.add(listener);
+  }
+
+  public Entry get(String id) {
+    return live.get(id);
+  }
+
+  public Collection<Entry> all() {
+    return live.values();
+  }
+
+  /** A final state that is known for certain, or null. */
+  public Status finalStatus(String id) {
+    return finals.get(id);
+  }
+
+  /** A record or a final state that this controller has written itself. */
+  public void wrote(String id, JobRecord record, String mark, long stamp) {
+    replica.apply(JobRecord.key(id), record.write(mark), stamp);
+  }
+
+  public void finished(String id, Status status, long revision) {
+    finals.put(id, status);
+    replica.apply(JobRecord.key(id), null, revision);
+  }
+
+  /**
+   * Reads a job as it is now. A record moves from live to final and never back, so reading the live
+   * key first and the final key second misses nothing.
+   */
+  public void read(String id, Urgency urgency, Consumer<Found> then) {
+    Status known = finals.get(id);
+    if (known != null) {
+      then.accept(new Found(Outcome.OK, null, known));
+      return;
+    }
+    store.get(
+        JobRecord.key(id),
+        urgency,
+        got -> {
+          if (got.outcome() == Outcome.OK) {
+            replica.apply(JobRecord.key(id), got.value(), got.stamp());
+            Entry e = live.get(id);
+            if (e != null) {
+              then.accept(new Found(Outcome.OK, e, e.record.status()));
+            } else {
+              // Removed while the read was under way.
+              readFinal(id, urgency, then);
+            }
+          } else if (got.outcome() == Outcome.MISSING) {
+            readFinal(id, urgency, then);
+          } else {
+            then.accept(new Found(got.outcome(), null, null));
+          }
+        });
+  }
+
+  private void readFinal(String id, Urgency urgency, Consumer<Found> then) {
+    store.get(
+        JobRecord.finalKey(id),
+        urgency,
+        got -> {
+          if (got.outcome() != Outcome.OK) {
+            then.accept(new Found(got.outcome(), null, null));
+            return;
+          }
+          try {
+            Status status = JobRecord.readFinal(got.value());
+            finals.put(id, status);
+            then.accept(new Found(Outcome.OK, null, status));
+          } catch (BadMessage | IllegalArgumentException e) {
+            throw new IllegalStateException("final record " + id + " cannot be read", e);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/job/package-info.java
@@ -0,0 +1,2 @@
+/** Job records, what is known of jobs, and the users' interface. */
+package dev.dunefront.job;
--- /dev/null
+++ b/src/main/java/dev/dunefront/net/HttpServer.java
@@ -0,0 +1,106 @@
+package dev.dunefront.net;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import org.xnio.XnioWorker;
+
+/** The HTTP server for users, workers and health checks. */
+public final class HttpServer {
+  /** The largest body that is taken. */
+  public static final int MAX_BODY = 64 * 1024;
+
+  /** A request with its whole body. */
+  public record Request(String method, String path, String query, byte[] body) {}
+
+  /** Takes an answer once; only the first counts. */
+  public interface Answer {
+    void send(int status, byte[] body, int retryAfterS);
+
+    default void send(int status, byte[] body) {
+      send(status, body, 0);
+    }
+  }
+
+  /** What serves the requests; it must answer each one, now or later. */
+  public interface Handler {
+    void handle(Request request, Answer answer);
+  }
+
+  private HttpServer() {}
+
+  public static Undertow start(
+      XnioWorker worker, ByteBufferPool buffers, InetSocketAddress at, Handler handler) {
+    Undertow server =
+        Undertow.builder()
+            .setWorker(worker)
+            .setByteBufferPool(buffers)
+            .addHttpListener(at.getPort(), at.getAddress().getHostAddress())
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+            .setHandler(exchange -> receive(exchange, handler))
+            .build();
+    server.start();
+    return server;
+  }
+
+  private static void receive(HttpServerExchange exchange, Handler handler) {
+    if (exchange.getRequestContentLength() > MAX_BODY) {
+      exchange.setPersistent(false);
+      answer(exchange).send(413, null);
+      return;
+    }
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (ex, body) ->
+                // Dispatching keeps the exchange open until the answer comes, however late.
+                ex.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () ->
+                        handler.handle(
+                            new Request(
+                                ex.getRequestMethod().toString(),
+                                ex.getRequestPath(),
+                                ex.getQueryString(),
+                                body),
+                            answer(ex))),
+            (ex, error) -> {
+              ex.setPersistent(false);
+              int status =
+                  error instanceof io.undertow.server.RequestTooBigException ? 413 : 400;
+              answer(ex).send(status, null);
+            });
+  }
+
+  private static Answer answer(HttpServerExchange exchange) {
+    return new Answer() {
+      private boolean sent;
+
+      @Override
+      public void send(int status, byte[] body, int retryAfterS) {
+        if (sent || exchange.isResponseStarted()) {
+          return;
+        }
+        sent = true;
+        exchange.setStatusCode(status);
+        if (retryAfterS > 0) {
+          exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterS);
+        }
+        if (body == null) {
+          exchange.endExchange();
+          return;
+        }
+        exchange.getResponseHeaders().put(new HttpString("Content-Type"), "application/msgpack");
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/net/Timers.java
@@ -0,0 +1,10 @@
+package dev.dunefront.net;
+
+/** The steady clock and timers, handed to decision code so that tests can drive them. */
+public interface Timers {
+  /** Seconds on the steady clock. */
+  double now();
+
+  /** Runs the action once, after so many seconds. */
+  void after(double seconds, Runnable action);
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/net/UndertowCaller.java
@@ -0,0 +1,277 @@
+package dev.dunefront.net;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Undertow's client with a small pool of open connections for each address. All of it runs on one
+ * I/O thread, so its own fields need no lock.
+ */
+public final class UndertowCaller implements Caller {
+  private static final int MAX_IDLE = 6;
+  private static final double MAX_IDLE_S = 20;
+  private static final int MAX_BODY = 16 << 20;
+
+  private record Idle(ClientConnection connection, double since) {}
+
+  private final XnioIoThread thread;
+  private final ByteBufferPool buffers;
+  private final Timers timers;
+  private final Map<String, ArrayDeque<Idle>> pool = new HashMap<>();
+
+  public UndertowCaller(XnioIoThread thread, ByteBufferPool buffers, Timers timers) {
+    this.thread = thread;
+    this.buffers = buffers;
+    this.timers = timers;
+  }
+
+  @Override
+  public void call(
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      double deadlineS,
+      Consumer<Reply> then) {
+    Call call = new Call(address, method, path, body, then);
+    if (Thread.currentThread() == thread) {
+      call.start(deadlineS);
+    } else {
+      thread.execute(() -> call.start(deadlineS));
+    }
+  }
+
+  private final class Call {
+    private final String address;
+    private final String method;
+    private final String path;
+    private final byte[] body;
+    private final Consumer<Reply> then;
+    private XnioExecutor.Key deadline;
+    private IoFuture<ClientConnection> connecting;
+    private ClientConnection connection;
+    private boolean over;
+
+    Call(String address, String method, String path, byte[] body, Consumer<Reply> then) {
+      this.address = address;
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.then = then;
+    }
+
+    void start(double deadlineS) {
+      deadline =
+          thread.executeAfter(
+              () -> finish(Reply.UNCLEAR, false),
+              Math.max(1, Math.round(deadlineS * 1000)),
+              java.util.concurrent.TimeUnit.MILLISECONDS);
+      ArrayDeque<Idle> idle = pool.get(address);
+      while (idle != null && !idle.isEmpty()) {
+        Idle i = idle.pollLast();
+        if (i.connection.isOpen() && timers.now() - i.since < MAX_IDLE_S) {
+          send(i.connection);
+          return;
+        }
+        IoUtils.safeClose(i.connection);
+      }
+      connect();
+    }
+
+    private void connect() {
+      connecting =
+          UndertowClient.getInstance()
+              .connect(URI.create("http://" + address), thread, buffers, OptionMap.EMPTY);
+      connecting.addNotifier(
+          (future, unused) -> {
+            if (future.getStatus() != IoFuture.Status.DONE) {
+              thread.execute(() -> finish(Reply.UNCLEAR, false));
+              return;
+            }
+            try {
+              ClientConnection c = future.get();
+              if (over) {
+                IoUtils.safeClose(c);
+              } else {
+                send(c);
+              }
+            } catch (IOException e) {
+              finish(Reply.UNCLEAR, false);
+            }
+          },
+          null);
+    }
+
+    private void send(ClientConnection c) {
+      connection = c;
+      ClientRequest request = new ClientRequest();
+      request.setMethod(new HttpString(method)).setPath(path);
+      request.getRequestHeaders().put(Headers.HOST, address);
+      if (body != null) {
+        request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/msgpack");
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+      }
+      c.sendRequest(
+          request,
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+              exchange.setResponseListener(
+                  new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientExchange answered) {
+                      receive(answered);
+                    }
+
+                    @Override
+                    public void failed(IOException e) {
+                      broken();
+                    }
+                  });
+              try {
+                sendBody(exchange.getRequestChannel());
+              } catch (IOException e) {
+                broken();
+              }
+            }
+
+            @Override
+            public void failed(IOException e) {
+              broken();
+            }
+          });
+    }
+
+    private void sendBody(StreamSinkChannel channel) throws IOException {
+      ByteBuffer buffer = ByteBuffer.wrap(body == null ? new byte[0] : body);
+      if (pump(channel, buffer)) {
+        return;
+      }
+      channel
+          .getWriteSetter()
+          .set(
+              c -> {
+                try {
+                  if (pump(c, buffer)) {
+                    c.suspendWrites();
+                  }
+                } catch (IOException e) {
+                  broken();
+                }
+              });
+      channel.resumeWrites();
+    }
+
+    private boolean pump(StreamSinkChannel channel, ByteBuffer buffer) throws IOException {
+      while (buffer.hasRemaining()) {
+        if (channel.write(buffer) == 0) {
+          return false;
+        }
+      }
+      channel.shutdownWrites();
+      return channel.flush();
+    }
+
+    private void receive(ClientExchange exchange) {
+      StreamSourceChannel channel = exchange.getResponseChannel();
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      if (drain(exchange, channel, all)) {
+        return;
+      }
+      channel
+          .getReadSetter()
+          .set(
+              c -> {
+                if (drain(exchange, c, all)) {
+                  c.suspendReads();
+                }
+              });
+      channel.resumeReads();
+    }
+
+    private boolean drain(
+        ClientExchange exchange, StreamSourceChannel channel, ByteArrayOutputStream all) {
+      ByteBuffer buffer = ByteBuffer.allocate(4096);
+      try {
+        while (true) {
+          buffer.clear();
+          int n = channel.read(buffer);
+          if (n == 0) {
+            return false;
+          }
+          if (n < 0) {
+            break;
+          }
+          all.write(buffer.array(), 0, n);
+          if (all.size() > MAX_BODY) {
+            broken();
+            return true;
+          }
+        }
+      } catch (IOException e) {
+        broken();
+        return true;
+      }
+      double retryAfter = 0;
+      String header = exchange.getResponse().getResponseHeaders().getFirst(Headers.RETRY_AFTER);
+      if (header != null) {
+        try {
+          retryAfter = Double.parseDouble(header);
+        } catch (NumberFormatException e) {
+          // a date or nonsense: the caller's own pause applies
+        }
+      }
+      finish(
+          new Reply(exchange.getResponse().getResponseCode(), all.toByteArray(), retryAfter), true);
+      return true;
+    }
+
+    /** The connection failed; nobody knows whether the request arrived. */
+    private void broken() {
+      finish(Reply.UNCLEAR, false);
+    }
+
+    private void finish(Reply reply, boolean keep) {
+      if (over) {
+        return;
+      }
+      over = true;
+      deadline.remove();
+      if (connection != null) {
+        if (keep && connection.isOpen()) {
+          ArrayDeque<Idle> idle = pool.computeIfAbsent(address, a -> new ArrayDeque<>());
+          idle.addLast(new Idle(connection, timers.now()));
+          if (idle.size() > MAX_IDLE) {
+            IoUtils.safeClose(idle.pollFirst().connection);
+          }
+        } else {
+          IoUtils.safeClose(connection);
+        }
+      } else if (connecting != null) {
+        connecting.cancel();
+      }
+      then.accept(reply);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -0,0 +1,355 @@
+package dev.dunefront.peer;
+
+import dev.dunefront.wire.Size;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What controllers tell each other. A task is named by job and number; a hold by its baton, which
+ * is never used twice for one machine.
+ */
+public sealed interface Message {
+
+  /** Opens a link: who speaks. */
+  record Hello(String node) implements Message {}
+
+  record Ping() implements Message {}
+
+  /** A task on a machine as its holder knows it; PENDING means that its start is under way. */
+  record TaskState(String job, int number, long attempt, State state, Why why) {
+    public boolean exited() {
+      return state == State.EXITED;
+    }
+  }
+
+  enum State {
+    PENDING,
+    FETCHING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  enum Why {
+    NONE,
+    DONE,
+    STOPPED,
+    FAILED,
+    REFUSED
+  }
+
+  /** A held machine: what runs on it and what room it has. Sent on every change. */
+  record View(
+      String host,
+      String type,
+      String zone,
+      boolean spot,
+      long baton,
+      long holdStamp,
+      long tenure,
+      /** The worker has reported under this baton and no order is in doubt. */
+      boolean settled,
+      /** The lease of this tenure is surely over. */
+      boolean lost,
+      /** Room is being dealt. */
+      boolean open,
+      /** Several jobs fail on it that run elsewhere. */
+      boolean quarantined,
+      Size free,
+      List<String> images,
+      List<TaskState> tasks)
+      implements Message {}
+
+  /** The sender no longer holds the machine. */
+  record Unheld(String host) implements Message {}
+
+  /** Parks wants for tasks of a job in a machine's book; a count of 0 withdraws them. */
+  record Want(String host, String job, int priority, Size size, int count) implements Message {}
+
+  /** Room for one task of the job is set aside. */
+  record Offer(long offer, String host, String job, long baton, long holdStamp, long tenure)
+      implements Message {}
+
+  record Decline(long offer, String host) implements Message {}
+
+  /** Takes an offer: the placement is recorded and the task may be started. */
+  record Start(long offer, String host, long baton, String job, int number, long attempt)
+      implements Message {}
+
+  /** Asks whether an attempt that the holder's view lacks is surely gone. */
+  record Probe(String host, long baton, String job, int number, long attempt) implements Message {}
+
+  /** It is, and the holder will never start it under this baton. */
+  record Absent(String host, long baton, long holdStamp, String job, int number, long attempt)
+      implements Message {}
+
+  record Stop(String host, String job, int number, long attempt, double graceS)
+      implements Message {}
+
+  /** The end of the attempt is recorded; the worker may forget it. */
+  record Clear(String host, String job, int number, long attempt) implements Message {}
+
+  /** The task failed where others of its job did not. */
+  record Blame(String host, String job) implements Message {}
+
+  /** A machine that the receiver holds has reported here: does the receiver still hear it? */
+  record HoldAsk(String host) implements Message {}
+
+  record HoldSay(String host, boolean held, double heardAgoS) implements Message {}
+
+  /** A user was told that the job is cancelled. */
+  record Cancelled(String job) implements Message {}
+
+  /** What a controller has waiting, for whoever rents machines. */
+  record Demand(List<Waiting> waiting) implements Message {}
+
+  record Waiting(String job, int tasks) {}
+
+  int MAX_RECORD = 4 << 20;
+
+  static byte[] encode(Message m) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+    try {
+      write(new DataOutputStream(bytes), m);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void write(DataOutputStream out, Message m) throws IOException {
+    if (m instanceof Hello h) {
+      out.writeByte(1);
+      out.writeUTF(h.node);
+    } else if (m instanceof Ping) {
+      out.writeByte(2);
+    } else if (m instanceof View v) {
+      out.writeByte(3);
+      out.writeUTF(v.host);
+      out.writeUTF(v.type);
+      out.writeUTF(v.zone);
+      out.writeBoolean(v.spot);
+      out.writeLong(v.baton);
+      out.writeLong(v.holdStamp);
+      out.writeLong(v.tenure);
+      out.writeBoolean(v.settled);
+      out.writeBoolean(v.lost);
+      out.writeBoolean(v.open);
+      out.writeBoolean(v.quarantined);
+      writeSize(out, v.free);
+      out.writeShort(v.images.size());
+      for (String image : v.images) {
+        out.writeUTF(image);
+      }
+      out.writeInt(v.tasks.size());
+      for (TaskState t : v.tasks) {
+        out.writeUTF(t.job);
+        out.writeInt(t.number);
+        out.writeLong(t.attempt);
+        out.writeByte(t.state.ordinal());
+        out.writeByte(t.why.ordinal());
+      }
+    } else if (m instanceof Unheld u) {
+      out.writeByte(4);
+      out.writeUTF(u.host);
+    } else if (m instanceof Want w) {
+      out.writeByte(5);
+      out.writeUTF(w.host);
+      out.writeUTF(w.job);
+      out.writeByte(w.priority);
+      writeSize(out, w.size);
+      out.writeInt(w.count);
+    } else if (m instanceof Offer o) {
+      out.writeByte(6);
+      out.writeLong(o.offer);
+      out.writeUTF(o.host);
+      out.writeUTF(o.job);
+      out.writeLong(o.baton);
+      out.writeLong(o.holdStamp);
+      out.writeLong(o.tenure);
+    } else if (m instanceof Decline d) {
+      out.writeByte(7);
+      out.writeLong(d.offer);
+      out.writeUTF(d.host);
+    } else if (m instanceof Start s) {
+      out.writeByte(8);
+      out.writeLong(s.offer);
+      out.writeUTF(s.host);
+      out.writeLong(s.baton);
+      writeAttempt(out, s.job, s.number, s.attempt);
+    } else if (m instanceof Probe p) {
+      out.writeByte(9);
+      out.writeUTF(p.host);
+      out.writeLong(p.baton);
+      writeAttempt(out, p.job, p.number, p.attempt);
+    } else if (m instanceof Absent a) {
+      out.writeByte(10);
+      out.writeUTF(a.host);
+      out.writeLong(a.baton);
+      out.writeLong(a.holdStamp);
+      writeAttempt(out, a.job, a.number, a.attempt);
+    } else if (m instanceof Stop s) {
+      out.writeByte(11);
+      out.writeUTF(s.host);
+      writeAttempt(out, s.job, s.number, s.attempt);
+      out.writeDouble(s.graceS);
+    } else if (m instanceof Clear c) {
+      out.writeByte(12);
+      out.writeUTF(c.host);
+      writeAttempt(out, c.job, c.number, c.attempt);
+    } else if (m instanceof Blame b) {
+      out.writeByte(13);
+      out.writeUTF(b.host);
+      out.writeUTF(b.job);
+    } else if (m instanceof HoldAsk a) {
+      out.writeByte(14);
+      out.writeUTF(a.host);
+    } else if (m instanceof HoldSay s) {
+      out.writeByte(15);
+      out.writeUTF(s.host);
+      out.writeBoolean(s.held);
+      out.writeDouble(s.heardAgoS);
+    } else if (m instanceof Cancelled c) {
+      out.writeByte(16);
+      out.writeUTF(c.job);
+    } else if (m instanceof Demand d) {
+      out.writeByte(17);
+      out.writeInt(d.waiting.size());
+      for (Waiting w : d.waiting) {
+        out.writeUTF(w.job);
+        out.writeInt(w.tasks);
+      }
+    }
+  }
+
+  private static void writeSize(DataOutputStream out, Size s) throws IOException {
+    out.writeLong(s.cpu());
+    out.writeLong(s.gpu());
+    out.writeLong(s.ram());
+  }
+
+  private static void writeAttempt(DataOutputStream out, String job, int number, long attempt)
+      throws IOException {
+    out.writeUTF(job);
+    out.writeInt(number);
+    out.writeLong(attempt);
+  }
+
+  /** Throws on anything garbled, which closes the link and nothing else. */
+  static Message decode(byte[] record) throws IOException {
+    DataInputStream in = new DataInputStream(new ByteArrayInputStream(record));
+    int kind = in.readByte();
+    Message m =
+        switch (kind) {
+          case 1 -> new Hello(in.readUTF());
+          case 2 -> new Ping();
+          case 3 -> readView(in);
+          case 4 -> new Unheld(in.readUTF());
+          case 5 -> new Want(in.readUTF(), in.readUTF(), in.readByte(), readSize(in), in.readInt());
+          case 6 -> new Offer(
+              in.readLong(),
+              in.readUTF(),
+              in.readUTF(),
+              in.readLong(),
+              in.readLong(),
+              in.readLong());
+          case 7 -> new Decline(in.readLong(), in.readUTF());
+          case 8 -> new Start(
+              in.readLong(),
+              in.readUTF(),
+              in.readLong(),
+              in.readUTF(),
+              in.readInt(),
+              in.readLong());
+          case 9 -> new Probe(
+              in.readUTF(), in.readLong(), in.readUTF(), in.readInt(), in.readLong());
+          case 10 -> new Absent(
+              in.readUTF(),
+              in.readLong(),
+              in.readLong(),
+              in.readUTF(),
+              in.readInt(),
+              in.readLong());
+          case 11 -> new Stop(
+              in.readUTF(), in.readUTF(), in.readInt(), in.readLong(), in.readDouble());
+          case 12 -> new Clear(in.readUTF(), in.readUTF(), in.readInt(), in.readLong());
+          case 13 -> new Blame(in.readUTF(), in.readUTF());
+          case 14 -> new HoldAsk(in.readUTF());
+          case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
+          case 16 -> new Cancelled(in.readUTF());
+          case 17 -> {
+            int n = in.readInt();
+            List<Waiting> all = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+              all.add(new Waiting(in.readUTF(), in.readInt()));
+            }
+            yield new Demand(all);
+          }
+          default -> throw new IOException("unknown record " + kind);
+        };
+    if (in.read() >= 0) {
+      throw new IOException("bytes after the record");
+    }
+    return m;
+  }
+
+  private static View readView(DataInputStream in) throws IOException {
+    String host = in.readUTF();
+    String type = in.readUTF();
+    String zone = in.readUTF();
+    boolean spot = in.readBoolean();
+    long baton = in.readLong();
+    long stamp = in.readLong();
+    long tenure = in.readLong();
+    boolean settled = in.readBoolean();
+    boolean lost = in.readBoolean();
+    boolean open = in.readBoolean();
+    boolean quarantined = in.readBoolean();
+    Size free = readSize(in);
+    List<String> images = new ArrayList<>();
+    for (int n = in.readShort(); n > 0; n--) {
+      images.add(in.readUTF());
+    }
+    List<TaskState> tasks = new ArrayList<>();
+    for (int n = in.readInt(); n > 0; n--) {
+      tasks.add(
+          new TaskState(
+              in.readUTF(),
+              in.readInt(),
+              in.readLong(),
+              pick(State.values(), in.readByte()),
+              pick(Why.values(), in.readByte())));
+    }
+    return new View(
+        host,
+        type,
+        zone,
+        spot,
+        baton,
+        stamp,
+        tenure,
+        settled,
+        lost,
+        open,
+        quarantined,
+        free,
+        images,
+        tasks);
+  }
+
+  private static <T> T pick(T[] all, int index) throws IOException {
+    if (index < 0 || index >= all.length) {
+      throw new IOException("unknown code " + index);
+    }
+    return all[index];
+  }
+
+  private static Size readSize(DataInputStream in) throws IOException {
+    return new Size(in.readLong(), in.readLong(), in.readLong());
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/peer/Peers.java
@@ -0,0 +1,24 @@
+package dev.dunefront.peer;
+
+/**
+ * Sends messages to controllers, this one included. A link that breaks loses what was under way;
+ * the listener hears of it and says everything anew.
+ */
+public interface Peers {
+  interface Listener {
+    void received(String from, Message message);
+
+    /** A link for sending to the node is open. */
+    void reached(String node);
+
+    /** What the node has said before no longer holds: its link here is gone. */
+    void gone(String node);
+  }
+
+  void send(String node, Message message);
+
+  /** To every controller, this one included. */
+  void broadcast(Message message);
+
+  boolean linked(String node);
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -0,0 +1,377 @@
+package dev.dunefront.peer;
+
+import dev.dunefront.config.Settings;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * Every controller dials every other one. A link carries records one way, from the dialler; only
+ * pings come back, so that a link which hangs without an error is noticed.
+ */
+public final class XnioPeers implements Peers {
+  private static final System.Logger LOG = System.getLogger(XnioPeers.class.getName());
+  private static final double PING_S = 1.0;
+  private static final double SILENCE_S = 3.5;
+  private static final double REDIAL_S = 0.5;
+  private static final int MAX_QUEUED = 8 << 20;
+
+  private final Settings settings;
+  private final XnioWorker worker;
+  private final Timers timers;
+  private final Ward ward;
+  private final Listener listener;
+  private final Map<String, Out> out = new HashMap<>();
+  private final Map<String, In> in = new HashMap<>();
+
+  public XnioPeers(
+      Settings settings, XnioWorker worker, Timers timers, Ward ward, Listener listener) {
+    this.settings = settings;
+    this.worker = worker;
+    this.timers = timers;
+    this.ward = ward;
+    this.listener = listener;
+    for (Settings.Peer p : settings.peers()) {
+      out.put(p.node(), new Out(p));
+    }
+  }
+
+  public void start() throws IOException {
+    AcceptingChannel<StreamConnection> server =
+        worker.createStreamConnectionServer(
+            settings.peerListen(),
+            channel -> {
+              try {
+                StreamConnection c;
+                while ((c = channel.accept()) != null) {
+                  new In(c).open();
+                }
+              } catch (IOException e) {
+                LOG.log(Level.DEBUG, "accepting a peer failed: {0}", e.getMessage());
+              }
+            },
+            OptionMap.EMPTY);
+    server.resumeAccepts();
+    out.values().forEach(Out::dial);
+  }
+
+  @Override
+  public void send(String node, Message message) {
+    if (node.equals(settings.node())) {
+      ward.then(() -> ward.run(() -> listener.received(node, message)));
+      return;
+    }
+    Out link = out.get(node);
+    if (link != null) {
+      ward.then(() -> link.send(Message.encode(message)));
+    }
+  }
+
+  @Override
+  public void broadcast(Message message) {
+    send(settings.node(), message);
+    byte[] record = Message.encode(message);
+    ward.then(() -> out.values().forEach(o -> o.send(record)));
+  }
+
+  @Override
+  public boolean linked(String node) {
+    Out link = out.get(node);
+    return node.equals(settings.node()) || link != null && link.up;
+  }
+
+  /** Bytes waiting to go out on one connection. */
+  private static final class Queue {
+    private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
+    private int bytes;
+
+    void add(byte[] record) {
+      ByteBuffer b = ByteBuffer.allocate(4 + record.length);
+      b.putInt(record.length).put(record).flip();
+      buffers.add(b);
+      bytes += b.remaining();
+    }
+
+    /** Writes what the socket takes; true when nothing is left. */
+    boolean pump(StreamConnection c) throws IOException {
+      while (!buffers.isEmpty()) {
+        ByteBuffer b = buffers.peek();
+        int n = c.getSinkChannel().write(b);
+        bytes -= n;
+        if (b.hasRemaining()) {
+          return false;
+        }
+        buffers.poll();
+      }
+      c.getSinkChannel().flush();
+      return true;
+    }
+  }
+
+  /** Cuts incoming bytes into records. */
+  private static final class Reader {
+    private ByteBuffer buffer = ByteBuffer.allocate(8192);
+
+    interface Sink {
+      void record(byte[] record) throws IOException;
+    }
+
+    /** False at the end of the stream. */
+    boolean read(StreamConnection c, Sink sink) throws IOException {
+      while (true) {
+        int n = c.getSourceChannel().read(buffer);
+        if (n < 0) {
+          return false;
+        }
+        if (n == 0) {
+          return true;
+        }
+        buffer.flip();
+        while (buffer.remaining() >= 4) {
+          int length = buffer.getInt(buffer.position());
+          if (length < 1 || length > Message.MAX_RECORD) {
+            throw new IOException("a record of " + length + " bytes");
+          }
+          if (buffer.remaining() < 4 + length) {
+            break;
+          }
+          buffer.getInt();
+          byte[] record = new byte[length];
+          buffer.get(record);
+          sink.record(record);
+        }
+        int wanted =
+            buffer.remaining() >= 4 ? 4 + buffer.getInt(buffer.position()) : buffer.capacity();
+        if (wanted > buffer.capacity()) {
+          buffer = ByteBuffer.allocate(wanted).put(buffer);
+        } else {
+          buffer.compact();
+        }
+      }
+    }
+  }
+
+  /** The link to one peer, dialled again whenever it breaks. */
+  private final class Out {
+    private final Settings.Peer peer;
+    private StreamConnection connection;
+    private IoFuture<StreamConnection> dialling;
+    private Queue queue = new Queue();
+    private Reader reader = new Reader();
+    private double heard;
+    private boolean up;
+
+    Out(Settings.Peer peer) {
+      this.peer = peer;
+    }
+
+    void dial() {
+      IoFuture<StreamConnection> attempt =
+          worker
+              .getIoThread()
+              .openStreamConnection(peer.address(), null, null, OptionMap.EMPTY);
+      dialling = attempt;
+      timers.after(
+          1.5,
+          () -> {
+            if (dialling == attempt && connection == null) {
+              attempt.cancel();
+            }
+          });
+      attempt.addNotifier(
+          (future, unused) ->
+              worker
+                  .getIoThread()
+                  .execute(
+                      () -> {
+                        if (future.getStatus() == IoFuture.Status.DONE) {
+                          try {
+                            opened(future.get());
+                            return;
+                          } catch (IOException e) {
+                            LOG.log(Level.DEBUG, "dialling {0}: {1}", peer.node(), e.getMessage());
+                          }
+                        }
+                        timers.after(REDIAL_S, this::dial);
+                      }),
+          null);
+    }
+
+    private void opened(StreamConnection c) {
+      connection = c;
+      queue = new Queue();
+      reader = new Reader();
+      heard = timers.now();
+      up = true;
+      c.getSourceChannel().getReadSetter().set(channel -> pongs(c));
+      c.getSourceChannel().resumeReads();
+      c.getSinkChannel().getWriteSetter().set(channel -> flush(c));
+      send(Message.encode(new Message.Hello(settings.node())));
+      ward.run(() -> listener.reached(peer.node()));
+      ping(c);
+    }
+
+    private void ping(StreamConnection c) {
+      if (connection != c) {
+        return;
+      }
+      if (timers.now() - heard > SILENCE_S) {
+        close(c, "silent");
+        return;
+      }
+      send(Message.encode(new Message.Ping()));
+      timers.after(PING_S, () -> ping(c));
+    }
+
+    private void pongs(StreamConnection c) {
+      try {
+        if (!reader.read(c, record -> heard = timers.now())) {
+          close(c, "closed");
+        }
+      } catch (IOException e) {
+        close(c, e.getMessage());
+      }
+    }
+
+    void send(byte[] record) {
+      if (!up) {
+        return;
+      }
+      queue.add(record);
+      if (queue.bytes > MAX_QUEUED) {
+        close(connection, "too much is queued");
+        return;
+      }
+      flush(connection);
+    }
+
+    private void flush(StreamConnection c) {
+      if (connection != c) {
+        return;
+      }
+      try {
+        if (queue.pump(c)) {
+          c.getSinkChannel().suspendWrites();
+        } else {
+          c.getSinkChannel().resumeWrites();
+        }
+      } catch (IOException e) {
+        close(c, e.getMessage());
+      }
+    }
+
+    private void close(StreamConnection c, String why) {
+      IoUtils.safeClose(c);
+      if (connection != c) {
+        return;
+      }
+      LOG.log(Level.INFO, "link to {0} lost: {1}", peer.node(), why);
+      connection = null;
+      up = false;
+      timers.after(REDIAL_S, this::dial);
+    }
+  }
+
+  /** A link from a peer. A newer one from the same peer replaces it. */
+  private final class In {
+    private final StreamConnection connection;
+    private final Reader reader = new Reader();
+    private final Queue queue = new Queue();
+    private double heard = timers.now();
+    private String node;
+    private boolean closed;
+
+    In(StreamConnection connection) {
+      this.connection = connection;
+    }
+
+    void open() {
+      connection.getSourceChannel().getReadSetter().set(channel -> read());
+      connection.getSourceChannel().resumeReads();
+      connection.getSinkChannel().getWriteSetter().set(channel -> flush());
+      watch();
+    }
+
+    private void watch() {
+      if (closed) {
+        return;
+      }
+      if (timers.now() - heard > SILENCE_S) {
+        close();
+        return;
+      }
+      timers.after(PING_S, this::watch);
+    }
+
+    private void read() {
+      try {
+        if (!reader.read(connection, this::record)) {
+          close();
+        }
+      } catch (IOException | RuntimeException e) {
+        LOG.log(Level.INFO, "link from {0} closed: {1}", node, e);
+        close();
+      }
+    }
+
+    private void record(byte[] record) throws IOException {
+      if (closed) {
+        return;
+      }
+      heard = timers.now();
+      Message m = Message.decode(record);
+      if (node == null) {
+        if (!(m instanceof Message.Hello hello) || !out.containsKey(hello.node())) {
+          throw new IOException("not a known controller");
+        }
+        node = hello.node();
+        // Records of an older link may still trickle in late; from here on they are not heard.
+        In older = in.put(node, this);
+        if (older != null) {
+          older.closed = true;
+          IoUtils.safeClose(older.connection);
+          ward.run(() -> listener.gone(node));
+        }
+      } else if (m instanceof Message.Ping) {
+        queue.add(record);
+        flush();
+      } else {
+        ward.run(() -> listener.received(node, m));
+      }
+    }
+
+    private void flush() {
+      try {
+        if (queue.pump(connection)) {
+          connection.getSinkChannel().suspendWrites();
+        } else {
+          connection.getSinkChannel().resumeWrites();
+        }
+      } catch (IOException e) {
+        close();
+      }
+    }
+
+    private void close() {
+      if (closed) {
+        return;
+      }
+      closed = true;
+      IoUtils.safeClose(connection);
+      if (node != null && in.remove(node, this)) {
+        ward.run(() -> listener.gone(node));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between controllers: length-prefixed {@code DataOutputStream} records over XNIO. */
+package dev.dunefront.peer;
--- /dev/null
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -0,0 +1,373 @@
+package dev.dunefront.store;
+
+import dev.dunefront.config.Settings;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.Caller.Reply;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The state service over HTTP, within this controller's part of the common budget. */
+public final class HttpStore implements Store {
+  private static final double CALL_S = 1.2;
+  private static final double USER_QUEUE_S = 1.0;
+  private static final double QUEUE_S = 3.0;
+  private static final double PROBE_S = 0.3;
+
+  private record Waiting(double until, int writes, Runnable start, Runnable refuse) {}
+
+  private final String address;
+  private final Caller caller;
+  private final Timers timers;
+  private final Ward ward;
+  private final double rps;
+  private final double writeRps;
+  private final String markPrefix;
+  private final Map<Urgency, ArrayDeque<Waiting>> queues = new EnumMap<>(Urgency.class);
+  private double requests;
+  private double writes;
+  private double refilled;
+  private boolean pumping;
+  private boolean down;
+  private boolean probing;
+  private long marks;
+
+  public HttpStore(Settings settings, Caller caller, Timers timers, Ward ward, String markPrefix) {
+    this.address = settings.state();
+    this.caller = caller;
+    this.timers = timers;
+    this.ward = ward;
+    this.rps = settings.stateLimits().rps() / settings.controllers();
+    this.writeRps = settings.stateLimits().writeRps() / settings.controllers();
+    this.markPrefix = markPrefix;
+    // The burst is a fraction of the common one: three controllers may start at once.
+    this.requests = rps * 0.8;
+    this.writes = writeRps * 0.8;
+    this.refilled = timers.now();
+    for (Urgency u : Urgency.values()) {
+      queues.put(u, new ArrayDeque<>());
+    }
+  }
+
+  @Override
+  public boolean down() {
+    return down;
+  }
+
+  @Override
+  public String newMark() {
+    return markPrefix + "-" + ++marks;
+  }
+
+  @Override
+  public void get(String key, Urgency urgency, Consumer<Got> then) {
+    ask(
+        urgency,
+        0,
+        "GET",
+        "/keys/" + key,
+        null,
+        CALL_S,
+        reply -> {
+          try {
+            if (reply.ok()) {
+              Doc d = Doc.decode(reply.body());
+              then.accept(new Got(Outcome.OK, d.doc("data"), d.count("stamp")));
+            } else {
+              then.accept(new Got(outcome(reply), null, 0));
+            }
+          } catch (BadMessage e) {
+            then.accept(new Got(Outcome.UNCLEAR, null, 0));
+          }
+        });
+  }
+
+  @Override
+  public void range(String prefix, Urgency urgency, Consumer<Range> then) {
+    page(prefix, "", urgency, new ArrayList<>(), 0, then);
+  }
+
+  private void page(
+      String prefix,
+      String from,
+      Urgency urgency,
+      List<Pair> all,
+      long revision,
+      Consumer<Range> then) {
+    String path = "/keys?prefix=" + prefix + (from.isEmpty() ? "" : "&from=" + from) + "&page=500";
+    ask(
+        urgency,
+        0,
+        "GET",
+        path,
+        null,
+        CALL_S * 2,
+        reply -> {
+          if (!reply.ok()) {
+            then.accept(new Range(outcome(reply), List.of(), 0));
+            return;
+          }
+          try {
+            Doc d = Doc.decode(reply.body());
+            // The first page's revision is the safe point to watch from: later pages may be newer.
+            long first = revision == 0 ? d.count("ledger_rev") : revision;
+            for (Doc p : d.docs("pairs")) {
+              all.add(new Pair(p.text("k"), p.doc("data"), p.count("stamp")));
+            }
+            if (d.flagOr("more", false) && !all.isEmpty()) {
+              page(prefix, all.get(all.size() - 1).key(), urgency, all, first, then);
+            } else {
+              then.accept(new Range(Outcome.OK, all, first));
+            }
+          } catch (BadMessage e) {
+            then.accept(new Range(Outcome.UNCLEAR, List.of(), 0));
+          }
+        });
+  }
+
+  @Override
+  public void tryTxn(Txn txn, Urgency urgency, Consumer<Done> then) {
+    ask(
+        urgency,
+        txn.changes(),
+        "POST",
+        "/txn",
+        txn.encode(),
+        CALL_S,
+        reply -> then.accept(done(reply, "ledger_rev")));
+  }
+
+  @Override
+  public void commit(Txn txn, String mark, Consumer<Done> then) {
+    attempt(txn, mark, false, 0.1, then);
+  }
+
+  private void attempt(
+      Txn txn, String mark, boolean unclear, double pauseS, Consumer<Done> then) {
+    tryTxn(
+        txn,
+        Urgency.CORE,
+        done -> {
+          switch (done.outcome()) {
+            case OK -> then.accept(done);
+            case REFUSED, UNCLEAR, MISSING -> {
+              boolean nowUnclear = unclear || done.outcome() == Outcome.UNCLEAR;
+              timers.after(
+                  pauseS,
+                  () -> attempt(txn, mark, nowUnclear, Math.min(1.0, pauseS * 2), then));
+            }
+            case CONFLICT -> {
+              if (unclear) {
+                // An earlier attempt may be what made the condition fail.
+                readBack(txn, mark, done, then);
+              } else {
+                then.accept(done);
+              }
+            }
+          }
+        });
+  }
+
+  private void readBack(Txn txn, String mark, Done conflict, Consumer<Done> then) {
+    get(
+        txn.witness(),
+        Urgency.CORE,
+        got -> {
+          switch (got.outcome()) {
+            case OK -> {
+              boolean ours;
+              try {
+                ours = mark.equals(got.value().textOr(MARK, ""));
+              } catch (BadMessage e) {
+                ours = false;
+              }
+              then.accept(ours ? new Done(Outcome.OK, got.stamp(), List.of()) : conflict);
+            }
+            case MISSING -> then.accept(conflict);
+            default -> timers.after(0.3, () -> readBack(txn, mark, conflict, then));
+          }
+        });
+  }
+
+  @Override
+  public void watch(String prefix, long from, double blockS, Consumer<Watched> then) {
+    String path =
+        "/watch?prefix=" + prefix + "&from=" + from + "&block_ms=" + Math.round(blockS * 1000);
+    ask(
+        Urgency.CORE,
+        0,
+        "GET",
+        path,
+        null,
+        blockS + 2,
+        reply -> {
+          if (!reply.ok()) {
+            then.accept(new Watched(outcome(reply), List.of(), from, reply.status() == 410));
+            return;
+          }
+          try {
+            Doc d = Doc.decode(reply.body());
+            List<Event> events = new ArrayList<>();
+            for (Doc e : d.docs("events")) {
+              boolean put = e.has("put");
+              events.add(
+                  new Event(
+                      e.text(put ? "put" : "remove"),
+                      put ? e.doc("data") : null,
+                      e.count("stamp")));
+            }
+            then.accept(new Watched(Outcome.OK, events, d.count("ledger_rev"), false));
+          } catch (BadMessage e) {
+            then.accept(new Watched(Outcome.UNCLEAR, List.of(), from, true));
+          }
+        });
+  }
+
+  @Override
+  public void grantLease(double lifeS, Consumer<Done> then) {
+    byte[] body = Doc.of().put("life_ms", Math.round(lifeS * 1000)).encode();
+    ask(Urgency.CORE, 0, "POST", "/leases", body, CALL_S, r -> then.accept(done(r, "tenancy")));
+  }
+
+  @Override
+  public void touchLease(long tenancy, Consumer<Done> then) {
+    ask(
+        Urgency.USER,
+        0,
+        "POST",
+        "/leases/" + tenancy + "/touch",
+        Doc.of().encode(),
+        CALL_S,
+        r -> then.accept(new Done(outcome(r), tenancy, List.of())));
+  }
+
+  private static Done done(Reply reply, String field) {
+    try {
+      if (reply.ok()) {
+        return new Done(Outcome.OK, Doc.decode(reply.body()).count(field), List.of());
+      }
+      if (reply.status() == 409) {
+        Doc d = Doc.decode(reply.body());
+        return new Done(Outcome.CONFLICT, d.countOr("ledger_rev", 0), d.texts("failed"));
+      }
+    } catch (BadMessage e) {
+      return new Done(Outcome.UNCLEAR, 0, List.of());
+    }
+    return new Done(outcome(reply), 0, List.of());
+  }
+
+  private static Outcome outcome(Reply reply) {
+    return switch (reply.status()) {
+      case 200 -> Outcome.OK;
+      // A 400 here can only be a lease that has ended: everything else is made by this program.
+      case 400, 404 -> Outcome.MISSING;
+      case 409 -> Outcome.CONFLICT;
+      case 429, 503 -> Outcome.REFUSED;
+      default -> Outcome.UNCLEAR;
+    };
+  }
+
+  private void ask(
+      Urgency urgency,
+      int changes,
+      String method,
+      String path,
+      byte[] body,
+      double deadlineS,
+      Consumer<Reply> then) {
+    Consumer<Reply> guarded = reply -> ward.run(() -> then.accept(reply));
+    ward.run(
+        () -> {
+          double wait = urgency == Urgency.USER ? USER_QUEUE_S : QUEUE_S;
+          queues
+              .get(urgency)
+              .add(
+                  new Waiting(
+                      timers.now() + wait,
+                      changes,
+                      () -> caller.call(address, method, path, body, deadlineS, r -> {
+                            note(r);
+                            guarded.accept(r);
+                          }),
+                      () -> guarded.accept(new Reply(429, new byte[0], 0))));
+          pump();
+        });
+  }
+
+  private void note(Reply reply) {
+    if (reply.status() == 503) {
+      down = true;
+      probe();
+    } else if (reply.status() > 0 && reply.status() != 429) {
+      down = false;
+    }
+  }
+
+  /** In an outage a single small read goes out now and then, so that its end is noticed at once. */
+  private void probe() {
+    if (probing) {
+      return;
+    }
+    probing = true;
+    timers.after(
+        PROBE_S,
+        () ->
+            caller.call(
+                address,
+                "GET",
+                "/keys/probe",
+                null,
+                CALL_S,
+                r -> {
+                  probing = false;
+                  if (r.status() == 0) {
+                    probe();
+                  } else {
+                    note(r);
+                  }
+                }));
+  }
+
+  private void pump() {
+    double now = timers.now();
+    requests = Math.min(rps * 0.8, requests + (now - refilled) * rps);
+    writes = Math.min(writeRps * 0.8, writes + (now - refilled) * writeRps);
+    refilled = now;
+    boolean left = false;
+    for (ArrayDeque<Waiting> queue : queues.values()) {
+      while (!queue.isEmpty()) {
+        Waiting w = queue.peek();
+        if (w.until < now) {
+          queue.poll();
+          ward.then(w.refuse);
+        } else if (requests >= 1 && (w.writes == 0 || writes > 0)) {
+          queue.poll();
+          requests -= 1;
+          writes -= w.writes;
+          ward.then(w.start);
+        } else {
+          left = true;
+          break;
+        }
+      }
+    }
+    if (left && !pumping) {
+      pumping = true;
+      timers.after(
+          0.02,
+          () ->
+              ward.run(
+                  () -> {
+                    pumping = false;
+                    pump();
+                  }));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/store/Replica.java
@@ -0,0 +1,116 @@
+package dev.dunefront.store;
+
+import dev.dunefront.net.Timers;
+import dev.dunefront.store.Store.Urgency;
+import dev.dunefront.wire.Doc;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** A copy of the watched part of the state service: jobs, holds, nodes, quotas. It may lag. */
+public final class Replica {
+  /** Everything under this prefix is copied. */
+  public static final String PREFIX = "w/";
+
+  private static final double BLOCK_S = 10;
+  private static final double PAUSE_S = 0.06;
+  private static final int TOMBSTONES = 4096;
+
+  /** Hears of each change; a null value means removed. */
+  public interface Listener {
+    void changed(String key, Doc value, long stamp);
+  }
+
+  private final Store store;
+  private final Timers timers;
+  private final Map<String, Listener> listeners = new LinkedHashMap<>();
+  private final Map<String, Long> stamps = new HashMap<>();
+  private final Map<String, Long> tombstones =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > TOMBSTONES;
+        }
+      };
+  private boolean ready;
+
+  public Replica(Store store, Timers timers) {
+    this.store = store;
+    this.timers = timers;
+  }
+
+  /** Whether the first full read is complete. */
+  public boolean ready() {
+    return ready;
+  }
+
+  public void listen(String prefix, Listener listener) {
+    listeners.put(prefix, listener);
+  }
+
+  /** Reads everything, then follows the changes for ever. */
+  public void start() {
+    store.range(
+        PREFIX,
+        Urgency.CORE,
+        range -> {
+          if (range.outcome() != Store.Outcome.OK) {
+            timers.after(0.3, this::start);
+            return;
+          }
+          Set<String> seen = new HashSet<>();
+          for (Store.Pair p : range.pairs()) {
+            seen.add(p.key());
+            apply(p.key(), p.value(), p.stamp());
+          }
+          for (String key : Set.copyOf(stamps.keySet())) {
+            if (!seen.contains(key) && stamps.get(key) <= range.revision()) {
+              apply(key, null, range.revision());
+            }
+          }
+          ready = true;
+          follow(range.revision());
+        });
+  }
+
+  private void follow(long from) {
+    store.watch(
+        PREFIX,
+        from,
+        BLOCK_S,
+        watched -> {
+          for (Store.Event e : watched.events()) {
+            apply(e.key(), e.value(), e.stamp());
+          }
+          if (watched.tooOld()) {
+            start();
+            return;
+          }
+          boolean ok = watched.outcome() == Store.Outcome.OK;
+          timers.after(ok ? PAUSE_S : 0.3, () -> follow(watched.revision()));
+        });
+  }
+
+  /** Takes a change that a watch, a read or our own write has shown; older ones are ignored. */
+  public void apply(String key, Doc value, long stamp) {
+    if (stamp <= stamps.getOrDefault(key, 0L) || stamp <= tombstones.getOrDefault(key, 0L)) {
+      return;
+    }
+    if (value == null) {
+      tombstones.put(key, stamp);
+      if (stamps.remove(key) == null) {
+        return;
+      }
+    } else {
+      stamps.put(key, stamp);
+    }
+    listeners.forEach(
+        (prefix, listener) -> {
+          if (key.startsWith(prefix)) {
+            listener.changed(key.substring(prefix.length()), value, stamp);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -0,0 +1,74 @@
+package dev.dunefront.store;
+
+import dev.dunefront.wire.Doc;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** What the rest of the program may ask of the state service. Answers come outside any lock. */
+public interface Store {
+  /** The mark in every value that tells who wrote it, by which unclear writes are read back. */
+  String MARK = "w";
+
+  enum Outcome {
+    OK,
+    /** The key does not exist, or the lease has ended. */
+    MISSING,
+    /** A condition failed; nothing was changed. */
+    CONFLICT,
+    /** Not carried out: the service refused, or the budget is spent. */
+    REFUSED,
+    /** Nobody knows whether it was carried out. */
+    UNCLEAR
+  }
+
+  /** Whose work a request is; users' writes go first. */
+  enum Urgency {
+    USER,
+    CORE,
+    BACKGROUND
+  }
+
+  record Got(Outcome outcome, Doc value, long stamp) {}
+
+  record Pair(String key, Doc value, long stamp) {}
+
+  record Range(Outcome outcome, List<Pair> pairs, long revision) {}
+
+  record Done(Outcome outcome, long revision, List<String> failed) {
+    public boolean ok() {
+      return outcome == Outcome.OK;
+    }
+  }
+
+  /** A change seen by a watch; a null value means removed. */
+  record Event(String key, Doc value, long stamp) {}
+
+  record Watched(Outcome outcome, List<Event> events, long revision, boolean tooOld) {}
+
+  void get(String key, Urgency urgency, Consumer<Got> then);
+
+  /** Reads every key with the prefix, page after page. */
+  void range(String prefix, Urgency urgency, Consumer<Range> then);
+
+  /** One attempt, for callers that would rather hear UNCLEAR than wait. */
+  void tryTxn(Txn txn, Urgency urgency, Consumer<Done> then);
+
+  /**
+   * Repeats the transaction until its outcome is certain, through outages too. The first value put
+   * must carry {@code mark} under {@link #MARK}.
+   */
+  void commit(Txn txn, String mark, Consumer<Done> then);
+
+  void watch(String prefix, long from, double blockS, Consumer<Watched> then);
+
+  /** Answers with the lease's id as revision. */
+  void grantLease(double lifeS, Consumer<Done> then);
+
+  void touchLease(long tenancy, Consumer<Done> then);
+
+  /** Whether the service refused the last request that it answered. */
+  boolean down();
+
+  /** A mark that nobody has used before. */
+  String newMark();
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/wire/Doc.java
@@ -0,0 +1,215 @@
+package dev.dunefront.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** A MessagePack map keyed by text, with checked access to its fields. */
+public final class Doc {
+  private static final int MAX_DEPTH = 24;
+  private final Map<String, Object> fields;
+
+  private Doc(Map<String, Object> fields) {
+    this.fields = fields;
+  }
+
+  public static Doc of() {
+    return new Doc(new LinkedHashMap<>());
+  }
+
+  public static Doc decode(byte[] body) throws BadMessage {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(body)) {
+      Object value = read(in, 0);
+      if (in.hasNext()) {
+        throw new BadMessage("bytes after the message");
+      }
+      if (value instanceof Doc doc) {
+        return doc;
+      }
+      throw new BadMessage("not a map");
+    } catch (IOException | MessagePackException e) {
+      throw new BadMessage("not MessagePack");
+    }
+  }
+
+  private static Object read(MessageUnpacker in, int depth) throws IOException, BadMessage {
+    if (depth > MAX_DEPTH) {
+      throw new BadMessage("nested too deeply");
+    }
+    switch (in.getNextFormat().getValueType()) {
+      case NIL:
+        in.unpackNil();
+        return null;
+      case BOOLEAN:
+        return in.unpackBoolean();
+      case INTEGER:
+        var big = in.unpackBigInteger();
+        return big.bitLength() <= 63 ? (Object) big.longValue() : (Object) big.doubleValue();
+      case FLOAT:
+        return in.unpackDouble();
+      case STRING:
+        return in.unpackString();
+      case ARRAY:
+        int n = in.unpackArrayHeader();
+        // The announced length is not trusted for memory: a short body may announce billions.
+        List<Object> list = new ArrayList<>(Math.min(n, 1024));
+        for (int i = 0; i < n; i++) {
+          list.add(read(in, depth + 1));
+        }
+        return list;
+      case MAP:
+        int size = in.unpackMapHeader();
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < size; i++) {
+          map.put(in.unpackString(), read(in, depth + 1));
+        }
+        return new Doc(map);
+      default:
+        throw new BadMessage("binary data");
+    }
+  }
+
+  public byte[] encode() {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      write(out, this);
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void write(MessageBufferPacker out, Object value) throws IOException {
+    if (value == null) {
+      out.packNil();
+    } else if (value instanceof Doc doc) {
+      out.packMapHeader(doc.fields.size());
+      for (var e : doc.fields.entrySet()) {
+        out.packString(e.getKey());
+        write(out, e.getValue());
+      }
+    } else if (value instanceof List<?> list) {
+      out.packArrayHeader(list.size());
+      for (Object o : list) {
+        write(out, o);
+      }
+    } else if (value instanceof String s) {
+      out.packString(s);
+    } else if (value instanceof Boolean b) {
+      out.packBoolean(b);
+    } else if (value instanceof Double d) {
+      out.packDouble(d);
+    } else if (value instanceof Number n) {
+      out.packLong(n.longValue());
+    } else {
+      throw new IllegalArgumentException("cannot encode " + value.getClass());
+    }
+  }
+
+  /** Sets a field. Whole numbers are kept as long, as a decoded message would have them. */
+  public Doc put(String name, Object value) {
+    fields.put(name, value instanceof Integer i ? (Object) i.longValue() : value);
+    return this;
+  }
+
+  public boolean has(String name) {
+    return fields.get(name) != null;
+  }
+
+  public String text(String name) throws BadMessage {
+    if (fields.get(name) instanceof String s) {
+      return s;
+    }
+    throw new BadMessage(name + " is missing or not text");
+  }
+
+  public String textOr(String name, String fallback) throws BadMessage {
+    return has(name) ? text(name) : fallback;
+  }
+
+  public long count(String name) throws BadMessage {
+    Object v = fields.get(name);
+    if (v instanceof Long l && l >= 0) {
+      return l;
+    }
+    if (v instanceof Double d && d >= 0 && d == Math.rint(d) && d < 9e15) {
+      return d.longValue();
+    }
+    throw new BadMessage(name + " is missing or not a count");
+  }
+
+  public long countOr(String name, long fallback) throws BadMessage {
+    return has(name) ? count(name) : fallback;
+  }
+
+  public double amount(String name) throws BadMessage {
+    if (fields.get(name) instanceof Number n
+        && n.doubleValue() >= 0
+        && n.doubleValue() < Double.POSITIVE_INFINITY) {
+      return n.doubleValue();
+    }
+    throw new BadMessage(name + " is missing or not an amount");
+  }
+
+  public Double amountOrNull(String name) throws BadMessage {
+    return has(name) ? (Double) amount(name) : null;
+  }
+
+  public boolean flag(String name) throws BadMessage {
+    if (fields.get(name) instanceof Boolean b) {
+      return b;
+    }
+    throw new BadMessage(name + " is missing or not a boolean");
+  }
+
+  public boolean flagOr(String name, boolean fallback) throws BadMessage {
+    return has(name) ? flag(name) : fallback;
+  }
+
+  public Doc doc(String name) throws BadMessage {
+    if (fields.get(name) instanceof Doc d) {
+      return d;
+    }
+    throw new BadMessage(name + " is missing or not a map");
+  }
+
+  public List<Doc> docs(String name) throws BadMessage {
+    return list(name, Doc.class);
+  }
+
+  public List<String> texts(String name) throws BadMessage {
+    return list(name, String.class);
+  }
+
+  public List<Long> counts(String name) throws BadMessage {
+    return list(name, Long.class);
+  }
+
+  private <T> List<T> list(String name, Class<T> kind) throws BadMessage {
+    Object v = fields.get(name);
+    if (v == null) {
+      return List.of();
+    }
+    if (!(v instanceof List<?> raw)) {
+      throw new BadMessage(name + " is not a list");
+    }
+    List<T> all = new ArrayList<>(raw.size());
+    for (Object o : raw) {
+      if (!kind.isInstance(o)) {
+        throw new BadMessage(name + " holds an item of the wrong kind");
+      }
+      all.add(kind.cast(o));
+    }
+    return all;
+  }
+
+  @Override
+  public String toString() {
+    return fields.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/wire/JobSpec.java
@@ -0,0 +1,127 @@
+package dev.dunefront.wire;
+
+import java.util.List;
+
+/** A job as its user submitted it. */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    boolean service,
+    Priority priority,
+    int tasks,
+    double cpus,
+    double gpus,
+    double ramGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean oneZone,
+    boolean spread,
+    boolean spot,
+    double estimateS,
+    double checkpointS,
+    double saveS,
+    Double deadlineS) {
+
+  private static final int MAX_TASKS = 100_000;
+  private static final int MAX_NAME = 120;
+
+  public static JobSpec read(Doc d) throws BadMessage {
+    String shape = d.text("shape");
+    if (!shape.equals("sweep") && !shape.equals("daemon")) {
+      throw new BadMessage("shape is neither sweep nor daemon");
+    }
+    long tasks = d.count("pieces");
+    if (tasks < 1 || tasks > MAX_TASKS) {
+      throw new BadMessage("pieces is not between 1 and " + MAX_TASKS);
+    }
+    double cpus = d.amount("vcpus");
+    double gpus = d.has("cards") ? d.amount("cards") : 0;
+    double ram = d.amount("ram_gb");
+    if (cpus > 1e6 || gpus > 1e6 || ram > 1e6) {
+      throw new BadMessage("vcpus, cards or ram_gb is beyond any machine");
+    }
+    return new JobSpec(
+        id(d.text("id")),
+        name(d, "batchclass"),
+        name(d, "owner"),
+        shape.equals("daemon"),
+        Priority.parse(d.text("urgency")),
+        (int) tasks,
+        cpus,
+        gpus,
+        ram,
+        d.has("bundle") ? name(d, "bundle") : null,
+        d.has("size_gb") ? d.amount("size_gb") : 0,
+        d.has("flavors") ? List.copyOf(d.texts("flavors")) : null,
+        d.textOr("site", null),
+        d.flagOr("same_place", false),
+        d.flagOr("apart", false),
+        d.flagOr("loaners", false),
+        d.has("expect_s") ? d.amount("expect_s") : 0,
+        d.has("snapshot_every_s") ? d.amount("snapshot_every_s") : 0,
+        d.has("snapshot_s") ? d.amount("snapshot_s") : 0,
+        d.amountOrNull("due_s"));
+  }
+
+  /** The form of a job id; anything else never names a job. */
+  public static String id(String text) throws BadMessage {
+    if (!isId(text)) {
+      throw new BadMessage("id does not have the form of a job id");
+    }
+    return text;
+  }
+
+  public static boolean isId(String text) {
+    if (!text.startsWith("wk-") || text.length() < 4 || text.length() > 64) {
+      return false;
+    }
+    return text.substring(3).chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c == '-');
+  }
+
+  private static String name(Doc d, String field) throws BadMessage {
+    String s = d.text(field);
+    if (s.isEmpty() || s.length() > MAX_NAME) {
+      throw new BadMessage(field + " is empty or too long");
+    }
+    return s;
+  }
+
+  public Doc write() {
+    Doc d =
+        Doc.of()
+            .put("id", id)
+            .put("batchclass", jobClass)
+            .put("owner", team)
+            .put("shape", service ? "daemon" : "sweep")
+            .put("urgency", priority.word())
+            .put("pieces", tasks)
+            .put("vcpus", cpus)
+            .put("cards", gpus)
+            .put("ram_gb", ramGb)
+            .put("bundle", image)
+            .put("size_gb", imageGb)
+            .put("same_place", oneZone)
+            .put("apart", spread)
+            .put("loaners", spot)
+            .put("expect_s", estimateS)
+            .put("snapshot_every_s", checkpointS)
+            .put("snapshot_s", saveS);
+    if (types != null) d.put("flavors", types);
+    if (zone != null) d.put("site", zone);
+    if (deadlineS != null) d.put("due_s", deadlineS);
+    return d;
+  }
+
+  public Size size() {
+    return Size.demand(cpus, gpus, ramGb);
+  }
+
+  public boolean allows(String type, String inZone, boolean onSpot) {
+    return (types == null || types.contains(type))
+        && (zone == null || zone.equals(inZone))
+        && (spot || !onSpot);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/wire/Report.java
@@ -0,0 +1,52 @@
+package dev.dunefront.wire;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What a worker tells about itself. */
+public record Report(
+    String host,
+    String endpoint,
+    String type,
+    String zone,
+    boolean spot,
+    long tenure,
+    long serial,
+    long baton,
+    Double noticeS,
+    List<Task> tasks) {
+
+  /** A task on the machine; {@code why} is set only once it has exited. */
+  public record Task(TaskId id, long attempt, String state, String why) {
+    public boolean exited() {
+      return state.equals("exited");
+    }
+  }
+
+  public static Report read(Doc d) throws BadMessage {
+    List<Task> tasks = new ArrayList<>();
+    for (Doc t : d.docs("pieces")) {
+      tasks.add(
+          new Task(
+              TaskId.parse(t.text("piece")),
+              t.count("try_no"),
+              t.text("status"),
+              t.textOr("exit_reason", "")));
+    }
+    return new Report(
+        d.text("host"),
+        d.textOr("endpoint", ""),
+        d.text("flavor"),
+        d.textOr("site", ""),
+        d.flagOr("loaners", false),
+        d.count("tenure"),
+        d.countOr("serial", 0),
+        d.countOr("baton", 0),
+        d.amountOrNull("recall_s"),
+        tasks);
+  }
+
+  public boolean newerThan(long otherTenure, long otherSerial) {
+    return tenure > otherTenure || tenure == otherTenure && serial > otherSerial;
+  }
+}
