--- a/src/main/java/dev/dunefront/cli/Main.java
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -31,7 +31,7 @@
     description = "A cluster scheduler: want-books held per machine, one offer per freed room.",
     mixinStandardHelpOptions = true,
     version = "dunefront 0.1.0",
-    subcommands = Main.Check.class)
+    subcommands = {Main.Check.class, Rehearsal.class})
 public final class Main implements Callable<Integer> {
   private static final System.Logger LOG = System.getLogger(Main.class.getName());
 
@@ -68,7 +68,7 @@
     return -1;
   }
 
-  private static void run(Settings settings, Tunables tunables) throws IOException {
+  static void run(Settings settings, Tunables tunables) throws IOException {
     XnioWorker worker =
         Xnio.getInstance()
             .createWorker(
--- /dev/null
+++ b/src/main/java/dev/dunefront/standin/WorkerStandIn.java
@@ -0,0 +1,145 @@
+package dev.dunefront.standin;
+
+import dev.dunefront.net.Caller.Reply;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A worker: keeps tasks, obeys batons, writes reports. Tasks end when they are told to. */
+public final class WorkerStandIn {
+  /** A task as the worker knows it. */
+  private record Task(long attempt, String state, String why) {}
+
+  private final String host;
+  private final String endpoint;
+  private final String type;
+  private final String zone;
+  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private final List<String> starts = new ArrayList<>();
+  private long tenure = 1;
+  private long serial;
+  private long baton;
+
+  public WorkerStandIn(String host, String endpoint, String type, String zone) {
+    this.host = host;
+    this.endpoint = endpoint;
+    this.type = type;
+    this.zone = zone;
+  }
+
+  public String host() {
+    return host;
+  }
+
+  public String endpoint() {
+    return endpoint;
+  }
+
+  public long baton() {
+    return baton;
+  }
+
+  public byte[] report() {
+    serial++;
+    List<Doc> pieces = new ArrayList<>();
+    tasks.forEach(
+        (id, t) -> {
+          Doc d = Doc.of().put("piece", id).put("try_no", t.attempt).put("status", t.state);
+          pieces.add(t.why == null ? d : d.put("exit_reason", t.why));
+        });
+    return Doc.of()
+        .put("host", host)
+        .put("endpoint", endpoint)
+        .put("flavor", type)
+        .put("site", zone)
+        .put("loaners", false)
+        .put("tenure", tenure)
+        .put("serial", serial)
+        .put("baton", baton)
+        .put("pieces", pieces)
+        .encode();
+  }
+
+  /** Takes the answer to a report; false if it carried too low a baton and was dropped. */
+  public boolean answered(byte[] body) throws BadMessage {
+    Doc d = Doc.decode(body);
+    if (d.countOr("baton", 0) < baton) {
+      return false;
+    }
+    baton = d.count("baton");
+    carryOut(d.docs("orders"));
+    return true;
+  }
+
+  /** A direct command, as it arrives: now, or much later than it was sent. */
+  public Reply orders(byte[] body) throws BadMessage {
+    Doc d = Doc.decode(body);
+    if (!d.has("baton") || !d.has("tenure")) {
+      return new Reply(400, new byte[0], 0);
+    }
+    if (d.count("baton") < baton || d.count("tenure") != tenure) {
+      return new Reply(409, report(), 0);
+    }
+    baton = d.count("baton");
+    carryOut(d.docs("orders"));
+    return new Reply(200, report(), 0);
+  }
+
+  private void carryOut(List<Doc> orders) throws BadMessage {
+    for (Doc o : orders) {
+      String id = o.text("piece");
+      long attempt = o.count("try_no");
+      Task t = tasks.get(id);
+      switch (o.text("verb")) {
+        case "run" -> {
+          if (t == null || t.attempt != attempt && t.state.equals("exited")) {
+            tasks.put(id, new Task(attempt, "running", null));
+            starts.add(id + "#" + attempt);
+          }
+        }
+        case "stop" -> {
+          if (t != null && t.attempt == attempt && !t.state.equals("exited")) {
+            tasks.put(id, new Task(attempt, "exited", "stopped"));
+          }
+        }
+        case "clear" -> {
+          if (t != null && t.attempt == attempt && t.state.equals("exited")) {
+            tasks.remove(id);
+          }
+        }
+        default -> throw new BadMessage("verb");
+      }
+    }
+  }
+
+  /** Ends a task on its own account, for a reason of the protocol. */
+  public void exit(String id, String why) {
+    tasks.computeIfPresent(id, (k, t) -> new Task(t.attempt, "exited", why));
+  }
+
+  /** The lease has run out: all tasks are killed and forgotten. */
+  public void newSession() {
+    tenure++;
+    serial = 0;
+    tasks.clear();
+  }
+
+  public List<String> running() {
+    return tasks.entrySet().stream()
+        .filter(e -> !e.getValue().state.equals("exited"))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  public int known() {
+    return tasks.size();
+  }
+
+  /** Every start there has been, as {@code task#attempt}. */
+  public List<String> starts() {
+    return starts;
+  }
+}
