Stories on a fake clock; a silent machine's tasks are given up once its lease is over

Cause: the comparison with a holder's view looked at the last report's tasks before it looked whether the session was over, so tasks of a cut machine waited for its next session. Found by the story aSilentMachinesTasksRunElsewhereOnlyAfterItsLease.

--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -385,13 +385,13 @@
               .orElse(null);
       if (v.tenure() > l.placement.tenure()) {
         end(c, number, l, End.GONE, 0);
-      } else if (t != null) {
-        l.state = t.state();
-        if (t.exited()) {
-          end(c, number, l, endOf(t.why()), 0);
-        }
+      } else if (t != null && t.exited()) {
+        end(c, number, l, endOf(t.why()), 0);
       } else if (v.lost()) {
+        // The last report still shows the task, but its lease is surely over.
         end(c, number, l, End.GONE, v.holdStamp());
+      } else if (t != null) {
+        l.state = t.state();
       } else if (v.settled() && now - l.probedAt > REPEAT_S) {
         l.probedAt = now;
         peers.send(
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -91,6 +91,11 @@
         });
   }
 
+  /** The lock round this controller's decisions. */
+  public Ward ward() {
+    return ward;
+  }
+
   public void start() {
     ward.run(
         () -> {
@@ -131,11 +136,11 @@
   // ---- requests ----
 
   public void handle(Request request, Answer answer) {
-    ward.run(() -> route(request, ward(answer)));
+    ward.run(() -> route(request, outside(answer)));
   }
 
   /** Answers are sent outside the lock. */
-  private Answer ward(Answer answer) {
+  private Answer outside(Answer answer) {
     return (status, body, retryAfterS) -> ward.then(() -> answer.send(status, body, retryAfterS));
   }
 
--- /dev/null
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -0,0 +1,118 @@
+package dev.dunefront.standin;
+
+import dev.dunefront.net.Caller.Reply;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** The cloud: a catalog of two types, hires by unique name, deletions, a list. */
+public final class CloudStandIn {
+  /** CPUs of the small type; the large one has four times as many. */
+  public static final double SMALL_CPUS = 4;
+
+  private final TreeMap<String, Doc> machines = new TreeMap<>();
+  private final Map<String, List<String>> hires = new HashMap<>();
+  private final Set<String> deleted = new HashSet<>();
+  private int capacity;
+  private int rented;
+
+  /** How many machines may be rented from now on. */
+  public void capacity(int machinesLeft) {
+    capacity = machinesLeft;
+  }
+
+  /** Adds a machine that is up already. */
+  public void add(String host, String type, String zone) {
+    machines.put(host, machine(host, type, zone, false, "running"));
+  }
+
+  public boolean deleted(String host) {
+    return deleted.contains(host);
+  }
+
+  /** The machines rented so far under each request name. */
+  public Map<String, List<String>> hires() {
+    return hires;
+  }
+
+  public Reply handle(String method, String path, byte[] body) {
+    try {
+      if (path.equals("/catalog")) {
+        return ok(
+            Doc.of()
+                .put("flavors", List.of(type("small", SMALL_CPUS, 1), type("large", 16, 4.4))));
+      }
+      if (path.startsWith("/machines?")) {
+        return ok(
+            Doc.of().put("hosts", new ArrayList<>(machines.values())).put("more", false));
+      }
+      if (path.equals("/machines")) {
+        return hire(Doc.decode(body));
+      }
+      if (path.equals("/machines/delete")) {
+        for (String host : Doc.decode(body).texts("hosts")) {
+          machines.remove(host);
+          deleted.add(host);
+        }
+        return ok(Doc.of());
+      }
+      return new Reply(404, new byte[0], 0);
+    } catch (BadMessage e) {
+      return new Reply(400, new byte[0], 0);
+    }
+  }
+
+  private Reply hire(Doc d) throws BadMessage {
+    String name = d.text("hire");
+    if (!hires.containsKey(name)) {
+      int n = (int) Math.min(capacity, d.count("how_many"));
+      if (n == 0) {
+        return new Reply(503, Doc.of().put("error", "no capacity").encode(), 0);
+      }
+      List<String> hosts = new ArrayList<>();
+      for (int i = 0; i < n; i++) {
+        String host = "hired-" + ++rented;
+        hosts.add(host);
+        machines.put(
+            host, machine(host, d.text("flavor"), d.text("site"), d.flag("loaners"), "booting"));
+      }
+      capacity -= n;
+      hires.put(name, hosts);
+    }
+    return ok(Doc.of().put("hosts", hires.get(name)));
+  }
+
+  private static Doc machine(String host, String type, String zone, boolean spot, String status) {
+    return Doc.of()
+        .put("id", host)
+        .put("flavor", type)
+        .put("site", zone)
+        .put("loaners", spot)
+        .put("status", status)
+        .put("held_s", 1.0);
+  }
+
+  private static Doc type(String name, double cpus, double price) {
+    return Doc.of()
+        .put("label", name)
+        .put("vcpus", cpus)
+        .put("cards", 0.0)
+        .put("ram_gb", cpus * 4)
+        .put("cache_gb", 50.0)
+        .put("pull_gb_per_s", 1.0)
+        .put("rate", price)
+        .put("spot_price", price / 3)
+        .put("boot_s", 5.0)
+        .put("sites", List.of("a", "b"));
+  }
+
+  private static Reply ok(Doc doc) {
+    return new Reply(200, doc.encode(), 0);
+  }
+}
--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -221,7 +221,7 @@
       return;
     }
     ended.forEach(leases::remove);
-    for (var e : List.copyOf(keys.entrySet())) {
+    for (var e : new TreeMap<>(keys).entrySet()) {
       if (ended.contains(e.getValue().tenancy)) {
         revision++;
         keys.remove(e.getKey());
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -0,0 +1,423 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Whole days in small: several controllers, workers and a state service on a fake clock. */
+class StoryTest {
+
+  @Test
+  void aJobRunsAndEveryControllerSaysDoneForGood() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-1");
+    w.start().pass(2);
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 2, 2)).status());
+    w.pass(1);
+    assertEquals(Set.of("wk-1/0", "wk-1/1"), new HashSet<>(m.running()));
+    assertEquals("running", w.poll("node-2", "wk-1").state());
+    m.exit("wk-1/0", "done");
+    w.pass(2);
+    assertEquals("running", w.poll("node-1", "wk-1").state());
+    m.exit("wk-1/1", "done");
+    w.pass(3);
+    for (String node : w.nodes.keySet()) {
+      assertEquals("done", w.poll(node, "wk-1").state());
+      assertEquals(200, w.submit(node, World.job("wk-1", 2, 2)).status());
+    }
+    assertEquals(0, m.known(), "ended tasks are cleared from the machine");
+    assertEquals(List.of(), w.state.keys("t/"), "nothing of a finished job but its end is kept");
+  }
+
+  @Test
+  void aSubmissionSeenByTwoControllersIsOneJob() {
+    World w = new World(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 1, 1)).status());
+    assertEquals(200, w.submit("node-1", World.job("wk-1", 1, 1)).status());
+    w.pass(2);
+    assertEquals(List.of("wk-1/0#1"), m.starts());
+  }
+
+  @Test
+  void bigTasksWaitBehindNobodyOfLowerPriority() {
+    World w = new World(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 1, 4));
+    w.pass(1);
+    w.submit("node-0", World.job("wk-2", 1, 4));
+    w.pass(1);
+    w.submit("node-1", World.job("wk-3", 1, 4).put("urgency", "high"));
+    w.pass(1);
+    m.exit("wk-1/0", "done");
+    w.pass(3);
+    assertEquals(List.of("wk-3/0"), m.running());
+  }
+
+  @Test
+  void aStartWhoseAnswerIsLostIsNotStartedElsewhere() {
+    World w = new World(2);
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-1");
+    w.start().pass(2);
+    w.unanswered = (from, to) -> to.endsWith(":9");
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(5);
+    w.unanswered = (from, to) -> false;
+    w.pass(10);
+    assertEquals(1, a.running().size() + b.running().size());
+    assertEquals(1, a.starts().size() + b.starts().size(), "one start, and it was kept");
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  @Test
+  void aStartThatArrivesMinutesLateIsRefused() {
+    World w = new World(2);
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-1");
+    w.start().pass(2);
+    w.heldBack = (from, to) -> to.endsWith(":9");
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(2);
+    assertTrue(w.heldCount() > 0, "the start is on its way");
+    w.heldBack = (from, to) -> false;
+    w.pass(10);
+    assertEquals(1, a.running().size() + b.running().size(), "placed again under a new baton");
+    w.deliverHeld();
+    w.pass(3);
+    assertEquals(1, a.running().size() + b.running().size());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  @Test
+  void tasksSurviveTheCrashOfTheirClaimantAndAreNotStartedTwice() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 3, 1));
+    w.pass(1);
+    assertEquals(3, m.running().size());
+    w.nodes.get("node-0").crash();
+    w.pass(12);
+    assertEquals(3, m.running().size());
+    m.running().forEach(id -> m.exit(id, "done"));
+    w.pass(4);
+    assertEquals("done", w.poll("node-2", "wk-1").state());
+    assertEquals(3, m.starts().size());
+  }
+
+  @Test
+  void tasksSurviveTheCrashOfAllControllers() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 3, 2));
+    w.pass(1);
+    w.nodes.values().forEach(World.Node::crash);
+    w.pass(3);
+    w.nodes.values().forEach(World.Node::start);
+    w.pass(6);
+    assertEquals(2, m.running().size());
+    m.running().forEach(id -> m.exit(id, "done"));
+    w.pass(4);
+    m.running().forEach(id -> m.exit(id, "done"));
+    w.pass(4);
+    assertEquals("done", w.poll("node-2", "wk-1").state());
+    assertEquals(3, m.starts().size());
+  }
+
+  @Test
+  void aHolderThatDiesWithAPlacementUnsentStrandsNothing() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-1");
+    w.start().pass(2);
+    // The claimant records the placement, but its word never reaches the holder.
+    w.lost = (from, to) -> from.equals("node-1") && to.endsWith(":9");
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(1);
+    w.nodes.get("node-1").crash();
+    w.lost = (from, to) -> false;
+    w.pass(20);
+    assertEquals(List.of("wk-1/0"), m.running());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  @Test
+  void aSilentMachinesTasksRunElsewhereOnlyAfterItsLease() {
+    World w = new World(2);
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(1);
+    assertEquals(1, a.running().size());
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-1");
+    w.pass(1);
+    w.silent.add("host-1");
+    w.pass(World.LEASE_S - 3);
+    assertEquals(0, b.running().size(), "its lease may still hold");
+    w.pass(8);
+    assertEquals(List.of("wk-1/0"), b.running());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  @Test
+  void aMachineWhoseHolderCannotHearItChangesHands() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(1);
+    w.lost = (from, to) -> from.equals(m.endpoint()) && to.equals("node-1");
+    w.pass(12);
+    assertEquals(List.of("wk-1/0"), m.running(), "its lease was renewed by another controller");
+    assertEquals(1, m.starts().size());
+  }
+
+  @Test
+  void aReportUnderAHigherBatonIsSentAway() throws BadMessage {
+    World w = new World(1);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    m.answered(Doc.of().put("baton", m.baton() + 5).put("orders", List.of()).encode());
+    int status = w.ask("node-0", "POST", "/hello", m.report()).status();
+    assertEquals(421, status, "a 200 with too low a baton would pin the worker");
+    w.pass(6);
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(2);
+    assertEquals(1, m.running().size(), "taken again, above the baton it has seen");
+  }
+
+  @Test
+  void cancellingStopsEveryTaskAndNoOlderAnswerFollows() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 4, 1));
+    w.pass(1);
+    assertEquals("cancelled", w.cancel("node-2", "wk-1").state());
+    for (String node : w.nodes.keySet()) {
+      assertEquals("cancelled", w.poll(node, "wk-1").state());
+    }
+    w.pass(3);
+    assertEquals(List.of(), m.running());
+    int starts = m.starts().size();
+    w.pass(10);
+    assertEquals(starts, m.starts().size());
+    assertEquals("cancelled", w.poll("node-0", "wk-1").state());
+    assertEquals(List.of(), w.state.keys("t/"));
+  }
+
+  @Test
+  void cancellationMeetsATakeover() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 4, 1));
+    w.pass(1);
+    w.nodes.get("node-0").crash();
+    assertEquals("cancelled", w.cancel("node-2", "wk-1").state());
+    w.pass(15);
+    assertEquals(List.of(), m.running());
+    assertEquals(List.of(), w.state.keys("w/j/"));
+    assertEquals("cancelled", w.poll("node-1", "wk-1").state());
+  }
+
+  @Test
+  void aLimitHoldsAcrossControllersThatComeAndGo() {
+    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus = 1.0\ncpus_max = 3.0\n");
+    WorkerStandIn a = w.machine("host-1", "large", "a", "node-0");
+    WorkerStandIn b = w.machine("host-2", "large", "a", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 6, 1));
+    w.submit("node-1", World.job("wk-2", 6, 1));
+    w.submit("node-2", World.job("wk-3", 6, 1));
+    w.pass(3);
+    assertEquals(3, a.running().size() + b.running().size());
+    w.nodes.get("node-0").crash();
+    int done = 0;
+    for (int i = 0; i < 60 && done < 18; i++) {
+      w.pass(2);
+      assertTrue(a.running().size() + b.running().size() <= 3);
+      for (WorkerStandIn m : List.of(a, b)) {
+        for (String id : m.running()) {
+          m.exit(id, "done");
+          done++;
+        }
+      }
+    }
+    w.pass(3);
+    for (String id : List.of("wk-1", "wk-2", "wk-3")) {
+      assertEquals("done", w.poll("node-1", id).state());
+    }
+    assertEquals(422, w.submit("node-1", World.job("wk-9", 1, 4)).status());
+  }
+
+  @Test
+  void anOutageOfTheStateIsAnsweredAtOnceWhileTasksRunOn() {
+    World w = new World(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.submit("node-0", World.job("wk-2", 1, 1));
+    w.pass(1);
+    m.exit("wk-2/0", "done");
+    w.pass(3);
+    assertEquals("done", w.poll("node-0", "wk-2").state());
+    w.state.outage(true);
+    w.pass(3);
+    World.Said said = w.submit("node-0", World.job("wk-3", 1, 1));
+    assertEquals(503, said.status());
+    assertTrue(said.retryAfterS() > 0);
+    assertEquals(503, w.poll("node-0", "wk-1").status());
+    assertEquals("done", w.poll("node-0", "wk-2").state(), "a final answer never changes");
+    w.pass(3 * World.LEASE_S);
+    assertEquals(List.of("wk-1/0"), m.running(), "its lease lives through the outage");
+    w.state.outage(false);
+    w.pass(4);
+    m.exit("wk-1/0", "done");
+    w.pass(3);
+    assertEquals("done", w.poll("node-1", "wk-1").state());
+  }
+
+  @Test
+  void aTransactionThatArrivesLateChangesNothingTwice() {
+    World w = new World(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.heldBack = (from, to) -> to.equals("10.2.0.1:1") && from.equals("node-0");
+    w.nodes
+        .get("node-0");
+    World.Said said = w.submit("node-0", World.job("wk-1", 1, 1));
+    assertEquals(503, said.status(), "nothing is promised that is not known to be written");
+    w.heldBack = (from, to) -> false;
+    assertEquals(201, w.submit("node-1", World.job("wk-1", 1, 1)).status());
+    w.deliverHeld();
+    w.pass(12);
+    assertEquals(List.of("wk-1/0"), m.running());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  @Test
+  void aHugeJobStaysWithinTheStatesLimits() {
+    World w = new World(2);
+    w.machine("host-1", "large", "a", "node-0");
+    w.start().pass(2);
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 100_000, 0.001)).status());
+    w.pass(20);
+    assertFalse(w.state.keys("t/wk-1/").isEmpty());
+    for (String key : w.state.keys("t/wk-1/")) {
+      assertTrue(w.state.value(key).encode().length < 16 * 1024);
+    }
+    assertEquals("cancelled", w.cancel("node-1", "wk-1").state());
+    w.pass(60);
+    assertEquals(List.of(), w.state.keys("t/"));
+  }
+
+  @Test
+  void aMachineThatFailsEveryTaskIsReplacedAndAJobThatFailsEverywhereHarmsNone() {
+    World w = new World(2);
+    WorkerStandIn bad = w.machine("host-1", "large", "a", "node-0");
+    w.start().pass(2);
+    // Two jobs fail on the one machine.
+    for (String id : List.of("wk-1", "wk-2")) {
+      w.submit("node-0", World.job(id, 1, 1));
+      w.pass(1);
+      bad.running().forEach(t -> bad.exit(t, "error"));
+      w.pass(2);
+    }
+    w.pass(6);
+    assertTrue(w.cloud.deleted("host-1"));
+
+    World v = new World(2);
+    WorkerStandIn a = v.machine("host-1", "large", "a", "node-0");
+    WorkerStandIn b = v.machine("host-2", "large", "a", "node-1");
+    v.start().pass(2);
+    v.submit("node-0", World.job("wk-1", 8, 1));
+    for (int i = 0; i < 60; i++) {
+      v.pass(1);
+      for (WorkerStandIn m : List.of(a, b)) {
+        m.running().forEach(t -> m.exit(t, "error"));
+      }
+    }
+    assertFalse(v.cloud.deleted("host-1") || v.cloud.deleted("host-2"));
+    assertTrue(a.starts().size() + b.starts().size() < 40, "it does not take up the fleet");
+    v.submit("node-1", World.job("wk-2", 1, 1));
+    v.pass(3);
+    assertEquals(1, a.running().stream().filter(t -> t.startsWith("wk-2")).count()
+        + b.running().stream().filter(t -> t.startsWith("wk-2")).count());
+  }
+
+  @Test
+  void aHireWithoutAnAnswerIsAskedAgainUnderItsName() {
+    World w = new World(2);
+    w.cloud.capacity(5);
+    w.start().pass(2);
+    boolean[] mute = {true};
+    w.unanswered = (from, to) -> to.equals("10.2.0.2:1") && mute[0];
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(9);
+    mute[0] = false;
+    w.pass(9);
+    assertEquals(1, w.cloud.hires().size());
+    assertEquals(1, w.cloud.hires().values().iterator().next().size());
+  }
+
+  @Test
+  void aSilentMachineIsDeletedAndThatProvesItsTasksGone() {
+    World w = new World(2);
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-1", World.job("wk-1", 1, 1));
+    w.pass(1);
+    assertEquals(1, a.running().size());
+    // Machine and holder go at once: nobody can tell by the lease.
+    w.silent.add("host-1");
+    w.nodes.get("node-0").crash();
+    w.pass(60);
+    assertTrue(w.cloud.deleted("host-1"));
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-1");
+    w.pass(5);
+    assertEquals(List.of("wk-1/0"), b.running());
+  }
+
+  @Test
+  void serviceTasksOfAJobStayInOneZoneOrApart() {
+    World w = new World(2);
+    WorkerStandIn a = w.machine("host-1", "large", "a", "node-0");
+    WorkerStandIn b = w.machine("host-2", "large", "b", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 5, 1).put("shape", "daemon").put("apart", true));
+    w.pass(6);
+    assertEquals(5, a.running().size() + b.running().size());
+    assertTrue(a.running().size() <= 3 && b.running().size() <= 3);
+    w.submit("node-0", World.job("wk-2", 4, 1).put("same_place", true));
+    w.pass(6);
+    long inA = a.running().stream().filter(t -> t.startsWith("wk-2")).count();
+    assertTrue(inA == 4 || inA == 0);
+  }
+
+  @Test
+  void whatIsMalformedOrImpossibleIsRefusedForGood() {
+    World w = new World(1);
+    w.start().pass(2);
+    assertEquals(400, w.ask("node-0", "POST", "/v1/jobs", new byte[] {1, 2, 3}).status());
+    assertEquals(400, w.submit("node-0", World.job("nonsense", 1, 1)).status());
+    assertEquals(400, w.submit("node-0", World.job("wk-1", 0, 1)).status());
+    assertEquals(400, w.submit("node-0", World.job("wk-1", 1, 1).put("shape", "choir")).status());
+    assertEquals(422, w.submit("node-0", World.job("wk-1", 1, 1).put("owner", "x")).status());
+    assertEquals(422, w.submit("node-0", World.job("wk-1", 1, 99)).status());
+    assertEquals(404, w.poll("node-0", "wk-1").status());
+    assertEquals(404, w.ask("node-0", "GET", "/v2", new byte[0]).status());
+    assertEquals(405, w.ask("node-0", "DELETE", "/v1/jobs/wk-1", new byte[0]).status());
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -0,0 +1,461 @@
+package dev.dunefront.story;
+
+import dev.dunefront.cli.Daemon;
+import dev.dunefront.config.BadSetting;
+import dev.dunefront.config.Settings;
+import dev.dunefront.config.Tunables;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.HttpServer;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Peers;
+import dev.dunefront.standin.CloudStandIn;
+import dev.dunefront.standin.StateStandIn;
+import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.store.HttpStore;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+
+/** Controllers, workers, state and cloud on one fake clock and one fake network. */
+final class World {
+  static final double REPORT_S = 1.0;
+  static final double LEASE_S = 8.0;
+  private static final double HOP_S = 0.002;
+
+  /** One answer to a user. */
+  record Said(int status, Doc body, int retryAfterS) {
+    String state() {
+      try {
+        return body.text("status");
+      } catch (BadMessage e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+
+  private record Due(double at, long order, Runnable action) {}
+
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(
+          (a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private double now = 100;
+  private long order;
+
+  final Timers timers = new FakeTimers(() -> true);
+  final StateStandIn state = new StateStandIn(timers);
+  final CloudStandIn cloud = new CloudStandIn();
+  final Map<String, Node> nodes = new LinkedHashMap<>();
+  final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
+  private final Map<String, String> reportsTo = new HashMap<>();
+  private final Map<String, Double> answeredAt = new HashMap<>();
+  final Set<String> silent = new HashSet<>();
+
+  /** Whether a call from one address to another is lost on its way there. */
+  BiPredicate<String, String> lost = (from, to) -> false;
+
+  /** Whether the answer to such a call is lost on its way back. */
+  BiPredicate<String, String> unanswered = (from, to) -> false;
+
+  /** Calls that are held back, delivered by {@link #deliverHeld}. */
+  BiPredicate<String, String> heldBack = (from, to) -> false;
+
+  private final List<Runnable> held = new ArrayList<>();
+
+  /** Every task's machines over time must never overlap; this is what was found. */
+  final List<String> overlaps = new ArrayList<>();
+
+  final String teams;
+
+  World(int controllers, String teams) {
+    this.teams = teams;
+    for (int i = 0; i < controllers; i++) {
+      nodes.put("node-" + i, new Node("node-" + i, controllers));
+    }
+  }
+
+  World(int controllers) {
+    this(controllers, "[[facts.teams]]\nname = \"t\"\n");
+  }
+
+  World start() {
+    nodes.values().forEach(Node::start);
+    return this;
+  }
+
+  final class FakeTimers implements Timers {
+    private final java.util.function.BooleanSupplier alive;
+
+    FakeTimers(java.util.function.BooleanSupplier alive) {
+      this.alive = alive;
+    }
+
+    @Override
+    public double now() {
+      return now;
+    }
+
+    @Override
+    public void after(double seconds, Runnable action) {
+      due.add(
+          new Due(
+              now + Math.max(0, seconds),
+              order++,
+              () -> {
+                if (alive.getAsBoolean()) {
+                  action.run();
+                }
+              }));
+    }
+  }
+
+  /** Lets the time pass. */
+  void pass(double seconds) {
+    double until = now + seconds;
+    while (!due.isEmpty() && due.peek().at <= until) {
+      Due d = due.poll();
+      now = d.at;
+      d.action.run();
+      watchOverlaps();
+    }
+    now = until;
+  }
+
+  private void watchOverlaps() {
+    Set<String> seen = new HashSet<>();
+    for (WorkerStandIn w : workers.values()) {
+      for (String task : w.running()) {
+        if (!seen.add(task)) {
+          overlaps.add(task + " at " + now);
+        }
+      }
+    }
+  }
+
+  // ---- controllers ----
+
+  final class Node {
+    final String name;
+    private final int controllers;
+    private Daemon daemon;
+    private int life;
+    private boolean up;
+
+    Node(String name, int controllers) {
+      this.name = name;
+      this.controllers = controllers;
+    }
+
+    void start() {
+      int mine = ++life;
+      up = true;
+      Timers own = new FakeTimers(() -> life == mine && up);
+      Ward ward = new Ward();
+      Caller caller =
+          (address, method, path, body, deadlineS, then) ->
+              call(name, address, method, path, body, deadlineS, r -> {
+                    if (life == mine && up) {
+                      then.accept(r);
+                    }
+                  });
+      Settings settings = settings(name, controllers);
+      HttpStore store = new HttpStore(settings, caller, own, ward, name + "-" + mine);
+      daemon =
+          new Daemon(
+              settings, Tunables.DEFAULTS, store, caller, own, ward, (w, l) -> new Links(this, w));
+      daemon.start();
+      for (Node other : nodes.values()) {
+        if (other != this && other.up) {
+          link(this, other);
+          link(other, this);
+        }
+      }
+    }
+
+    void crash() {
+      up = false;
+      daemon = null;
+      for (Node other : nodes.values()) {
+        if (other != this && other.up) {
+          other.ward().run(() -> other.daemon.gone(name));
+        }
+      }
+    }
+
+    private Ward ward() {
+      return daemon.ward();
+    }
+  }
+
+  private void link(Node from, Node to) {
+    timers.after(
+        HOP_S,
+        () -> {
+          if (from.up && to.up) {
+            to.ward().run(() -> to.daemon.gone(from.name));
+            from.ward().run(() -> from.daemon.reached(to.name));
+          }
+        });
+  }
+
+  private final class Links implements Peers {
+    private final Node self;
+    private final Ward ward;
+
+    Links(Node self, Ward ward) {
+      this.self = self;
+      this.ward = ward;
+    }
+
+    @Override
+    public void send(String node, Message message) {
+      Node to = nodes.get(node);
+      int life = to == null ? 0 : to.life;
+      byte[] record = Message.encode(message);
+      timers.after(
+          node.equals(self.name) ? 0 : HOP_S,
+          () -> {
+            if (to == null || !to.up || to.life != life || lost.test(self.name, node)) {
+              return;
+            }
+            try {
+              Message m = Message.decode(record);
+              to.ward().run(() -> to.daemon.received(self.name, m));
+            } catch (IOException e) {
+              throw new AssertionError(e);
+            }
+          });
+    }
+
+    @Override
+    public void broadcast(Message message) {
+      nodes.keySet().forEach(n -> send(n, message));
+    }
+
+    @Override
+    public boolean linked(String node) {
+      return nodes.get(node).up;
+    }
+  }
+
+  private Settings settings(String name, int controllers) {
+    StringBuilder toml = new StringBuilder();
+    toml.append("host_name = \"").append(name).append("\"\nsite = \"a\"\n");
+    toml.append("listen = \"10.0.0.1:80\"\npeer_bind = \"10.0.0.1:81\"\n");
+    for (int i = 0; i < controllers; i++) {
+      if (!name.equals("node-" + i)) {
+        toml.append("[[others]]\nhost_name = \"node-").append(i);
+        toml.append("\"\nsite = \"a\"\naddress = \"10.0.0.9:81\"\n");
+      }
+    }
+    toml.append("[outside]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n").append(teams);
+    toml.append("[facts.workers]\nreport_s = ").append(REPORT_S);
+    toml.append("\nlease_s = ").append(LEASE_S).append("\ncancel_s = 20.0\n");
+    toml.append("[facts.state]\nrps = 600.0\nwrite_rps = 300.0\nvalue_kb = 16.0\ntxn_ops = 24\n");
+    toml.append("[facts.cloud]\nrps = 5.0\nlist_lag_s = 2.0\n");
+    toml.append("[facts.limits]\ncores = 1.0\nmemory_mb = 256.0\nfd_limit = 500\n");
+    try {
+      return Settings.parse(toml.toString());
+    } catch (BadSetting e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  // ---- the network ----
+
+  private void call(
+      String from,
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      double deadlineS,
+      Consumer<Caller.Reply> then) {
+    boolean[] over = {false};
+    Consumer<Caller.Reply> once =
+        r -> {
+          if (!over[0]) {
+            over[0] = true;
+            then.accept(r);
+          }
+        };
+    timers.after(deadlineS, () -> once.accept(Caller.Reply.UNCLEAR));
+    Runnable deliver =
+        () ->
+            serve(
+                address,
+                method,
+                path,
+                body,
+                r -> {
+                  if (!unanswered.test(from, address)) {
+                    timers.after(HOP_S, () -> once.accept(r));
+                  }
+                });
+    if (lost.test(from, address)) {
+      return;
+    }
+    if (heldBack.test(from, address)) {
+      held.add(deliver);
+      return;
+    }
+    timers.after(HOP_S, deliver);
+  }
+
+  /** What was held back arrives now, however late. */
+  void deliverHeld() {
+    List<Runnable> all = List.copyOf(held);
+    held.clear();
+    all.forEach(Runnable::run);
+    watchOverlaps();
+  }
+
+  int heldCount() {
+    return held.size();
+  }
+
+  private void serve(
+      String address, String method, String path, byte[] body, Consumer<Caller.Reply> then) {
+    if (address.equals("10.2.0.1:1")) {
+      state.handle(method, path, body, then);
+    } else if (address.equals("10.2.0.2:1")) {
+      then.accept(cloud.handle(method, path, body));
+    } else {
+      WorkerStandIn w = workers.get(address);
+      if (w != null && !silent.contains(w.host())) {
+        try {
+          Caller.Reply reply = w.orders(body);
+          then.accept(reply);
+        } catch (BadMessage e) {
+          throw new AssertionError(e);
+        }
+      }
+    }
+  }
+
+  // ---- workers ----
+
+  WorkerStandIn machine(String host, String type, String zone, String firstNode) {
+    WorkerStandIn w = new WorkerStandIn(host, host + ":9", type, zone);
+    workers.put(w.endpoint(), w);
+    cloud.add(host, type, zone);
+    reportsTo.put(host, firstNode);
+    answeredAt.put(host, now);
+    timers.after(0.01, () -> report(w));
+    return w;
+  }
+
+  private void report(WorkerStandIn w) {
+    if (cloud.deleted(w.host())) {
+      workers.remove(w.endpoint());
+      return;
+    }
+    if (now - answeredAt.get(w.host()) > LEASE_S) {
+      w.newSession();
+      answeredAt.put(w.host(), now);
+    }
+    Node n = nodes.get(reportsTo.get(w.host()));
+    double sent = now;
+    byte[] body = w.report();
+    boolean lostNow =
+        silent.contains(w.host()) || !n.up || lost.test(w.endpoint(), n.name);
+    if (lostNow) {
+      tryNext(w, n);
+      return;
+    }
+    n.daemon.handle(
+        new HttpServer.Request("POST", "/hello", "", body),
+        (status, reply, again) ->
+            timers.after(
+                HOP_S,
+                () -> {
+                  try {
+                    if (status == 200) {
+                      if (w.answered(reply)) {
+                        answeredAt.put(w.host(), sent);
+                      }
+                      timers.after(REPORT_S, () -> report(w));
+                    } else if (status == 421 && reply != null) {
+                      reportsTo.put(w.host(), Doc.decode(reply).text("overseer"));
+                      timers.after(0.1, () -> report(w));
+                    } else {
+                      tryNext(w, n);
+                    }
+                  } catch (BadMessage e) {
+                    throw new AssertionError(e);
+                  }
+                }));
+  }
+
+  private void tryNext(WorkerStandIn w, Node n) {
+    List<String> names = List.copyOf(nodes.keySet());
+    if (!silent.contains(w.host())) {
+      reportsTo.put(w.host(), names.get((names.indexOf(n.name) + 1) % names.size()));
+    }
+    timers.after(1, () -> report(w));
+  }
+
+  // ---- users ----
+
+  Said ask(String node, String method, String path, byte[] body) {
+    Said[] said = {null};
+    nodes
+        .get(node)
+        .daemon
+        .handle(
+            new HttpServer.Request(method, path, "", body),
+            (status, reply, again) -> {
+              try {
+                said[0] =
+                    new Said(
+                        status,
+                        reply == null || reply.length == 0 ? Doc.of() : Doc.decode(reply),
+                        again);
+              } catch (BadMessage e) {
+                throw new AssertionError(e);
+              }
+            });
+    for (int i = 0; i < 3000 && said[0] == null; i++) {
+      pass(0.002);
+    }
+    return said[0];
+  }
+
+  Said submit(String node, Doc job) {
+    return ask(node, "POST", "/v1/jobs", job.encode());
+  }
+
+  Said poll(String node, String id) {
+    return ask(node, "GET", "/v1/jobs/" + id, new byte[0]);
+  }
+
+  Said cancel(String node, String id) {
+    return ask(node, "POST", "/v1/jobs/" + id + "/abort", new byte[0]);
+  }
+
+  static Doc job(String id, int tasks, double cpus) {
+    return Doc.of()
+        .put("id", id)
+        .put("batchclass", "c")
+        .put("owner", "t")
+        .put("shape", "sweep")
+        .put("urgency", "normal")
+        .put("pieces", tasks)
+        .put("vcpus", cpus)
+        .put("cards", 0.0)
+        .put("ram_gb", 1.0)
+        .put("bundle", "img")
+        .put("size_gb", 1.0);
+  }
+}
