--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -17,6 +17,7 @@
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.JobSpec;
+import dev.dunefront.wire.MachineType;
 import dev.dunefront.wire.Order;
 import dev.dunefront.wire.Report;
 import dev.dunefront.wire.Size;
@@ -192,7 +193,7 @@
             return;
           }
           holds.wrote(r.host(), value, done.revision());
-          LOG.log(Level.INFO, "holding {0} under baton {1}", r.host(), baton);
+          LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", r.host(), r.type(), baton);
           Machine m = new Machine(r, baton, done.revision(), timers.now());
           m.blamedBy.clear();
           held.put(r.host(), m);
@@ -415,7 +416,9 @@
         JobTable.Entry job = jobs.get(w.job());
         boolean over = job != null && job.record().status() != JobRecord.Status.OPEN;
         int priority = Math.max(0, Math.min(3, w.priority()));
-        m.book.park(from, w.job(), priority, w.size(), over ? 0 : w.count());
+        int rank = Math.max(0, Math.min(WantBook.RANKS - 1, w.rank()));
+        m.book.park(
+            from, w.job(), priority, rank, w.size(), over ? 0 : w.count(), timers.now());
         act(m);
       }
     } else if (message instanceof Message.Decline d) {
@@ -574,9 +577,14 @@
     if (!m.open() || m.book.isEmpty()) {
       return;
     }
-    Size free = m.free(catalog.type(m.typeName), this::sizeOf);
+    MachineType type = catalog.type(m.typeName);
+    if (type == null) {
+      return;
+    }
+    Size free = m.free(type, this::sizeOf);
+    double gatherBefore = timers.now() - tunables.gatherTicks() * tunables.tickS();
     WantBook.Want w;
-    while ((w = m.book.take(free)) != null) {
+    while ((w = m.book.take(free, type.size(), gatherBefore)) != null) {
       long offer = ++offers;
       m.offers.put(
           offer,
--- a/src/main/java/dev/dunefront/book/WantBook.java
+++ b/src/main/java/dev/dunefront/book/WantBook.java
@@ -6,23 +6,30 @@
 import java.util.List;
 
 /**
- * The wants parked on one machine. Room goes to the highest priority first, round-robin across
- * controllers within it, first-come within a controller.
+ * The wants parked on one machine. Room goes to the highest priority first, within it to the lowest
+ * rank, then round-robin across controllers, first-come within a controller. Once a want has waited
+ * long, room gathers for it: nothing that comes after it is served before.
  */
 final class WantBook {
+  /** Ranks within a priority. */
+  static final int RANKS = 4;
+
+  private static final int PRIORITIES = 4;
+
   static final class Want {
     final String node;
     final String job;
     final int priority;
+    final double since;
+    int rank;
     Size size;
     int count;
 
-    Want(String node, String job, int priority, Size size, int count) {
+    Want(String node, String job, int priority, double since) {
       this.node = node;
       this.job = job;
       this.priority = priority;
-      this.size = size;
-      this.count = count;
+      this.since = since;
     }
   }
 
@@ -30,28 +37,39 @@
   private final List<Want> wants = new ArrayList<>();
 
   /** For each priority the controllers in the order in which they are next served. */
-  private final List<List<String>> rings =
-      List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+  private final List<List<String>> rings = new ArrayList<>();
+
+  WantBook() {
+    for (int i = 0; i < PRIORITIES; i++) {
+      rings.add(new ArrayList<>());
+    }
+  }
 
-  void park(String node, String job, int priority, Size size, int count) {
-    for (Iterator<Want> i = wants.iterator(); i.hasNext(); ) {
+  void park(
+      String node, String job, int priority, int rank, Size size, int count, double now) {
+    Want want = null;
+    for (Iterator<Want> i = wants.iterator(); i.hasNext() && want == null; ) {
       Want w = i.next();
       if (w.node.equals(node) && w.job.equals(job)) {
-        w.size = size;
-        w.count = count;
+        want = w;
         if (count <= 0) {
           i.remove();
         }
-        return;
       }
     }
-    if (count > 0) {
-      wants.add(new Want(node, job, priority, size, count));
-      List<String> ring = rings.get(priority);
-      if (!ring.contains(node)) {
-        ring.add(0, node);
+    if (count <= 0) {
+      return;
+    }
+    if (want == null) {
+      want = new Want(node, job, priority, now);
+      wants.add(want);
+      if (!rings.get(priority).contains(node)) {
+        rings.get(priority).add(0, node);
       }
     }
+    want.rank = rank;
+    want.size = size;
+    want.count = count;
   }
 
   void drop(String node) {
@@ -67,36 +85,53 @@
     return wants.isEmpty();
   }
 
-  int size() {
-    return wants.size();
-  }
-
-  /** The want that is served next from this room, taken down by one; null if none fits. */
-  Want take(Size room) {
-    for (int priority = 0; priority < rings.size(); priority++) {
+  /**
+   * The want that is served next from this room, taken down by one; null if there is none, or if
+   * the room gathers for one that has been parked since before {@code gatherBefore}.
+   */
+  Want take(Size room, Size whole, double gatherBefore) {
+    for (int priority = 0; priority < PRIORITIES; priority++) {
       List<String> ring = rings.get(priority);
-      for (int i = 0; i < ring.size(); i++) {
-        String node = ring.get(i);
-        Want w = first(priority, node, room);
-        if (w != null) {
-          ring.remove(i);
-          ring.add(node);
-          if (--w.count <= 0) {
-            wants.remove(w);
+      for (int rank = 0; rank < RANKS; rank++) {
+        for (int i = 0; i < ring.size(); i++) {
+          Want w = first(priority, rank, ring.get(i), room);
+          if (w != null) {
+            ring.add(ring.remove(i));
+            if (--w.count <= 0) {
+              wants.remove(w);
+            }
+            return w;
           }
-          return w;
+        }
+        if (gathers(priority, rank, whole, gatherBefore)) {
+          return null;
         }
       }
     }
     return null;
   }
 
-  private Want first(int priority, String node, Size room) {
+  private Want first(int priority, int rank, String node, Size room) {
     for (Want w : wants) {
-      if (w.priority == priority && w.node.equals(node) && w.size.fits(room)) {
+      if (w.priority == priority
+          && w.rank == rank
+          && w.node.equals(node)
+          && w.size.fits(room)) {
         return w;
       }
     }
     return null;
   }
+
+  private boolean gathers(int priority, int rank, Size whole, double gatherBefore) {
+    for (Want w : wants) {
+      if (w.priority == priority
+          && w.rank == rank
+          && w.since < gatherBefore
+          && w.size.fits(whole)) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -35,6 +35,7 @@
   static final class Live {
     final Placement placement;
     Message.State state = Message.State.PENDING;
+    double runningSince;
     double probedAt;
     double stoppedAt;
     boolean ending;
@@ -67,6 +68,7 @@
   final Map<String, Double> avoid = new HashMap<>();
   final Set<String> failedOn = new HashSet<>();
   int reach;
+  int rank = Urgencies.IN_TIME;
   double nextTick;
   double unservedSince;
   double notBefore;
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -27,6 +27,7 @@
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
+import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Size;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -61,6 +62,7 @@
   private final Timers timers;
   private final Ward ward;
   private final Quotas quotas;
+  private final Urgencies urgencies;
   private final Room room = new Room();
   private final Map<String, Claim> claims = new HashMap<>();
   private final Set<String> claiming = new HashSet<>();
@@ -93,6 +95,7 @@
     this.peers = peers;
     this.timers = timers;
     this.ward = ward;
+    this.urgencies = new Urgencies(settings);
     this.quotas = new Quotas(settings, replica, this::reviewSoon);
   }
 
@@ -391,6 +394,13 @@
         // The last report still shows the task, but its lease is surely over.
         end(c, number, l, End.GONE, v.holdStamp());
       } else if (t != null) {
+        if (l.state != t.state()) {
+          LOG.log(Level.DEBUG, "{0}/{1} is {2} on {3}", c.id(), number, t.state(), v.host());
+        }
+        if (t.state() == Message.State.RUNNING && l.state == Message.State.PENDING
+            || t.state() == Message.State.RUNNING && l.state == Message.State.FETCHING) {
+          l.runningSince = now;
+        }
         l.state = t.state();
       } else if (v.settled() && now - l.probedAt > REPEAT_S) {
         l.probedAt = now;
@@ -435,9 +445,13 @@
 
   private void end(Claim c, int number, Live l, End end, long holdStamp) {
     l.ending = true;
+    LOG.log(Level.DEBUG, "{0}/{1} is over on {2}: {3}", c.id(), number, l.placement.host(), end);
     c.ends.add(new Ended(number, l.placement, end, holdStamp));
     double now = timers.now();
     String host = l.placement.host();
+    if (end == End.DONE && l.runningSince > 0) {
+      urgencies.ran(c.spec, now - l.runningSince);
+    }
     if (end == End.FAILED) {
       c.failures++;
       boolean first = c.failedOn.add(host);
@@ -721,6 +735,7 @@
     }
     for (Starting s : f.starts) {
       Message.Offer o = s.held.offer();
+      LOG.log(Level.DEBUG, "placed {0}/{1} on {2}", c.id(), s.number, o.host());
       peers.send(
           s.held.holder(),
           new Message.Start(
@@ -885,7 +900,43 @@
     park(c, wanted, now);
   }
 
-  private record Choice(Room.Seen seen, int now, int ever, boolean image, double price) {}
+  /** A machine on which a job could park; the lower the tier, the sooner it is chosen. */
+  private record Choice(Room.Seen seen, int ever, int tier, double costS) {}
+
+  /** What using a machine many times too large costs, in seconds of an earlier start. */
+  private static final double OVERSIZE_S = 3;
+
+  /** From this many tasks on, a machine is larger than a task needs. */
+  private static final int OVERSIZE = 8;
+
+  /** Whether there is a type on which the job's tasks would not be lost in space. */
+  private boolean smallerServes(Claim c) {
+    for (MachineType t : catalog.types()) {
+      int times = c.size.timesIn(t.size());
+      if (times > 0
+          && times < OVERSIZE
+          && (c.spec.types() == null || c.spec.types().contains(t.name()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private Choice choice(Claim c, Room.Seen s, MachineType type, double now) {
+    View v = s.view();
+    int ever = c.size.timesIn(type.size());
+    boolean fits = c.size.fits(v.free());
+    boolean large = ever >= OVERSIZE && smallerServes(c);
+    boolean urgent = c.spec.priority().compareTo(Priority.HIGH) <= 0;
+    // Large machines are left to tasks that fit nowhere else, as long as others may turn up.
+    boolean spare = large && !urgent && now - c.unservedSince < tunables.gatherTicks() * tunables.tickS();
+    int tier = fits && !spare ? 0 : fits ? 2 : 1;
+    double fetch =
+        c.spec.image() == null || v.images().contains(c.spec.image()) || type.fetchGbPerS() <= 0
+            ? 0
+            : c.spec.imageGb() / type.fetchGbPerS();
+    return new Choice(s, ever, tier, fetch + (large ? OVERSIZE_S : 0));
+  }
 
   private void park(Claim c, int wanted, double now) {
     List<Choice> choices = new ArrayList<>();
@@ -899,17 +950,14 @@
           || !zoneAllowed(c, v.host(), List.of(), List.of())) {
         continue;
       }
-      int ever = c.size.timesIn(type.size());
-      if (ever > 0) {
-        int fits = c.size.timesIn(v.free());
-        choices.add(new Choice(s, fits, ever, v.images().contains(c.spec.image()), type.price()));
+      Choice choice = choice(c, s, type, now);
+      if (choice.ever > 0) {
+        choices.add(choice);
       }
     }
-    // Machines with room first, then those that have the image, then the smaller ones.
     choices.sort(
-        Comparator.comparing((Choice ch) -> ch.now > 0 ? 0 : 1)
-            .thenComparing(ch -> ch.image ? 0 : 1)
-            .thenComparing(Choice::price)
+        Comparator.comparingInt(Choice::tier)
+            .thenComparingDouble(Choice::costS)
             .thenComparing(ch -> (c.id() + ch.seen.view().host()).hashCode()));
     long left = (long) wanted * c.reach;
     int machines = 0;
@@ -928,9 +976,14 @@
         want(c, host, 0);
       }
     }
+    double ageS = (timers.timeOfDayMs() - c.record.acceptedMs()) / 1000.0;
+    double fetchS = choices.isEmpty() ? 0 : choices.get(0).costS;
+    int rank = urgencies.rank(c.spec, ageS, fetchS);
+    boolean moved = rank != c.rank;
+    c.rank = rank;
     target.forEach(
         (host, n) -> {
-          if (!n.equals(c.parked.get(host))) {
+          if (moved || !n.equals(c.parked.get(host))) {
             want(c, host, n);
           }
         });
@@ -946,7 +999,8 @@
     if (s != null) {
       peers.send(
           s.holder(),
-          new Message.Want(host, c.id(), c.spec.priority().ordinal(), c.size, count));
+          new Message.Want(
+              host, c.id(), c.spec.priority().ordinal(), c.rank, c.size, count));
     }
   }
 
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -76,7 +76,7 @@
         new Fleet(
             settings, tunables, membership, replica, holds, jobs, claims.room(), catalog, store,
             caller, timers, ward);
-    api = new JobApi(settings, membership, jobs, claims, catalog, store, peers);
+    api = new JobApi(settings, membership, jobs, claims, catalog, store, peers, timers);
     holds.listen(
         host -> {
           books.holdChanged(host);
--- a/src/main/java/dev/dunefront/config/Settings.java
+++ b/src/main/java/dev/dunefront/config/Settings.java
@@ -24,6 +24,7 @@
     String cloud,
     String state,
     List<Team> teams,
+    List<Objective> objectives,
     Workers workers,
     StateLimits stateLimits,
     CloudLimits cloudLimits,
@@ -38,6 +39,12 @@
     }
   }
 
+  /**
+   * Something that users expect of a class of jobs: done by the deadline times a factor, or done
+   * within a time. Objectives of other kinds are not kept.
+   */
+  public record Objective(String jobClass, Double deadlineTimes, Double withinS) {}
+
   public record Workers(double reportS, double leaseS, double cancelS) {}
 
   public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
@@ -100,6 +107,15 @@
               s.amountOr("gpus", 0),
               s.amountOr("gpus_max", 0)));
     }
+    List<Objective> objectives = new ArrayList<>();
+    for (Section s : facts.list("objectives")) {
+      String kind = s.text("kind");
+      if (kind.equals("deadline")) {
+        objectives.add(new Objective(s.text("class"), s.amountOr("times", 1), null));
+      } else if (kind.equals("finished")) {
+        objectives.add(new Objective(s.text("class"), null, s.positive("within_s")));
+      }
+    }
     Section w = facts.section("workers");
     Section st = facts.section("state");
     Section cl = facts.section("cloud");
@@ -113,6 +129,7 @@
         outside.hostPort("cloud"),
         outside.hostPort("state"),
         List.copyOf(teams),
+        List.copyOf(objectives),
         new Workers(w.positive("report_s"), w.positive("lease_s"), w.positive("cancel_s")),
         new StateLimits(
             st.positive("rps"),
--- a/src/main/java/dev/dunefront/config/Tunables.java
+++ b/src/main/java/dev/dunefront/config/Tunables.java
@@ -7,6 +7,7 @@
  * @param reach machines on which a fresh want parks
  * @param reachCap the most machines on which a want parks
  * @param tickS an unserved want adds a machine to its reach every tick
+ * @param gatherTicks a want that has waited this many ticks has room gathered for it
  * @param offerWaitS an unanswered offer passes on after this time
  * @param headroom unstarted tasks that a controller may claim above its share
  * @param waitS without room for this long, a job's wants are withdrawn
@@ -18,6 +19,7 @@
     int reach,
     int reachCap,
     double tickS,
+    int gatherTicks,
     double offerWaitS,
     int headroom,
     double waitS,
@@ -26,5 +28,5 @@
     double idleReturnS) {
 
   public static final Tunables DEFAULTS =
-      new Tunables(3, 64, 2.0, 3.0, 8, 60.0, 10.0, 4.0, 120.0);
+      new Tunables(3, 64, 2.0, 3, 3.0, 8, 60.0, 10.0, 4.0, 300.0);
 }
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -5,6 +5,7 @@
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.net.HttpServer.Answer;
+import dev.dunefront.net.Timers;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
@@ -36,6 +37,7 @@
   private final Catalog catalog;
   private final Store store;
   private final Peers peers;
+  private final Timers timers;
 
   public JobApi(
       Settings settings,
@@ -44,7 +46,8 @@
       Claims claims,
       Catalog catalog,
       Store store,
-      Peers peers) {
+      Peers peers,
+      Timers timers) {
     this.settings = settings;
     this.membership = membership;
     this.jobs = jobs;
@@ -52,6 +55,7 @@
     this.catalog = catalog;
     this.store = store;
     this.peers = peers;
+    this.timers = timers;
   }
 
   // ---- submit ----
@@ -85,7 +89,8 @@
 
   private void accept(JobSpec spec, Answer answer) {
     String claim = claims.admits(spec) ? membership.self() : null;
-    JobRecord record = new JobRecord(spec, claim, claim == null ? 0 : 1, Status.OPEN);
+    JobRecord record =
+        new JobRecord(spec, timers.timeOfDayMs(), claim, claim == null ? 0 : 1, Status.OPEN);
     String mark = store.newMark();
     store.tryTxn(
         new Txn()
@@ -95,7 +100,13 @@
         Urgency.USER,
         done -> {
           if (done.ok()) {
-            LOG.log(Level.INFO, "accepted {0}", spec.id());
+            LOG.log(
+                Level.INFO,
+                "accepted {0}: {1} tasks of {2} for {3}",
+                spec.id(),
+                spec.tasks(),
+                spec.jobClass(),
+                spec.team());
             jobs.wrote(spec.id(), record, mark, done.revision());
             if (claim != null && claim.equals(membership.self())) {
               claims.adopt(record, done.revision(), true);
--- a/src/main/java/dev/dunefront/job/JobRecord.java
+++ b/src/main/java/dev/dunefront/job/JobRecord.java
@@ -10,10 +10,11 @@
  * A job's record in the state service while the job, or any task of it, lives. When all is over a
  * small final record under another key takes its place in the same transaction.
  *
+ * @param acceptedMs time of day when the job was accepted
  * @param claim the incarnation that has claimed the job, or null
  * @param term rises with every claim
  */
-public record JobRecord(JobSpec spec, String claim, long term, Status status) {
+public record JobRecord(JobSpec spec, long acceptedMs, String claim, long term, Status status) {
   public static final String PREFIX = Replica.PREFIX + "j/";
 
   public enum Status {
@@ -34,6 +35,7 @@
   static JobRecord read(Doc d, JobSpec known) throws BadMessage {
     return new JobRecord(
         known != null ? known : JobSpec.read(d.doc("spec")),
+        d.countOr("at", 0),
         d.textOr("claim", null),
         d.countOr("term", 0),
         Status.valueOf(d.text("status")));
@@ -42,6 +44,7 @@
   public Doc write(String mark) {
     return Doc.of()
         .put("spec", spec.write())
+        .put("at", acceptedMs)
         .put("claim", claim)
         .put("term", term)
         .put("status", status.name())
@@ -57,10 +60,10 @@
   }
 
   public JobRecord claimedBy(String incarnation) {
-    return new JobRecord(spec, incarnation, term + 1, status);
+    return new JobRecord(spec, acceptedMs, incarnation, term + 1, status);
   }
 
   public JobRecord with(Status next) {
-    return new JobRecord(spec, claim, term, next);
+    return new JobRecord(spec, acceptedMs, claim, term, next);
   }
 }
--- a/src/main/java/dev/dunefront/net/Timers.java
+++ b/src/main/java/dev/dunefront/net/Timers.java
@@ -5,6 +5,9 @@
   /** Seconds on the steady clock. */
   double now();
 
+  /** The time of day in milliseconds, good to within the settings' bound. */
+  long timeOfDayMs();
+
   /** Runs the action once, after so many seconds. */
   void after(double seconds, Runnable action);
 }
--- a/src/main/java/dev/dunefront/net/XnioTimers.java
+++ b/src/main/java/dev/dunefront/net/XnioTimers.java
@@ -16,6 +16,11 @@
     return System.nanoTime() / 1e9;
   }
 
+  @Override
+  public long timeOfDayMs() {
+    return System.currentTimeMillis();
+  }
+
   @Override
   public void after(double seconds, Runnable action) {
     executor.executeAfter(action, Math.max(1, Math.round(seconds * 1000)), TimeUnit.MILLISECONDS);
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -68,8 +68,12 @@
   /** The sender no longer holds the machine. */
   record Unheld(String host) implements Message {}
 
-  /** Parks wants for tasks of a job in a machine's book; a count of 0 withdraws them. */
-  record Want(String host, String job, int priority, Size size, int count) implements Message {}
+  /**
+   * Parks wants for tasks of a job in a machine's book; a count of 0 withdraws them. The rank, 0
+   * being first, orders wants within a priority by how much is still to be won by serving them.
+   */
+  record Want(String host, String job, int priority, int rank, Size size, int count)
+      implements Message {}
 
   /** Room for one task of the job is set aside. */
   record Offer(long offer, String host, String job, long baton, long holdStamp, long tenure)
@@ -162,6 +166,7 @@
       out.writeUTF(w.host);
       out.writeUTF(w.job);
       out.writeByte(w.priority);
+      out.writeByte(w.rank);
       writeSize(out, w.size);
       out.writeInt(w.count);
     } else if (m instanceof Offer o) {
@@ -250,7 +255,13 @@
           case 2 -> new Ping();
           case 3 -> readView(in);
           case 4 -> new Unheld(in.readUTF());
-          case 5 -> new Want(in.readUTF(), in.readUTF(), in.readByte(), readSize(in), in.readInt());
+          case 5 -> new Want(
+              in.readUTF(),
+              in.readUTF(),
+              in.readByte(),
+              in.readByte(),
+              readSize(in),
+              in.readInt());
           case 6 -> new Offer(
               in.readLong(),
               in.readUTF(),
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -106,6 +106,11 @@
       return now;
     }
 
+    @Override
+    public long timeOfDayMs() {
+      return Math.round(now * 1000) + 1_700_000_000_000L;
+    }
+
     @Override
     public void after(double seconds, Runnable action) {
       due.add(
