--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -51,6 +51,7 @@
   long stamp;
   boolean loading;
   boolean flying;
+  boolean choosing;
   boolean dropped;
   final TreeMap<Integer, Chunk> chunks = new TreeMap<>();
 
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -49,6 +49,7 @@
   private static final double RANK_WAIT_S = 1.0;
   private static final double REPEAT_S = 1.5;
   private static final double AVOID_S = 15;
+  private static final double CHOOSE_S = 0.012;
 
   private final Settings settings;
   private final Tunables tunables;
@@ -304,7 +305,7 @@
         peers.send(from, new Message.Decline(o.offer(), o.host()));
       } else {
         c.offers.add(new Held(from, o));
-        flush(c);
+        chooseSoon(c);
       }
     } else if (message instanceof Message.Absent a) {
       Claim c = claims.get(a.job());
@@ -356,6 +357,24 @@
     flush(c);
   }
 
+  /**
+   * Offers from several holders come within a few milliseconds; the best are taken, not the first.
+   */
+  private void chooseSoon(Claim c) {
+    if (c.choosing) {
+      return;
+    }
+    c.choosing = true;
+    timers.after(
+        CHOOSE_S,
+        () ->
+            ward.run(
+                () -> {
+                  c.choosing = false;
+                  flush(c);
+                }));
+  }
+
   private void unpark(String host) {
     for (Claim c : claims.values()) {
       c.parked.remove(host);
@@ -621,6 +640,7 @@
       }
       used = used.minus(c.size);
     }
+    sortOffers(c);
     int number = 0;
     int allowed = c.suspect() ? Math.max(0, 1 - c.live.size()) : Integer.MAX_VALUE;
     for (Held h : List.copyOf(c.offers)) {
@@ -657,6 +677,27 @@
     return new Flight(next, starts, ends, quota, used);
   }
 
+  private void sortOffers(Claim c) {
+    if (c.offers.size() < 2) {
+      return;
+    }
+    Map<String, Choice> choices = new HashMap<>();
+    double now = timers.now();
+    for (Held h : c.offers) {
+      Room.Seen s = room.get(h.offer().host());
+      MachineType type = s == null ? null : catalog.type(s.view().type());
+      if (type != null) {
+        choices.put(h.offer().host(), choice(c, s, type, now));
+      }
+    }
+    c.offers.sort(
+        Comparator.comparingDouble(
+            h -> {
+              Choice ch = choices.get(h.offer().host());
+              return ch == null ? Double.MAX_VALUE : ch.costS;
+            }));
+  }
+
   private static int hosts(Map<String, Long> stamps) {
     return stamps.size();
   }
@@ -901,7 +942,13 @@
   }
 
   /** A machine on which a job could park; the lower the tier, the sooner it is chosen. */
-  private record Choice(Room.Seen seen, int ever, int tier, double costS) {}
+  private record Choice(Room.Seen seen, int ever, int fits, int tier, double costS) {}
+
+  /** How much of its fetch a task counts that is in no hurry. */
+  private static final double PATIENT = 0.25;
+
+  /** What taking room beside another job's image costs, in seconds of an earlier start. */
+  private static final double CROWD_S = 0.5;
 
   /** What using a machine many times too large costs, in seconds of an earlier start. */
   private static final double OVERSIZE_S = 3;
@@ -935,7 +982,10 @@
         c.spec.image() == null || v.images().contains(c.spec.image()) || type.fetchGbPerS() <= 0
             ? 0
             : c.spec.imageGb() / type.fetchGbPerS();
-    return new Choice(s, ever, tier, fetch + (large ? OVERSIZE_S : 0));
+    int others = v.images().size() - (v.images().contains(c.spec.image()) ? 1 : 0);
+    // A task in no hurry leaves the machines that have others' images to those others.
+    double cost = urgent ? fetch : fetch * PATIENT + others * CROWD_S;
+    return new Choice(s, ever, fits ? c.size.timesIn(v.free()) : 0, tier, cost + (large ? OVERSIZE_S : 0));
   }
 
   private void park(Claim c, int wanted, double now) {
@@ -966,7 +1016,7 @@
       if (left <= 0 && machines >= c.reach) {
         break;
       }
-      int n = Math.min(wanted, ch.ever);
+      int n = Math.min(wanted, ch.fits > 0 ? ch.fits : ch.ever);
       target.put(ch.seen.view().host(), n);
       left -= n;
       machines++;
