--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -139,8 +139,7 @@
 
   private void holdAsked(String from, String host) {
     Machine m = held.get(host);
-    peers.send(
-        from, new Message.HoldSay(host, m != null, m == null ? 0 : timers.now() - m.heard));
+    peers.send(from, new Message.HoldSay(host, m != null, m == null ? 0 : timers.now() - m.heard));
   }
 
   private void settleAsk(String host, Message.HoldSay say) {
@@ -149,7 +148,8 @@
       return;
     }
     Holds.Hold hold = holds.get(host);
-    boolean heard = say != null && say.held() && say.heardAgoS() < settings.workers().reportS() * 1.5;
+    boolean heard =
+        say != null && say.held() && say.heardAgoS() < settings.workers().reportS() * 1.5;
     for (Waiter w : waiting) {
       if (heard && hold != null && !hold.holder().isEmpty()) {
         redirect(w.answer, Membership.nodeOf(hold.holder()));
@@ -267,7 +267,8 @@
       // Orders sent under an earlier baton can no longer be carried out.
       m.pending.values().removeIf(p -> p.sentUnder != 0 && p.sentUnder < m.baton);
     }
-    m.pending.entrySet()
+    m.pending
+        .entrySet()
         .removeIf(
             e -> {
               Report.Task t = m.tasks.get(e.getKey());
@@ -288,10 +289,10 @@
             e -> {
               Report.Task t = m.tasks.get(e.getKey());
               return t == null && !m.pending.containsKey(e.getKey())
-                  || t != null && t.attempt() != e.getValue().attempt
+                  || t != null
+                      && t.attempt() != e.getValue().attempt
                       && !m.pending.containsKey(e.getKey())
-                  || untilExited && t != null && t.exited()
-                      && t.attempt() == e.getValue().attempt;
+                  || untilExited && t != null && t.exited() && t.attempt() == e.getValue().attempt;
             });
   }
 
@@ -417,8 +418,7 @@
         boolean over = job != null && job.record().status() != JobRecord.Status.OPEN;
         int priority = Math.max(0, Math.min(3, w.priority()));
         int rank = Math.max(0, Math.min(WantBook.RANKS - 1, w.rank()));
-        m.book.park(
-            from, w.job(), priority, rank, w.size(), over ? 0 : w.count(), timers.now());
+        m.book.park(from, w.job(), priority, rank, w.size(), over ? 0 : w.count(), timers.now());
         act(m);
       }
     } else if (message instanceof Message.Decline d) {
@@ -499,8 +499,7 @@
     // From now on this attempt is refused, should its start still be on the way here.
     m.fence.merge(id, p.attempt(), Math::max);
     peers.send(
-        from,
-        new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
+        from, new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
   }
 
   private void blamed(Message.Blame b) {
@@ -587,12 +586,10 @@
     while ((w = m.book.take(free, type.size(), gatherBefore)) != null) {
       long offer = ++offers;
       m.offers.put(
-          offer,
-          new Machine.Offered(w.node, w.job, w.size, timers.now() + tunables.offerWaitS()));
+          offer, new Machine.Offered(w.node, w.job, w.size, timers.now() + tunables.offerWaitS()));
       free = free.minus(w.size);
       m.dirty = true;
-      peers.send(
-          w.node, new Message.Offer(offer, m.host, w.job, m.baton, m.holdStamp, m.tenure));
+      peers.send(w.node, new Message.Offer(offer, m.host, w.job, m.baton, m.holdStamp, m.tenure));
     }
   }
 
@@ -693,7 +690,8 @@
         m.pending.clear();
         m.offers.clear();
         m.dirty = true;
-        LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
+        LOG.log(
+            Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
       }
       if (m.noticeS != null) {
         saveBeforeEnd(m, m.noticeS - (now - m.noticeAt));
--- a/src/main/java/dev/dunefront/book/WantBook.java
+++ b/src/main/java/dev/dunefront/book/WantBook.java
@@ -45,8 +45,7 @@
     }
   }
 
-  void park(
-      String node, String job, int priority, int rank, Size size, int count, double now) {
+  void park(String node, String job, int priority, int rank, Size size, int count, double now) {
     Want want = null;
     for (Iterator<Want> i = wants.iterator(); i.hasNext() && want == null; ) {
       Want w = i.next();
@@ -113,10 +112,7 @@
 
   private Want first(int priority, int rank, String node, Size room) {
     for (Want w : wants) {
-      if (w.priority == priority
-          && w.rank == rank
-          && w.node.equals(node)
-          && w.size.fits(room)) {
+      if (w.priority == priority && w.rank == rank && w.node.equals(node) && w.size.fits(room)) {
         return w;
       }
     }
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -207,7 +207,9 @@
         lapsed.add(e);
       }
     }
-    orphans.keySet().removeIf(id -> lapsed.stream().noneMatch(e -> e.record().spec().id().equals(id)));
+    orphans
+        .keySet()
+        .removeIf(id -> lapsed.stream().noneMatch(e -> e.record().spec().id().equals(id)));
     lapsed.sort(
         Comparator.comparing((JobTable.Entry e) -> e.record().spec().priority())
             .thenComparing(JobTable.Entry::stamp));
@@ -439,12 +441,10 @@
           continue;
         }
         if (t.exited()) {
-          peers.send(
-              seen.holder(), new Message.Clear(v.host(), c.id(), e.getKey(), t.attempt()));
+          peers.send(seen.holder(), new Message.Clear(v.host(), c.id(), e.getKey(), t.attempt()));
         } else {
           // Not recorded, so it must not run.
-          peers.send(
-              seen.holder(), new Message.Stop(v.host(), c.id(), e.getKey(), t.attempt(), 0));
+          peers.send(seen.holder(), new Message.Stop(v.host(), c.id(), e.getKey(), t.attempt(), 0));
         }
       }
     }
@@ -504,7 +504,11 @@
 
   /** One transaction under way. */
   private record Flight(
-      Map<Integer, Chunk> next, List<Starting> starts, List<Ended> ends, Quotas.Quota quota, Size used) {}
+      Map<Integer, Chunk> next,
+      List<Starting> starts,
+      List<Ended> ends,
+      Quotas.Quota quota,
+      Size used) {}
 
   private void flush(Claim c) {
     if (c.flying || c.loading || c.dropped) {
@@ -576,7 +580,8 @@
     } else {
       f.next.forEach((i, chunk) -> txn.put(Chunk.key(c.id(), i), chunk.write(mark)));
     }
-    var quotaValue = quota != null && !f.used.equals(quota.used) ? Quotas.write(f.used, mark) : null;
+    var quotaValue =
+        quota != null && !f.used.equals(quota.used) ? Quotas.write(f.used, mark) : null;
     if (quota != null && quotaValue != null) {
       quota.busy = true;
       txn.when(quota.key(), quota.stamp).put(quota.key(), quotaValue);
@@ -663,11 +668,9 @@
         continue;
       }
       Chunk old = c.chunks.get(index);
-      Chunk chunk =
-          next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
+      Chunk chunk = next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
       int n = number % Chunk.TASKS;
-      Placement p =
-          new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.tenure());
+      Placement p = new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.tenure());
       chunk.tries.put(n, p.attempt());
       chunk.placed.put(n, p);
       used = used.plus(c.size);
@@ -743,7 +746,8 @@
     if (c.spec.oneZone()) {
       return other == 0;
     }
-    return same + 1 <= (c.spec.tasks() + 1) / 2 && !hosts.stream().map(this::zoneOf).anyMatch(z -> z == null);
+    return same + 1 <= (c.spec.tasks() + 1) / 2
+        && !hosts.stream().map(this::zoneOf).anyMatch(z -> z == null);
   }
 
   /** The zone of a machine, remembered beyond its holder's link; null if it was never seen. */
@@ -758,15 +762,20 @@
   }
 
   private void written(
-      Claim c, Flight f, Status last, JobRecord marked, List<Integer> emptied, String mark, long revision) {
+      Claim c,
+      Flight f,
+      Status last,
+      JobRecord marked,
+      List<Integer> emptied,
+      String mark,
+      long revision) {
     for (Ended e : f.ends) {
       if (e.end() != End.GONE) {
         Room.Seen s = room.get(e.placement().host());
         if (s != null) {
           peers.send(
               s.holder(),
-              new Message.Clear(
-                  e.placement().host(), c.id(), e.number(), e.placement().attempt()));
+              new Message.Clear(e.placement().host(), c.id(), e.number(), e.placement().attempt()));
         }
       }
     }
@@ -976,7 +985,8 @@
     boolean large = ever >= OVERSIZE && smallerServes(c);
     boolean urgent = c.spec.priority().compareTo(Priority.HIGH) <= 0;
     // Large machines are left to tasks that fit nowhere else, as long as others may turn up.
-    boolean spare = large && !urgent && now - c.unservedSince < tunables.gatherTicks() * tunables.tickS();
+    boolean spare =
+        large && !urgent && now - c.unservedSince < tunables.gatherTicks() * tunables.tickS();
     int tier = fits && !spare ? 0 : fits ? 2 : 1;
     double fetch =
         c.spec.image() == null || v.images().contains(c.spec.image()) || type.fetchGbPerS() <= 0
@@ -985,7 +995,8 @@
     int others = v.images().size() - (v.images().contains(c.spec.image()) ? 1 : 0);
     // A task in no hurry leaves the machines that have others' images to those others.
     double cost = urgent ? fetch : fetch * PATIENT + others * CROWD_S;
-    return new Choice(s, ever, fits ? c.size.timesIn(v.free()) : 0, tier, cost + (large ? OVERSIZE_S : 0));
+    return new Choice(
+        s, ever, fits ? c.size.timesIn(v.free()) : 0, tier, cost + (large ? OVERSIZE_S : 0));
   }
 
   private void park(Claim c, int wanted, double now) {
@@ -1049,8 +1060,7 @@
     if (s != null) {
       peers.send(
           s.holder(),
-          new Message.Want(
-              host, c.id(), c.spec.priority().ordinal(), c.rank, c.size, count));
+          new Message.Want(host, c.id(), c.spec.priority().ordinal(), c.rank, c.size, count));
     }
   }
 
@@ -1091,8 +1101,7 @@
         l.stoppedAt = now;
         peers.send(
             s.holder(),
-            new Message.Stop(
-                l.placement.host(), c.id(), e.getKey(), l.placement.attempt(), 0));
+            new Message.Stop(l.placement.host(), c.id(), e.getKey(), l.placement.attempt(), 0));
       }
     }
   }
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -10,7 +10,6 @@
 import dev.dunefront.job.JobApi;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Caller;
-import dev.dunefront.net.HttpServer;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.HttpServer.Request;
 import dev.dunefront.net.Timers;
@@ -59,23 +58,50 @@
     this.ward = ward;
     peers = peersMaker.apply(ward, this);
     replica = new Replica(store, timers);
-    membership =
-        new Membership(settings.node(), store, replica, timers, tunables.nodeLeaseS());
+    membership = new Membership(settings.node(), store, replica, timers, tunables.nodeLeaseS());
     catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica);
     books =
         new Books(
-            settings, tunables, membership, holds, jobs, catalog, store, caller, peers, timers,
+            settings,
+            tunables,
+            membership,
+            holds,
+            jobs,
+            catalog,
+            store,
+            caller,
+            peers,
+            timers,
             ward);
     claims =
         new Claims(
-            settings, tunables, membership, replica, holds, jobs, catalog, store, peers, timers,
+            settings,
+            tunables,
+            membership,
+            replica,
+            holds,
+            jobs,
+            catalog,
+            store,
+            peers,
+            timers,
             ward);
     fleet =
         new Fleet(
-            settings, tunables, membership, replica, holds, jobs, claims.room(), catalog, store,
-            caller, timers, ward);
+            settings,
+            tunables,
+            membership,
+            replica,
+            holds,
+            jobs,
+            claims.room(),
+            catalog,
+            store,
+            caller,
+            timers,
+            ward);
     api = new JobApi(settings, membership, jobs, claims, catalog, store, peers, timers);
     holds.listen(
         host -> {
--- a/src/main/java/dev/dunefront/cli/Log.java
+++ b/src/main/java/dev/dunefront/cli/Log.java
@@ -39,7 +39,12 @@
           public String format(LogRecord r) {
             String name = r.getLoggerName();
             StringBuilder line = new StringBuilder(120);
-            line.append(r.getLevel() == Level.SEVERE ? "error" : r.getLevel() == Level.FINE ? "debug" : r.getLevel() == Level.WARNING ? "warning" : "info")
+            line.append(
+                    r.getLevel() == Level.SEVERE
+                        ? "error"
+                        : r.getLevel() == Level.FINE
+                            ? "debug"
+                            : r.getLevel() == Level.WARNING ? "warning" : "info")
                 .append(' ')
                 .append(name == null ? "" : name.substring(name.lastIndexOf('.') + 1))
                 .append(": ")
--- a/src/main/java/dev/dunefront/cli/Main.java
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -1,6 +1,7 @@
 package dev.dunefront.cli;
 
 import dev.dunefront.config.BadSetting;
+import dev.dunefront.config.Script;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.net.HttpServer;
@@ -38,6 +39,12 @@
   @Option(names = "--config", paramLabel = "FILE", description = "Run with this settings file.")
   private Path config;
 
+  @Option(
+      names = "--script",
+      paramLabel = "FILE",
+      description = "An operator's script (Lua) that changes tunables.")
+  private Path script;
+
   public static void main(String[] args) {
     int code;
     if (args.length == 2 && args[0].equals("--config")) {
@@ -61,15 +68,17 @@
       return 2;
     }
     Settings settings;
+    Tunables tunables;
     try {
       settings = Settings.load(config);
+      tunables = script == null ? Tunables.DEFAULTS : Script.load(script);
     } catch (BadSetting e) {
       System.err.println("dunefront: " + e.getMessage());
       return 2;
     }
     Log.start(System.getenv("LOG_LEVEL"));
     try {
-      run(settings, Tunables.DEFAULTS);
+      run(settings, tunables);
     } catch (IOException | RuntimeException e) {
       LOG.log(Level.ERROR, "cannot start", e);
       return 1;
@@ -114,17 +123,23 @@
   /** Checks files without starting anything. */
   @Command(
       name = "check",
-      description = "Check a settings file without starting.",
+      description = "Check a settings file, and an operator's script, without starting.",
       mixinStandardHelpOptions = true)
   static final class Check implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "The settings file.")
     private Path file;
 
+    @Option(names = "--script", paramLabel = "FILE", description = "The operator's script.")
+    private Path script;
+
     @Override
     public Integer call() {
       try {
         Settings s = Settings.load(file);
         System.out.println("settings of " + s.node() + " are in order");
+        if (script != null) {
+          System.out.println("script sets " + Script.load(script));
+        }
         return 0;
       } catch (BadSetting e) {
         System.err.println("dunefront: " + e.getMessage());
--- a/src/main/java/dev/dunefront/cli/Rehearsal.java
+++ b/src/main/java/dev/dunefront/cli/Rehearsal.java
@@ -50,15 +50,23 @@
     Caller caller = new UndertowCaller(worker.getIoThread(), buffers, timers);
     StateStandIn state = new StateStandIn(timers);
     int[] ports = ports(7);
-    serve(worker, buffers, ports[0], (r, a) ->
-        state.handle(
-            r.method(),
-            r.path() + (r.query().isEmpty() ? "" : "?" + r.query()),
-            r.body(),
-            reply -> a.send(reply.status(), reply.body())));
+    serve(
+        worker,
+        buffers,
+        ports[0],
+        (r, a) ->
+            state.handle(
+                r.method(),
+                r.path() + (r.query().isEmpty() ? "" : "?" + r.query()),
+                r.body(),
+                reply -> a.send(reply.status(), reply.body())));
     serve(worker, buffers, ports[1], (r, a) -> a.send(200, cloud(r.path())));
     WorkerStandIn machine = new WorkerStandIn("host-1", "127.0.0.1:" + ports[2], "small", "a");
-    serve(worker, buffers, ports[2], (r, a) -> {
+    serve(
+        worker,
+        buffers,
+        ports[2],
+        (r, a) -> {
           try {
             Caller.Reply reply = machine.orders(r.body());
             a.send(reply.status(), reply.body());
@@ -135,8 +143,7 @@
         memory_mb = 256.0
         fd_limit = 500
         """
-            .formatted(
-                i, ports[3 + i], ports[5 + i], other, ports[5 + other], ports[1], ports[0]));
+            .formatted(i, ports[3 + i], ports[5 + i], other, ports[5 + other], ports[1], ports[0]));
   }
 
   private static byte[] cloud(String path) {
--- a/src/main/java/dev/dunefront/config/Tunables.java
+++ b/src/main/java/dev/dunefront/config/Tunables.java
@@ -1,5 +1,8 @@
 package dev.dunefront.config;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
 /**
  * What an operator may tune. Times are in seconds; each default is the design's starting value
  * unless the design names none.
@@ -27,6 +30,67 @@
     double nodeLeaseS,
     double idleReturnS) {
 
-  public static final Tunables DEFAULTS =
-      new Tunables(3, 64, 2.0, 3, 3.0, 8, 60.0, 10.0, 4.0, 300.0);
+  /** A setting as operators name it: its default and what it may be. */
+  public record Setting(double standard, double least, double most, boolean whole) {}
+
+  /** All settings by the names that operators use. */
+  public static final Map<String, Setting> SETTINGS = settings();
+
+  public static final Tunables DEFAULTS = of(Map.of());
+
+  private static Map<String, Setting> settings() {
+    Map<String, Setting> all = new LinkedHashMap<>();
+    all.put("reach", new Setting(3, 1, 1000, true));
+    all.put("reach_cap", new Setting(64, 1, 10_000, true));
+    all.put("tick_s", new Setting(2, 0.25, 600, false));
+    all.put("gather_ticks", new Setting(3, 0, 1000, true));
+    all.put("offer_wait_s", new Setting(3, 0.1, 60, false));
+    all.put("headroom", new Setting(8, 0, 1_000_000, true));
+    all.put("wait_s", new Setting(60, 1, 86_400, false));
+    all.put("requeue_delay_s", new Setting(10, 0, 3_600, false));
+    all.put("node_lease_s", new Setting(4, 1, 600, false));
+    all.put("idle_return_s", new Setting(300, 10, 1_000_000, false));
+    return all;
+  }
+
+  /** The defaults with some settings changed. */
+  public static Tunables of(Map<String, Double> changed) {
+    return new Tunables(
+        (int) value(changed, "reach"),
+        (int) value(changed, "reach_cap"),
+        value(changed, "tick_s"),
+        (int) value(changed, "gather_ticks"),
+        value(changed, "offer_wait_s"),
+        (int) value(changed, "headroom"),
+        value(changed, "wait_s"),
+        value(changed, "requeue_delay_s"),
+        value(changed, "node_lease_s"),
+        value(changed, "idle_return_s"));
+  }
+
+  private static double value(Map<String, Double> changed, String name) {
+    return changed.getOrDefault(name, SETTINGS.get(name).standard());
+  }
+
+  /** Checks a value for a setting; the message says what is wrong. */
+  public static void check(String name, double value) throws BadSetting {
+    Setting s = SETTINGS.get(name);
+    if (s == null) {
+      throw new BadSetting(name + " is not a setting");
+    }
+    if (!(value >= s.least() && value <= s.most()) || s.whole() && value != Math.rint(value)) {
+      throw new BadSetting(
+          name
+              + " must be a "
+              + (s.whole() ? "whole " : "")
+              + "number from "
+              + plain(s.least())
+              + " to "
+              + plain(s.most()));
+    }
+  }
+
+  private static String plain(double d) {
+    return d == Math.rint(d) ? Long.toString((long) d) : Double.toString(d);
+  }
 }
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -42,7 +42,8 @@
   private static final int MAX_DELETE = 100;
 
   /** A machine as the cloud lists it, with the steady time at which it was first listed. */
-  private record Listed(String host, String type, String zone, boolean spot, String status, double since) {}
+  private record Listed(
+      String host, String type, String zone, boolean spot, String status, double since) {}
 
   private record Kind(String type, String zone, boolean spot) {}
 
--- a/src/main/java/dev/dunefront/net/HttpServer.java
+++ b/src/main/java/dev/dunefront/net/HttpServer.java
@@ -74,8 +74,7 @@
                             answer(ex))),
             (ex, error) -> {
               ex.setPersistent(false);
-              int status =
-                  error instanceof io.undertow.server.RequestTooBigException ? 413 : 400;
+              int status = error instanceof io.undertow.server.RequestTooBigException ? 413 : 400;
               answer(ex).send(status, null);
             });
   }
--- a/src/main/java/dev/dunefront/net/UndertowCaller.java
+++ b/src/main/java/dev/dunefront/net/UndertowCaller.java
@@ -19,8 +19,8 @@
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.XnioIoThread;
 import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -255,39 +255,43 @@
           case 2 -> new Ping();
           case 3 -> readView(in);
           case 4 -> new Unheld(in.readUTF());
-          case 5 -> new Want(
-              in.readUTF(),
-              in.readUTF(),
-              in.readByte(),
-              in.readByte(),
-              readSize(in),
-              in.readInt());
-          case 6 -> new Offer(
-              in.readLong(),
-              in.readUTF(),
-              in.readUTF(),
-              in.readLong(),
-              in.readLong(),
-              in.readLong());
+          case 5 ->
+              new Want(
+                  in.readUTF(),
+                  in.readUTF(),
+                  in.readByte(),
+                  in.readByte(),
+                  readSize(in),
+                  in.readInt());
+          case 6 ->
+              new Offer(
+                  in.readLong(),
+                  in.readUTF(),
+                  in.readUTF(),
+                  in.readLong(),
+                  in.readLong(),
+                  in.readLong());
           case 7 -> new Decline(in.readLong(), in.readUTF());
-          case 8 -> new Start(
-              in.readLong(),
-              in.readUTF(),
-              in.readLong(),
-              in.readUTF(),
-              in.readInt(),
-              in.readLong());
-          case 9 -> new Probe(
-              in.readUTF(), in.readLong(), in.readUTF(), in.readInt(), in.readLong());
-          case 10 -> new Absent(
-              in.readUTF(),
-              in.readLong(),
-              in.readLong(),
-              in.readUTF(),
-              in.readInt(),
-              in.readLong());
-          case 11 -> new Stop(
-              in.readUTF(), in.readUTF(), in.readInt(), in.readLong(), in.readDouble());
+          case 8 ->
+              new Start(
+                  in.readLong(),
+                  in.readUTF(),
+                  in.readLong(),
+                  in.readUTF(),
+                  in.readInt(),
+                  in.readLong());
+          case 9 ->
+              new Probe(in.readUTF(), in.readLong(), in.readUTF(), in.readInt(), in.readLong());
+          case 10 ->
+              new Absent(
+                  in.readUTF(),
+                  in.readLong(),
+                  in.readLong(),
+                  in.readUTF(),
+                  in.readInt(),
+                  in.readLong());
+          case 11 ->
+              new Stop(in.readUTF(), in.readUTF(), in.readInt(), in.readLong(), in.readDouble());
           case 12 -> new Clear(in.readUTF(), in.readUTF(), in.readInt(), in.readLong());
           case 13 -> new Blame(in.readUTF(), in.readUTF());
           case 14 -> new HoldAsk(in.readUTF());
--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -178,9 +178,7 @@
 
     void dial() {
       IoFuture<StreamConnection> attempt =
-          worker
-              .getIoThread()
-              .openStreamConnection(peer.address(), null, null, OptionMap.EMPTY);
+          worker.getIoThread().openStreamConnection(peer.address(), null, null, OptionMap.EMPTY);
       dialling = attempt;
       timers.after(
           1.5,
--- a/src/main/java/dev/dunefront/standin/CloudStandIn.java
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -45,12 +45,10 @@
     try {
       if (path.equals("/catalog")) {
         return ok(
-            Doc.of()
-                .put("flavors", List.of(type("small", SMALL_CPUS, 1), type("large", 16, 4.4))));
+            Doc.of().put("flavors", List.of(type("small", SMALL_CPUS, 1), type("large", 16, 4.4))));
       }
       if (path.startsWith("/machines?")) {
-        return ok(
-            Doc.of().put("hosts", new ArrayList<>(machines.values())).put("more", false));
+        return ok(Doc.of().put("hosts", new ArrayList<>(machines.values())).put("more", false));
       }
       if (path.equals("/machines")) {
         return hire(Doc.decode(body));
--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -111,9 +111,7 @@
   private void get(String key, Consumer<Reply> then) {
     Value v = keys.get(key);
     then.accept(
-        v == null
-            ? reply(404, Doc.of().put("ledger_rev", revision))
-            : reply(200, pair(key, v)));
+        v == null ? reply(404, Doc.of().put("ledger_rev", revision)) : reply(200, pair(key, v)));
   }
 
   private static Doc pair(String key, Value v) {
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -149,8 +149,7 @@
     attempt(txn, mark, false, 0.1, then);
   }
 
-  private void attempt(
-      Txn txn, String mark, boolean unclear, double pauseS, Consumer<Done> then) {
+  private void attempt(Txn txn, String mark, boolean unclear, double pauseS, Consumer<Done> then) {
     tryTxn(
         txn,
         Urgency.CORE,
@@ -160,8 +159,7 @@
             case REFUSED, UNCLEAR, MISSING -> {
               boolean nowUnclear = unclear || done.outcome() == Outcome.UNCLEAR;
               timers.after(
-                  pauseS,
-                  () -> attempt(txn, mark, nowUnclear, Math.min(1.0, pauseS * 2), then));
+                  pauseS, () -> attempt(txn, mark, nowUnclear, Math.min(1.0, pauseS * 2), then));
             }
             case CONFLICT -> {
               if (unclear) {
@@ -292,10 +290,17 @@
                   new Waiting(
                       timers.now() + wait,
                       changes,
-                      () -> caller.call(address, method, path, body, deadlineS, r -> {
-                            note(r);
-                            guarded.accept(r);
-                          }),
+                      () ->
+                          caller.call(
+                              address,
+                              method,
+                              path,
+                              body,
+                              deadlineS,
+                              r -> {
+                                note(r);
+                                guarded.accept(r);
+                              }),
                       () -> guarded.accept(new Reply(429, new byte[0], 0))));
           pump();
         });
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -4,9 +4,9 @@
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import java.lang.System.Logger.Level;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.Map;
 
 /**
  * Which controllers live. Each holds a key under a lease of its own; the lease's id makes the
--- a/src/main/java/dev/dunefront/wire/JobSpec.java
+++ b/src/main/java/dev/dunefront/wire/JobSpec.java
@@ -78,7 +78,9 @@
     if (!text.startsWith("wk-") || text.length() < 4 || text.length() > 64) {
       return false;
     }
-    return text.substring(3).chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c == '-');
+    return text.substring(3)
+        .chars()
+        .allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c == '-');
   }
 
   private static String name(Doc d, String field) throws BadMessage {
--- /dev/null
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -0,0 +1,68 @@
+package dev.dunefront.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.dunefront.peer.Message.State;
+import dev.dunefront.peer.Message.TaskState;
+import dev.dunefront.peer.Message.Why;
+import dev.dunefront.wire.Size;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Records between controllers. */
+class MessageTest {
+  private static final List<Message> ALL =
+      List.of(
+          new Message.Hello("n"),
+          new Message.Ping(),
+          new Message.View(
+              "h",
+              "t",
+              "z",
+              true,
+              3,
+              4,
+              5,
+              true,
+              false,
+              true,
+              false,
+              new Size(1, 2, 3),
+              List.of("img"),
+              List.of(new TaskState("wk-1", 2, 3, State.EXITED, Why.DONE))),
+          new Message.Unheld("h"),
+          new Message.Want("h", "wk-1", 1, 2, new Size(1, 2, 3), 4),
+          new Message.Offer(1, "h", "wk-1", 2, 3, 4),
+          new Message.Decline(1, "h"),
+          new Message.Start(1, "h", 2, "wk-1", 3, 4),
+          new Message.Probe("h", 2, "wk-1", 3, 4),
+          new Message.Absent("h", 2, 3, "wk-1", 4, 5),
+          new Message.Stop("h", "wk-1", 1, 2, 1.5),
+          new Message.Clear("h", "wk-1", 1, 2),
+          new Message.Blame("h", "wk-1"),
+          new Message.HoldAsk("h"),
+          new Message.HoldSay("h", true, 0.5),
+          new Message.Cancelled("wk-1"),
+          new Message.Demand(List.of(new Message.Waiting("wk-1", 3))));
+
+  @Test
+  void everyRecordIsReadBackAsWritten() throws IOException {
+    for (Message m : ALL) {
+      assertEquals(m, Message.decode(Message.encode(m)));
+    }
+  }
+
+  @Test
+  void garbledRecordsAreRefused() {
+    for (Message m : ALL) {
+      byte[] good = Message.encode(m);
+      assertThrows(IOException.class, () -> Message.decode(Arrays.copyOf(good, good.length + 1)));
+      byte[] cut = Arrays.copyOf(good, good.length - 1);
+      assertThrows(IOException.class, () -> Message.decode(cut));
+    }
+    assertThrows(IOException.class, () -> Message.decode(new byte[] {99}));
+  }
+}
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -295,8 +295,7 @@
     WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
     w.start().pass(2);
     w.heldBack = (from, to) -> to.equals("10.2.0.1:1") && from.equals("node-0");
-    w.nodes
-        .get("node-0");
+    w.nodes.get("node-0");
     World.Said said = w.submit("node-0", World.job("wk-1", 1, 1));
     assertEquals(503, said.status(), "nothing is promised that is not known to be written");
     w.heldBack = (from, to) -> false;
@@ -353,8 +352,10 @@
     assertTrue(a.starts().size() + b.starts().size() < 40, "it does not take up the fleet");
     v.submit("node-1", World.job("wk-2", 1, 1));
     v.pass(3);
-    assertEquals(1, a.running().stream().filter(t -> t.startsWith("wk-2")).count()
-        + b.running().stream().filter(t -> t.startsWith("wk-2")).count());
+    assertEquals(
+        1,
+        a.running().stream().filter(t -> t.startsWith("wk-2")).count()
+            + b.running().stream().filter(t -> t.startsWith("wk-2")).count());
   }
 
   @Test
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -169,7 +169,14 @@
       Ward ward = new Ward();
       Caller caller =
           (address, method, path, body, deadlineS, then) ->
-              call(name, address, method, path, body, deadlineS, r -> {
+              call(
+                  name,
+                  address,
+                  method,
+                  path,
+                  body,
+                  deadlineS,
+                  r -> {
                     if (life == mine && up) {
                       then.accept(r);
                     }
@@ -373,8 +380,7 @@
     Node n = nodes.get(reportsTo.get(w.host()));
     double sent = now;
     byte[] body = w.report();
-    boolean lostNow =
-        silent.contains(w.host()) || !n.up || lost.test(w.endpoint(), n.name);
+    boolean lostNow = silent.contains(w.host()) || !n.up || lost.test(w.endpoint(), n.name);
     if (lostNow) {
       tryNext(w, n);
       return;
