A controller refused by the state alone sends users elsewhere; metrics; 413 for large bodies

Cause: by reading, not from a run: the health answer ignored a state service that refuses one controller, and its claims kept offers for room that they could not record.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -195,7 +195,6 @@
           holds.wrote(r.host(), value, done.revision());
           LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", r.host(), r.type(), baton);
           Machine m = new Machine(r, baton, done.revision(), timers.now());
-          m.blamedBy.clear();
           held.put(r.host(), m);
           waiting.forEach(w -> reportOfHeld(m, w.report, w.answer));
         });
@@ -671,6 +670,10 @@
 
   // ---- time ----
 
+  public int heldMachines() {
+    return held.size();
+  }
+
   /** Called several times a second. */
   public void tick() {
     double now = timers.now();
@@ -736,10 +739,4 @@
       }
     }
   }
-
-  // ---- what others ask ----
-
-  public int heldCount() {
-    return held.size();
-  }
 }
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -303,7 +303,8 @@
       if (c != null) {
         c.parked.computeIfPresent(o.host(), (h, n) -> n > 1 ? n - 1 : null);
       }
-      if (c == null || c.loading || !c.open()) {
+      // While the state cannot be written an offer would only keep room from others.
+      if (c == null || c.loading || !c.open() || store.down()) {
         peers.send(from, new Message.Decline(o.offer(), o.host()));
       } else {
         c.offers.add(new Held(from, o));
@@ -917,7 +918,7 @@
     flush(c);
     double now = timers.now();
     int wanted = c.unstarted() - c.offers.size();
-    if (c.flying) {
+    if (c.flying || store.down()) {
       return;
     }
     Quotas.Quota quota = quotas.of(c.spec.team());
@@ -1138,6 +1139,15 @@
     return running;
   }
 
+  public int claimed() {
+    return claims.size();
+  }
+
+  /** Tasks of claimed jobs that are neither done nor placed. */
+  public int unstarted() {
+    return claims.values().stream().mapToInt(Claim::unstarted).sum();
+  }
+
   /** What waits for room here. */
   public Message.Demand demand() {
     List<Message.Waiting> waiting = new ArrayList<>();
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -9,7 +9,9 @@
 import dev.dunefront.fleet.Fleet;
 import dev.dunefront.job.JobApi;
 import dev.dunefront.job.JobTable;
+import dev.dunefront.metrics.Meters;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.HttpServer;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.HttpServer.Request;
 import dev.dunefront.net.Timers;
@@ -22,6 +24,7 @@
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.Report;
+import java.nio.charset.StandardCharsets;
 import java.util.function.BiFunction;
 
 /** One controller, put together from its parts; network, clock and store come from outside. */
@@ -29,6 +32,9 @@
   private static final double TICK_S = 0.25;
   private static final double SLOW_TICK_S = 0.5;
 
+  /** How long a peer's word on the state service counts. */
+  private static final double HEALTH_S = 2;
+
   private final Settings settings;
   private final Store store;
   private final Timers timers;
@@ -43,6 +49,8 @@
   private final Fleet fleet;
   private final JobApi api;
   private final Peers peers;
+  private final Meters meters = new Meters();
+  private double servedElsewhere = Double.NEGATIVE_INFINITY;
 
   public Daemon(
       Settings settings,
@@ -108,6 +116,10 @@
           books.holdChanged(host);
           claims.holdChanged(host);
         });
+    meters.gauge("dunefront.machines.held", books::heldMachines);
+    meters.gauge("dunefront.jobs.claimed", claims::claimed);
+    meters.gauge("dunefront.tasks.unstarted", claims::unstarted);
+    meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
     jobs.listen(claims::jobChanged);
     jobs.listen(books::jobChanged);
     membership.onReborn(
@@ -146,6 +158,7 @@
     ward.run(
         () -> {
           fleet.tick();
+          peers.broadcast(new Message.Health(!store.down()));
           String leader = fleet.leaderNode();
           if (leader != null && membership.self() != null) {
             peers.send(leader, claims.demand());
@@ -154,9 +167,13 @@
     timers.after(SLOW_TICK_S, this::slowTick);
   }
 
-  /** Whether users' requests can be taken. */
+  /**
+   * Whether users' requests can be taken. A controller that the state service refuses while it
+   * serves others sends its users to those; in an outage that all share, each goes on answering.
+   */
   private boolean ready() {
-    return replica.ready() && membership.self() != null && catalog.known();
+    boolean refusedAlone = store.down() && timers.now() - servedElsewhere < HEALTH_S;
+    return !refusedAlone && replica.ready() && membership.self() != null && catalog.known();
   }
 
   // ---- requests ----
@@ -170,31 +187,46 @@
     return (status, body, retryAfterS) -> ward.then(() -> answer.send(status, body, retryAfterS));
   }
 
+  /** Counts the answer on its way out. */
+  private Answer counted(Meters.Request kind, Answer answer) {
+    double since = timers.now();
+    return (status, body, retryAfterS) -> {
+      meters.answered(kind, status, timers.now() - since);
+      answer.send(status, body, retryAfterS);
+    };
+  }
+
   private void route(Request r, Answer answer) {
     String path = r.path();
     if (path.equals("/up")) {
       if (allowed(r, "GET", answer)) {
         answer.send(ready() ? 200 : 503, null);
       }
+    } else if (path.equals(HttpServer.TEXT_PATH)) {
+      if (allowed(r, "GET", answer)) {
+        answer.send(200, meters.scrape().getBytes(StandardCharsets.UTF_8));
+      }
     } else if (path.equals("/hello")) {
       if (allowed(r, "POST", answer)) {
-        hello(r, answer);
+        hello(r, counted(Meters.Request.REPORT, answer));
       }
     } else if (path.equals("/v1/jobs")) {
       if (allowed(r, "POST", answer)) {
         if (replica.ready()) {
-          api.submit(r.body(), answer);
+          api.submit(r.body(), counted(Meters.Request.SUBMIT, answer));
         } else {
           answer.send(503, null, 1);
         }
       }
     } else if (path.startsWith("/v1/jobs/") && path.endsWith("/abort")) {
       if (allowed(r, "POST", answer)) {
-        api.cancel(path.substring("/v1/jobs/".length(), path.length() - "/abort".length()), answer);
+        api.cancel(
+            path.substring("/v1/jobs/".length(), path.length() - "/abort".length()),
+            counted(Meters.Request.CANCEL, answer));
       }
     } else if (path.startsWith("/v1/jobs/")) {
       if (allowed(r, "GET", answer)) {
-        api.poll(path.substring("/v1/jobs/".length()), answer);
+        api.poll(path.substring("/v1/jobs/".length()), counted(Meters.Request.POLL, answer));
       }
     } else {
       answer.send(404, null);
@@ -230,6 +262,10 @@
   public void received(String from, Message m) {
     if (m instanceof Message.Demand d) {
       fleet.received(from, d);
+    } else if (m instanceof Message.Health h) {
+      if (h.stateServes() && !from.equals(settings.node())) {
+        servedElsewhere = timers.now();
+      }
     } else {
       claims.received(from, m);
       books.received(from, m);
--- a/src/main/java/dev/dunefront/config/Script.java
+++ b/src/main/java/dev/dunefront/config/Script.java
@@ -80,7 +80,8 @@
     try {
       globals.load(text, "@" + name).call();
     } catch (LuaError e) {
-      throw new BadSetting("script " + e.getMessage().lines().findFirst().orElse(name));
+      throw new BadSetting(
+          "script " + e.getMessage().lines().findFirst().orElse(name).replace("@" + name, name));
     } catch (StackOverflowError e) {
       throw new BadSetting("script " + name + " calls itself too deeply");
     }
--- /dev/null
+++ b/src/main/java/dev/dunefront/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counts and latencies that an operator can read at {@code /metrics}. */
+package dev.dunefront.metrics;
--- a/src/main/java/dev/dunefront/net/HttpServer.java
+++ b/src/main/java/dev/dunefront/net/HttpServer.java
@@ -3,9 +3,9 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -16,6 +16,9 @@
   /** The largest body that is taken. */
   public static final int MAX_BODY = 64 * 1024;
 
+  /** The one path whose answer is text for people and their tools. */
+  public static final String TEXT_PATH = "/metrics";
+
   /** A request with its whole body. */
   public record Request(String method, String path, String query, byte[] body) {}
 
@@ -42,7 +45,6 @@
             .setWorker(worker)
             .setByteBufferPool(buffers)
             .addHttpListener(at.getPort(), at.getAddress().getHostAddress())
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
             .setHandler(exchange -> receive(exchange, handler))
@@ -57,26 +59,26 @@
       answer(exchange).send(413, null);
       return;
     }
-    exchange
-        .getRequestReceiver()
-        .receiveFullBytes(
-            (ex, body) ->
-                // Dispatching keeps the exchange open until the answer comes, however late.
-                ex.dispatch(
-                    SameThreadExecutor.INSTANCE,
-                    () ->
-                        handler.handle(
-                            new Request(
-                                ex.getRequestMethod().toString(),
-                                ex.getRequestPath(),
-                                ex.getQueryString(),
-                                body),
-                            answer(ex))),
-            (ex, error) -> {
-              ex.setPersistent(false);
-              int status = error instanceof io.undertow.server.RequestTooBigException ? 413 : 400;
-              answer(ex).send(status, null);
-            });
+    Receiver receiver = exchange.getRequestReceiver();
+    receiver.setMaxBufferSize(MAX_BODY);
+    receiver.receiveFullBytes(
+        (ex, body) ->
+            // Dispatching keeps the exchange open until the answer comes, however late.
+            ex.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () ->
+                    handler.handle(
+                        new Request(
+                            ex.getRequestMethod().toString(),
+                            ex.getRequestPath(),
+                            ex.getQueryString(),
+                            body),
+                        answer(ex))),
+        (ex, error) -> {
+          ex.setPersistent(false);
+          int status = error instanceof Receiver.RequestToLargeException ? 413 : 400;
+          answer(ex).send(status, null);
+        });
   }
 
   private static Answer answer(HttpServerExchange exchange) {
@@ -97,7 +99,13 @@
           exchange.endExchange();
           return;
         }
-        exchange.getResponseHeaders().put(new HttpString("Content-Type"), "application/msgpack");
+        exchange
+            .getResponseHeaders()
+            .put(
+                Headers.CONTENT_TYPE,
+                exchange.getRequestPath().equals(TEXT_PATH)
+                    ? "text/plain; charset=utf-8"
+                    : "application/msgpack");
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
       }
     };
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -114,6 +114,9 @@
 
   record Waiting(String job, int tasks) {}
 
+  /** Whether the state service serves the sender. */
+  record Health(boolean stateServes) implements Message {}
+
   int MAX_RECORD = 4 << 20;
 
   static byte[] encode(Message m) {
@@ -222,6 +225,9 @@
     } else if (m instanceof Cancelled c) {
       out.writeByte(16);
       out.writeUTF(c.job);
+    } else if (m instanceof Health h) {
+      out.writeByte(18);
+      out.writeBoolean(h.stateServes);
     } else if (m instanceof Demand d) {
       out.writeByte(17);
       out.writeInt(d.waiting.size());
@@ -305,6 +311,7 @@
             }
             yield new Demand(all);
           }
+          case 18 -> new Health(in.readBoolean());
           default -> throw new IOException("unknown record " + kind);
         };
     if (in.read() >= 0) {
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -46,6 +46,7 @@
           new Message.HoldAsk("h"),
           new Message.HoldSay("h", true, 0.5),
           new Message.Cancelled("wk-1"),
+          new Message.Health(true),
           new Message.Demand(List.of(new Message.Waiting("wk-1", 3))));
 
   @Test
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -289,13 +289,41 @@
     assertEquals("done", w.poll("node-1", "wk-1").state());
   }
 
+  @Test
+  void aControllerThatTheStateRefusesAloneSendsItsUsersElsewhere() {
+    World w = new World(3);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 2, 1));
+    w.pass(1);
+    assertEquals(2, m.running().size());
+    w.refusedByState.add("node-0");
+    w.pass(3);
+    assertEquals(503, w.ask("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(200, w.ask("node-1", "GET", "/up", new byte[0]).status());
+    w.pass(10);
+    m.exit("wk-1/0", "done");
+    m.exit("wk-1/1", "done");
+    w.pass(4);
+    assertEquals("done", w.poll("node-1", "wk-1").state(), "another has claimed it");
+    assertEquals(201, w.submit("node-2", World.job("wk-2", 1, 1)).status());
+    w.pass(3);
+    assertEquals(List.of("wk-2/0"), m.running(), "the refused one still deals its machines' room");
+    w.refusedByState.clear();
+    w.pass(8);
+    assertEquals(200, w.ask("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(List.of("wk-2/0"), m.running());
+    w.state.outage(true);
+    w.pass(3);
+    assertEquals(200, w.ask("node-0", "GET", "/up", new byte[0]).status());
+  }
+
   @Test
   void aTransactionThatArrivesLateChangesNothingTwice() {
     World w = new World(2);
     WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
     w.start().pass(2);
     w.heldBack = (from, to) -> to.equals("10.2.0.1:1") && from.equals("node-0");
-    w.nodes.get("node-0");
     World.Said said = w.submit("node-0", World.job("wk-1", 1, 1));
     assertEquals(503, said.status(), "nothing is promised that is not known to be written");
     w.heldBack = (from, to) -> false;
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -303,6 +303,12 @@
           }
         };
     timers.after(deadlineS, () -> once.accept(Caller.Reply.UNCLEAR));
+    if (address.equals("10.2.0.1:1")
+        && refusedByState.contains(from)
+        && !path.startsWith("/watch")) {
+      timers.after(HOP_S, () -> once.accept(new Caller.Reply(503, new byte[0], 0)));
+      return;
+    }
     Runnable deliver =
         () ->
             serve(
@@ -337,6 +343,9 @@
     return held.size();
   }
 
+  /** Controllers that the state service refuses. */
+  final Set<String> refusedByState = new HashSet<>();
+
   private void serve(
       String address, String method, String path, byte[] body, Consumer<Caller.Reply> then) {
     if (address.equals("10.2.0.1:1")) {
