--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -106,24 +106,36 @@
 
   // ---- claiming ----
 
-  /** Whether a job of this many unstarted tasks may be claimed beside what is claimed already. */
+  /**
+   * Whether a job may be claimed beside what is claimed already. Unstarted work is measured as a
+   * part of all the room that fits it, for jobs differ in size: were tasks counted alone, a few
+   * dozen small ones would keep a large one unclaimed that waits for other machines.
+   */
   public boolean admits(JobSpec spec) {
     if (membership.self() == null) {
       return false;
     }
-    int mine = 0;
     boolean any = false;
+    double load = 0;
     for (Claim c : claims.values()) {
       int unstarted = c.unstarted();
       any |= unstarted > 0;
       // A job waits only behind work that would be dealt before it anyway.
-      if (c.spec.priority().compareTo(spec.priority()) <= 0) {
-        mine += unstarted;
+      if (unstarted > 0 && c.spec.priority().compareTo(spec.priority()) <= 0) {
+        load += (double) unstarted / Math.max(1, fittingRoom(c.spec));
       }
     }
     if (!any) {
       return true;
     }
+    long fitting = fittingRoom(spec);
+    int controllers = Math.max(1, membership.liveNodes().size());
+    long share = (fitting + controllers - 1) / controllers + tunables.headroom();
+    return load * fitting + Math.min(spec.tasks(), share) <= share;
+  }
+
+  /** How many tasks of the job the machines could hold if they were empty. */
+  private long fittingRoom(JobSpec spec) {
     long fitting = 0;
     for (Room.Seen s : room.all()) {
       MachineType t = catalog.type(s.view().type());
@@ -131,9 +143,7 @@
         fitting += spec.size().timesIn(t.size());
       }
     }
-    int controllers = Math.max(1, membership.liveNodes().size());
-    long share = (fitting + controllers - 1) / controllers + tunables.headroom();
-    return mine + Math.min(spec.tasks(), share) <= share || mine == 0;
+    return fitting;
   }
 
   /** Takes charge of a job whose record names this incarnation already. */
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -64,6 +64,22 @@
     assertEquals(List.of("wk-3/0"), m.running());
   }
 
+  @Test
+  void manySmallTasksDoNotKeepALargeOneUnclaimed() {
+    World w = new World(1);
+    for (int i = 0; i < 6; i++) {
+      w.machine("small-" + i, "small", "a", "node-0");
+    }
+    w.machine("large-1", "large", "a", "node-0");
+    w.start().pass(2);
+    // 40 CPUs in all, so that 60 of the small tasks wait unstarted.
+    w.submit("node-0", World.job("wk-1", 100, 1));
+    w.pass(1);
+    w.submit("node-0", World.job("wk-2", 1, 12));
+    w.pass(1);
+    assertFalse(w.state.value("w/j/wk-2").toString().contains("claim=null"), "claimed at once");
+  }
+
   @Test
   void aStartWhoseAnswerIsLostIsNotStartedElsewhere() {
     World w = new World(2);
