--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -24,6 +24,7 @@
 import dev.dunefront.wire.TaskId;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -43,6 +44,12 @@
   /** Steady clocks differ by this part at most. */
   private static final double DRIFT = 0.001;
 
+  /** Only tasks that have run for less than this give way: what they lose is small. */
+  private static final double YOUNG_S = 20;
+
+  /** And only such as are at most this many times as large as what they give way to. */
+  private static final int MUCH_LARGER = 2;
+
   private static final int MAX_ORDERS = 200;
   private static final int MAX_IMAGES = 12;
 
@@ -273,6 +280,7 @@
               Report.Task t = m.tasks.get(e.getKey());
               return t != null && t.attempt() == e.getValue().attempt;
             });
+    m.startedAt.keySet().removeIf(id -> !m.tasks.containsKey(id) && !m.pending.containsKey(id));
     forget(m.stops, m, true);
     forget(m.clears, m, false);
     if (!m.tasks.isEmpty() || !m.pending.isEmpty()) {
@@ -442,6 +450,8 @@
         m.clears.putIfAbsent(new TaskId(c.job(), c.number()), new Machine.Wish(c.attempt(), 0));
         act(m);
       }
+    } else if (message instanceof Message.Preempt p) {
+      preempt(p);
     } else if (message instanceof Message.Blame b) {
       blamed(b);
     } else if (message instanceof Message.HoldAsk a) {
@@ -479,6 +489,7 @@
     }
     m.offers.remove(s.offer());
     m.pending.put(id, new Machine.Pending(s.attempt()));
+    m.startedAt.put(id, timers.now());
     m.dirty = true;
     act(m);
   }
@@ -501,6 +512,43 @@
         from, new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
   }
 
+  /** Stops the youngest tasks of lower priority, for they lose least. */
+  private void preempt(Message.Preempt p) {
+    Machine m = held.get(p.host());
+    MachineType type = m == null ? null : catalog.type(m.typeName);
+    if (type == null || !m.open()) {
+      return;
+    }
+    double now = timers.now();
+    Size room = m.free(type, this::sizeOf);
+    List<Report.Task> victims = new ArrayList<>();
+    for (Report.Task t : m.tasks.values()) {
+      JobTable.Entry e = jobs.get(t.id().job());
+      if (e == null || t.exited()) {
+        continue;
+      }
+      JobSpec spec = e.record().spec();
+      if (m.stops.containsKey(t.id())) {
+        room = room.plus(spec.size());
+      } else if (spec.priority().ordinal() > p.priority()
+          && !spec.service()
+          && spec.size().cpu() <= MUCH_LARGER * p.size().cpu()
+          && now - m.startedAt.getOrDefault(t.id(), Double.NEGATIVE_INFINITY) < YOUNG_S) {
+        victims.add(t);
+      }
+    }
+    victims.sort(Comparator.comparingDouble(t -> -m.startedAt.get(t.id())));
+    for (Report.Task t : victims) {
+      if (p.size().timesIn(room) >= p.count()) {
+        break;
+      }
+      room = room.plus(sizeOf(t.id().job()));
+      LOG.log(Level.DEBUG, "{0} on {1} gives way to a higher priority", t.id(), m.host);
+      stop(m, t.id(), t.attempt(), 0);
+    }
+    act(m);
+  }
+
   private void blamed(Message.Blame b) {
     Machine m = held.get(b.host());
     if (m == null || m.quarantined) {
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -61,6 +61,7 @@
   boolean ordering;
   final Map<TaskId, Report.Task> tasks = new LinkedHashMap<>();
   final Map<TaskId, Pending> pending = new LinkedHashMap<>();
+  final Map<TaskId, Double> startedAt = new HashMap<>();
   final Map<TaskId, Wish> stops = new HashMap<>();
   final Map<TaskId, Wish> clears = new HashMap<>();
   final Map<TaskId, Long> fence = new HashMap<>();
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -73,6 +73,7 @@
   double nextTick;
   double unservedSince;
   double notBefore;
+  double preemptedAt;
   int failures;
 
   Claim(JobRecord record, long stamp, int reach, double now) {
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -50,6 +50,8 @@
   private static final double REPEAT_S = 1.5;
   private static final double AVOID_S = 15;
   private static final double CHOOSE_S = 0.012;
+  private static final double PREEMPT_AFTER_S = 0.4;
+  private static final double PREEMPT_AGAIN_S = 2;
 
   private final Settings settings;
   private final Tunables tunables;
@@ -1031,6 +1033,7 @@
         Comparator.comparingInt(Choice::tier)
             .thenComparingDouble(Choice::costS)
             .thenComparing(ch -> (c.id() + ch.seen.view().host()).hashCode()));
+    preempt(c, choices, wanted, now);
     long left = (long) wanted * c.reach;
     int machines = 0;
     Map<String, Integer> target = new HashMap<>();
@@ -1061,6 +1064,38 @@
         });
   }
 
+  /** Room for urgent tasks that find none is made where less urgent ones have just begun. */
+  private void preempt(Claim c, List<Choice> choices, int wanted, double now) {
+    if (c.spec.priority().compareTo(Priority.HIGH) > 0
+        || now - c.unservedSince < PREEMPT_AFTER_S
+        || now - c.preemptedAt < PREEMPT_AGAIN_S) {
+      return;
+    }
+    int need = wanted - choices.stream().mapToInt(Choice::fits).sum();
+    for (Choice ch : choices) {
+      if (need <= 0) {
+        break;
+      }
+      int lower = 0;
+      for (TaskState t : ch.seen.view().tasks()) {
+        JobTable.Entry e = jobs.get(t.job());
+        if (e != null
+            && !t.exited()
+            && e.record().spec().priority().compareTo(c.spec.priority()) > 0) {
+          lower++;
+        }
+      }
+      int n = Math.min(need, lower);
+      if (ch.fits == 0 && n > 0) {
+        need -= n;
+        c.preemptedAt = now;
+        peers.send(
+            ch.seen.holder(),
+            new Message.Preempt(ch.seen.view().host(), c.spec.priority().ordinal(), c.size, n));
+      }
+    }
+  }
+
   private void want(Claim c, String host, int count) {
     if (count > 0) {
       c.parked.put(host, count);
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -114,6 +114,9 @@
 
   record Waiting(String job, int tasks) {}
 
+  /** Asks to stop young tasks of lower priority, so that so many tasks of this size find room. */
+  record Preempt(String host, int priority, Size size, int count) implements Message {}
+
   /** Whether the state service serves the sender. */
   record Health(boolean stateServes) implements Message {}
 
@@ -225,6 +228,12 @@
     } else if (m instanceof Cancelled c) {
       out.writeByte(16);
       out.writeUTF(c.job);
+    } else if (m instanceof Preempt p) {
+      out.writeByte(19);
+      out.writeUTF(p.host);
+      out.writeByte(p.priority);
+      writeSize(out, p.size);
+      out.writeInt(p.count);
     } else if (m instanceof Health h) {
       out.writeByte(18);
       out.writeBoolean(h.stateServes);
@@ -311,6 +320,7 @@
             }
             yield new Demand(all);
           }
+          case 19 -> new Preempt(in.readUTF(), in.readByte(), readSize(in), in.readInt());
           case 18 -> new Health(in.readBoolean());
           default -> throw new IOException("unknown record " + kind);
         };
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -47,6 +47,7 @@
           new Message.HoldSay("h", true, 0.5),
           new Message.Cancelled("wk-1"),
           new Message.Health(true),
+          new Message.Preempt("h", 1, new Size(1, 2, 3), 4),
           new Message.Demand(List.of(new Message.Waiting("wk-1", 3))));
 
   @Test
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -80,6 +80,28 @@
     assertFalse(w.state.value("w/j/wk-2").toString().contains("claim=null"), "claimed at once");
   }
 
+  @Test
+  void youngTasksGiveWayToUrgentOnesAndOldOnesDoNot() {
+    World w = new World(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 4, 1));
+    w.pass(2);
+    assertEquals(4, m.running().size());
+    w.submit("node-1", World.job("wk-2", 2, 1).put("urgency", "high"));
+    w.pass(4);
+    assertTrue(m.running().containsAll(List.of("wk-2/0", "wk-2/1")));
+    assertEquals(4, m.running().size());
+    m.exit("wk-2/0", "done");
+    m.exit("wk-2/1", "done");
+    w.pass(30);
+    assertEquals(4, m.running().stream().filter(t -> t.startsWith("wk-1")).count());
+    w.submit("node-1", World.job("wk-3", 2, 1).put("urgency", "high"));
+    w.pass(5);
+    assertEquals(4, m.running().stream().filter(t -> t.startsWith("wk-1")).count());
+    assertEquals(List.of(), w.overlaps);
+  }
+
   @Test
   void aStartWhoseAnswerIsLostIsNotStartedElsewhere() {
     World w = new World(2);
