Dead pieces removed: an idle time nobody read, a link question nobody asked, doubled checks

From reading the whole change: Machine.idleSince, Peers.linked and a one-line wrapper were dead; what counts as urgent was written twice and now stands in Priority; whether and how often a task fits was worked out twice. Behaviour is unchanged; the stories pass.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -283,9 +283,6 @@
     m.startedAt.keySet().removeIf(id -> !m.tasks.containsKey(id) && !m.pending.containsKey(id));
     forget(m.stops, m, true);
     forget(m.clears, m, false);
-    if (!m.tasks.isEmpty() || !m.pending.isEmpty()) {
-      m.idleSince = timers.now();
-    }
     m.dirty = true;
   }
 
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -71,7 +71,6 @@
   final WantBook book = new WantBook();
   boolean quarantined;
   boolean dirty = true;
-  double idleSince;
 
   Machine(Report r, long baton, long holdStamp, double now) {
     this.host = r.host();
@@ -82,7 +81,6 @@
     this.baton = baton;
     this.holdStamp = holdStamp;
     this.heard = now;
-    this.idleSince = now;
   }
 
   boolean open() {
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -27,7 +27,6 @@
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
-import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Size;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -431,8 +430,8 @@
         if (l.state != t.state()) {
           LOG.log(Level.DEBUG, "{0}/{1} is {2} on {3}", c.id(), number, t.state(), v.host());
         }
-        if (t.state() == Message.State.RUNNING && l.state == Message.State.PENDING
-            || t.state() == Message.State.RUNNING && l.state == Message.State.FETCHING) {
+        if (t.state() == Message.State.RUNNING
+            && (l.state == Message.State.PENDING || l.state == Message.State.FETCHING)) {
           l.runningSince = now;
         }
         l.state = t.state();
@@ -670,7 +669,7 @@
               && number < c.spec.tasks()
               && starts.size() < allowed
               && timers.now() >= c.notBefore
-              && hosts(stamps) < settings.stateLimits().txnOps()
+              && stamps.size() < settings.stateLimits().txnOps()
               && (next.containsKey(index) || next.size() < maxChunks)
               && (quota == null || quota.allows(c.size, used))
               && zoneAllowed(c, o.host(), starts, ends)
@@ -714,10 +713,6 @@
             }));
   }
 
-  private static int hosts(Map<String, Long> stamps) {
-    return stamps.size();
-  }
-
   /** Two proofs that rest on different records of one hold cannot share a transaction. */
   private static boolean agrees(Map<String, Long> stamps, String host, long stamp) {
     return stamps.putIfAbsent(host, stamp) == null || stamps.get(host) == stamp;
@@ -994,13 +989,13 @@
   private Choice choice(Claim c, Room.Seen s, MachineType type, double now) {
     View v = s.view();
     int ever = c.size.timesIn(type.size());
-    boolean fits = c.size.fits(v.free());
+    int fits = c.size.timesIn(v.free());
     boolean large = ever >= OVERSIZE && smallerServes(c);
-    boolean urgent = c.spec.priority().compareTo(Priority.HIGH) <= 0;
+    boolean urgent = c.spec.priority().urgent();
     // Large machines are left to tasks that fit nowhere else, as long as others may turn up.
     boolean spare =
         large && !urgent && now - c.unservedSince < tunables.gatherTicks() * tunables.tickS();
-    int tier = fits && !spare ? 0 : fits ? 2 : 1;
+    int tier = fits == 0 ? 1 : spare ? 2 : 0;
     double fetch =
         c.spec.image() == null || v.images().contains(c.spec.image()) || type.fetchGbPerS() <= 0
             ? 0
@@ -1008,8 +1003,7 @@
     int others = v.images().size() - (v.images().contains(c.spec.image()) ? 1 : 0);
     // A task in no hurry leaves the machines that have others' images to those others.
     double cost = urgent ? fetch : fetch * PATIENT + others * CROWD_S;
-    return new Choice(
-        s, ever, fits ? c.size.timesIn(v.free()) : 0, tier, cost + (large ? OVERSIZE_S : 0));
+    return new Choice(s, ever, fits, tier, cost + (large ? OVERSIZE_S : 0));
   }
 
   private void park(Claim c, int wanted, double now) {
@@ -1066,7 +1060,7 @@
 
   /** Room for urgent tasks that find none is made where less urgent ones have just begun. */
   private void preempt(Claim c, List<Choice> choices, int wanted, double now) {
-    if (c.spec.priority().compareTo(Priority.HIGH) > 0
+    if (!c.spec.priority().urgent()
         || now - c.unservedSince < PREEMPT_AFTER_S
         || now - c.preemptedAt < PREEMPT_AGAIN_S) {
       return;
--- a/src/main/java/dev/dunefront/peer/Peers.java
+++ b/src/main/java/dev/dunefront/peer/Peers.java
@@ -19,6 +19,4 @@
 
   /** To every controller, this one included. */
   void broadcast(Message message);
-
-  boolean linked(String node);
 }
--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -85,12 +85,6 @@
     ward.then(() -> out.values().forEach(o -> o.send(record)));
   }
 
-  @Override
-  public boolean linked(String node) {
-    Out link = out.get(node);
-    return node.equals(settings.node()) || link != null && link.up;
-  }
-
   /** Bytes waiting to go out on one connection. */
   private static final class Queue {
     private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
--- a/src/main/java/dev/dunefront/wire/Priority.java
+++ b/src/main/java/dev/dunefront/wire/Priority.java
@@ -17,6 +17,11 @@
     return word;
   }
 
+  /** Whether a few seconds' delay of a start matters to the user. */
+  public boolean urgent() {
+    return compareTo(HIGH) <= 0;
+  }
+
   static Priority parse(String word) throws BadMessage {
     for (Priority p : values()) {
       if (p.word.equals(word)) {
--- a/src/main/java/dev/dunefront/wire/Size.java
+++ b/src/main/java/dev/dunefront/wire/Size.java
@@ -33,10 +33,13 @@
 
   /** How many tasks of this size fit into the room. */
   public int timesIn(Size room) {
+    if (!fits(room)) {
+      return 0;
+    }
     long n = Integer.MAX_VALUE;
     if (cpu > 0) n = Math.min(n, room.cpu / cpu);
     if (gpu > 0) n = Math.min(n, room.gpu / gpu);
     if (ram > 0) n = Math.min(n, room.ram / ram);
-    return (int) Math.max(0, n);
+    return (int) n;
   }
 }
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -254,11 +254,6 @@
     public void broadcast(Message message) {
       nodes.keySet().forEach(n -> send(n, message));
     }
-
-    @Override
-    public boolean linked(String node) {
-      return nodes.get(node).up;
-    }
   }
 
   private Settings settings(String name, int controllers) {
