--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -19,11 +19,13 @@
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
 import dev.dunefront.wire.Order;
+import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Report;
 import dev.dunefront.wire.Size;
 import dev.dunefront.wire.TaskId;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -41,6 +43,15 @@
   private static final double REPEAT_S = 2.0;
   private static final double ASK_S = 0.5;
 
+  /** The part of a lease for which a silent holder is waited for. */
+  private static final double PATIENCE = 0.25;
+
+  /** Changes of a machine gather this long before the other controllers hear of them. */
+  private static final double TELL_S = 0.04;
+
+  /** How often a machine is looked at on which nothing is known to wait. */
+  private static final double IDLE_LOOK_S = 1;
+
   /** Steady clocks differ by this part at most. */
   private static final double DRIFT = 0.001;
 
@@ -75,6 +86,20 @@
   private final Map<String, List<Waiter>> asking = new HashMap<>();
 
   private final Map<String, Double> lookedUp = new HashMap<>();
+  private final List<Machine> toTell = new ArrayList<>();
+
+  /** All controllers, this one included. */
+  private final List<String> nodes = new ArrayList<>();
+
+  /** Since when a holder has left questions unanswered. */
+  private final Map<String, Silence> unanswered = new HashMap<>();
+
+  private record Silence(String incarnation, double since) {}
+
+  private double begun;
+  private double strangersAt;
+
+  /** No earlier incarnation's offers have these numbers. */
   private long offers;
 
   public Books(
@@ -100,6 +125,10 @@
     this.peers = peers;
     this.timers = timers;
     this.ward = ward;
+    this.begun = timers.now();
+    this.offers = timers.timeOfDayMs() << 16;
+    nodes.add(settings.node());
+    settings.peers().forEach(p -> nodes.add(p.node()));
   }
 
   // ---- reports ----
@@ -118,27 +147,59 @@
       asking.get(r.host()).add(new Waiter(r, answer));
       return;
     }
-    if (membership.self() == null || !catalog.known()) {
-      answer.send(503, null, 1);
-      return;
-    }
     Holds.Hold hold = holds.get(r.host());
-    if (hold == null || !hold.dead() && !membership.alive(hold.holder())) {
+    boolean ours = holds.heldBy(settings.node(), hold);
+    if (ours && r.baton() <= hold.baton()) {
+      resume(hold, r, answer);
+    } else if (membership.self() == null || !catalog.known()) {
+      answer.send(503, null, 1);
+    } else if (hold == null || ours) {
       take(r, answer);
     } else if (hold.dead()) {
       answer.send(503, null, 5);
     } else {
-      ask(Membership.nodeOf(hold.holder()), r, answer);
+      String holder = Membership.nodeOf(hold.holder());
+      if (membership.liveNodes().contains(holder)) {
+        ask(holder, r, answer);
+      } else if (patient(holder)) {
+        answer.send(503, null, 1);
+      } else {
+        take(r, answer);
+      }
     }
   }
 
+  /**
+   * A machine that an earlier incarnation of this controller held, and that nobody has taken since:
+   * it is held on under the same record. So a return of many controllers at once costs no write for
+   * each machine, and no lease runs out behind the budget. What the earlier incarnation may have
+   * sent is in doubt only for tasks that the worker does not show, see {@link #probed}.
+   */
+  private void resume(Holds.Hold hold, Report r, Answer answer) {
+    Machine m = new Machine(r, hold.baton(), hold.stamp(), timers.now());
+    m.resumed = true;
+    held.put(r.host(), m);
+    LOG.log(Level.INFO, "holding {0} on, a {1}, under baton {2}", r.host(), r.type(), m.baton);
+    reportOfHeld(m, r, answer);
+  }
+
+  /**
+   * Whether a holder that does not answer is still waited for. A controller that crashes is back
+   * within seconds and holds on to its machines; were they taken at once, a few survivors would
+   * write a hold for each and sit on them all.
+   */
+  private boolean patient(String holder) {
+    String incarnation = membership.incarnation(holder);
+    Silence s = unanswered.get(holder);
+    if (s == null || incarnation != null && !incarnation.equals(s.incarnation)) {
+      s = new Silence(incarnation, timers.now());
+      unanswered.put(holder, s);
+    }
+    return timers.now() - s.since < settings.workers().leaseS() * PATIENCE;
+  }
+
   /** The machine has a live holder; yet a worker comes here only when that one did not answer. */
   private void ask(String holder, Report r, Answer answer) {
-    if (holder.equals(settings.node())) {
-      // Our own hold that is not in memory: the incarnation that took it is still listed.
-      take(r, answer);
-      return;
-    }
     asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
     peers.send(holder, new Message.HoldAsk(r.host()));
     timers.after(ASK_S, () -> ward.run(() -> settleAsk(r.host(), null)));
@@ -146,7 +207,10 @@
 
   private void holdAsked(String from, String host) {
     Machine m = held.get(host);
-    peers.send(from, new Message.HoldSay(host, m != null, m == null ? 0 : timers.now() - m.heard));
+    // A machine that this controller held before it crashed is waited for from its start on.
+    boolean ours = m != null || holds.heldBy(settings.node(), holds.get(host));
+    double heard = m != null ? m.heard : begun;
+    peers.send(from, new Message.HoldSay(host, ours, timers.now() - heard));
   }
 
   private void settleAsk(String host, Message.HoldSay say) {
@@ -157,6 +221,12 @@
     Holds.Hold hold = holds.get(host);
     boolean heard =
         say != null && say.held() && say.heardAgoS() < settings.workers().reportS() * 1.5;
+    if (say == null && hold != null && !hold.dead() && !held.containsKey(host)) {
+      if (patient(Membership.nodeOf(hold.holder()))) {
+        waiting.forEach(w -> w.answer.send(503, null, 1));
+        return;
+      }
+    }
     for (Waiter w : waiting) {
       if (heard && hold != null && !hold.holder().isEmpty()) {
         redirect(w.answer, Membership.nodeOf(hold.holder()));
@@ -188,7 +258,7 @@
         new Txn()
             .when(Holds.key(r.host()), hold == null ? 0 : hold.stamp())
             .put(Holds.key(r.host()), value),
-        Store.Urgency.CORE,
+        Store.Urgency.LEASE,
         done -> {
           List<Waiter> waiting = taking.remove(r.host());
           if (waiting == null || !self.equals(membership.self())) {
@@ -326,6 +396,7 @@
           m.holdStamp = done.revision();
           m.settled = false;
           m.doubt = false;
+          m.resumed = false;
           m.fence.clear();
           m.dirty = true;
           holds.wrote(m.host, value, done.revision());
@@ -346,10 +417,17 @@
     }
   }
 
-  /** Forgets all holds, for this controller has become another incarnation. */
+  /**
+   * This controller has become another incarnation. Machines that nobody has taken meanwhile are
+   * held on: their records still name this controller.
+   */
   public void reborn() {
+    begun = timers.now();
     for (Machine m : List.copyOf(held.values())) {
-      dropHold(m, "the lease has ended");
+      Holds.Hold hold = holds.get(m.host);
+      if (hold == null || hold.stamp() != m.holdStamp && !m.raising) {
+        dropHold(m, "another controller has taken it");
+      }
     }
     taking.values().forEach(ws -> ws.forEach(w -> w.answer.send(503, null, 1)));
     taking.clear();
@@ -360,7 +438,7 @@
     Machine m = held.get(host);
     Holds.Hold hold = holds.get(host);
     if (m != null && hold != null && hold.stamp() > m.holdStamp && !m.raising) {
-      if (hold.dead() || !hold.holder().equals(membership.self()) || hold.baton() != m.baton) {
+      if (hold.dead() || !holds.heldBy(settings.node(), hold) || hold.baton() != m.baton) {
         dropHold(m, hold.dead() ? "deleted" : "another controller has taken it");
       }
     }
@@ -373,10 +451,7 @@
       if (over) {
         m.book.dropJob(id);
       }
-      boolean has =
-          m.tasks.keySet().stream().anyMatch(t -> t.job().equals(id))
-              || m.pending.keySet().stream().anyMatch(t -> t.job().equals(id));
-      if (has) {
+      if (m.has(id)) {
         if (entry != null && entry.record().status() == JobRecord.Status.CANCELLED) {
           stopJob(m, id);
         }
@@ -454,6 +529,7 @@
     } else if (message instanceof Message.HoldAsk a) {
       holdAsked(from, a.host());
     } else if (message instanceof Message.HoldSay s) {
+      unanswered.remove(from);
       settleAsk(s.host(), s);
     } else if (message instanceof Message.Cancelled c) {
       for (Machine m : held.values()) {
@@ -503,6 +579,11 @@
         || task != null && task.attempt() == p.attempt()) {
       return;
     }
+    if (m.resumed) {
+      // Its start may have been sent before the crash: only a higher baton shuts it out.
+      raise(m);
+      return;
+    }
     // From now on this attempt is refused, should its start still be on the way here.
     m.fence.merge(id, p.attempt(), Math::max);
     peers.send(
@@ -574,7 +655,9 @@
   /** A controller can be reached again: it hears of every held machine. */
   public void reached(String node) {
     for (Machine m : held.values()) {
-      peers.send(node, view(m));
+      List<Message.TaskState> tasks = tasksFor(m).getOrDefault(node, List.of());
+      m.toldTasks.put(node, tasks);
+      peers.send(node, view(m).withTasks(tasks));
     }
   }
 
@@ -600,7 +683,65 @@
         m.quarantined,
         m.free(catalog.type(m.typeName), this::sizeOf),
         List.copyOf(m.images),
-        m.states());
+        unfinished(m),
+        List.of());
+  }
+
+  private List<Integer> unfinished(Machine m) {
+    int[] n = new int[Priority.values().length];
+    for (TaskId id : m.unfinished()) {
+      JobTable.Entry e = jobs.get(id.job());
+      n[e == null ? 0 : e.record().spec().priority().ordinal()]++;
+    }
+    return Arrays.stream(n).boxed().toList();
+  }
+
+  /** The machine's tasks by the controllers that have to know of them. */
+  private Map<String, List<Message.TaskState>> tasksFor(Machine m) {
+    Map<String, List<Message.TaskState>> byNode = new HashMap<>();
+    for (Message.TaskState t : m.states()) {
+      JobTable.Entry e = jobs.get(t.job());
+      String claim = e == null ? null : e.record().claim();
+      if (claim != null) {
+        byNode.computeIfAbsent(Membership.nodeOf(claim), n -> new ArrayList<>()).add(t);
+      }
+    }
+    return byNode;
+  }
+
+  /** Tells of changed machines shortly; changes that come together are told at once. */
+  private void tellSoon(Machine m) {
+    if (m.telling) {
+      return;
+    }
+    m.telling = true;
+    toTell.add(m);
+    if (toTell.size() == 1) {
+      timers.after(TELL_S, () -> ward.run(this::tell));
+    }
+  }
+
+  private void tell() {
+    List<Machine> all = List.copyOf(toTell);
+    toTell.clear();
+    for (Machine m : all) {
+      m.telling = false;
+      if (held.get(m.host) != m) {
+        continue;
+      }
+      Message.View view = view(m);
+      boolean changed = !view.equals(m.told);
+      m.told = view;
+      Map<String, List<Message.TaskState>> tasks = tasksFor(m);
+      for (String node : nodes) {
+        List<Message.TaskState> its = tasks.getOrDefault(node, List.of());
+        // What runs concerns the claimants only; what room there is concerns everybody.
+        if (changed || !its.equals(m.toldTasks.getOrDefault(node, List.of()))) {
+          m.toldTasks.put(node, its);
+          peers.send(node, view.withTasks(its));
+        }
+      }
+    }
   }
 
   /** Deals what room there is, sends what orders there are, tells what has changed. */
@@ -612,7 +753,7 @@
     order(m);
     if (m.dirty) {
       m.dirty = false;
-      peers.broadcast(view(m));
+      tellSoon(m);
     }
   }
 
@@ -744,9 +885,16 @@
       if (m.noticeS != null) {
         saveBeforeEnd(m, m.noticeS - (now - m.noticeAt));
       }
-      act(m);
+      boolean waits = m.dirty || !m.pending.isEmpty() || !m.stops.isEmpty() || !m.clears.isEmpty();
+      if (waits || now - m.looked > IDLE_LOOK_S) {
+        m.looked = now;
+        act(m);
+      }
+    }
+    if (now - strangersAt > IDLE_LOOK_S) {
+      strangersAt = now;
+      lookUpStrangers(now);
     }
-    lookUpStrangers(now);
   }
 
   /** Tasks that can save are told to, while there is time. */
--- a/src/main/java/dev/dunefront/book/Holds.java
+++ b/src/main/java/dev/dunefront/book/Holds.java
@@ -1,5 +1,6 @@
 package dev.dunefront.book;
 
+import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
 import dev.dunefront.store.Store;
 import dev.dunefront.wire.BadMessage;
@@ -55,6 +56,14 @@
     return all.get(host);
   }
 
+  /** Whether the machine was last held by this controller, in whatever incarnation. */
+  boolean heldBy(String node, Hold hold) {
+    return hold != null
+        && !hold.dead()
+        && !hold.holder().isEmpty()
+        && Membership.nodeOf(hold.holder()).equals(node);
+  }
+
   public Map<String, Hold> all() {
     return all;
   }
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -2,6 +2,7 @@
 
 import dev.dunefront.peer.Message.State;
 import dev.dunefront.peer.Message.TaskState;
+import dev.dunefront.peer.Message.View;
 import dev.dunefront.peer.Message.Why;
 import dev.dunefront.wire.MachineType;
 import dev.dunefront.wire.Report;
@@ -54,11 +55,16 @@
   double heard;
   Double noticeS;
   double noticeAt;
+  double looked;
   boolean settled;
   boolean lost;
   boolean doubt;
   boolean raising;
   boolean ordering;
+
+  /** Orders of an earlier incarnation may still be on their way to the worker. */
+  boolean resumed;
+
   final Map<TaskId, Report.Task> tasks = new LinkedHashMap<>();
   final Map<TaskId, Pending> pending = new LinkedHashMap<>();
   final Map<TaskId, Double> startedAt = new HashMap<>();
@@ -70,8 +76,18 @@
   final Set<String> images = new LinkedHashSet<>();
   final WantBook book = new WantBook();
   boolean quarantined;
+
+  /** What others know of it has changed. */
   boolean dirty = true;
 
+  /** It is about to be told to the others. */
+  boolean telling;
+
+  /** What every controller was last told, without tasks, and what each was told of tasks. */
+  View told;
+
+  final Map<String, List<TaskState>> toldTasks = new HashMap<>();
+
   Machine(Report r, long baton, long holdStamp, double now) {
     this.host = r.host();
     this.endpoint = r.endpoint();
@@ -117,6 +133,37 @@
     return free;
   }
 
+  /** Whether a task of the job is here or about to be. */
+  boolean has(String job) {
+    for (TaskId id : tasks.keySet()) {
+      if (id.job().equals(job)) {
+        return true;
+      }
+    }
+    for (TaskId id : pending.keySet()) {
+      if (id.job().equals(job)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Tasks that take room or are about to. */
+  List<TaskId> unfinished() {
+    List<TaskId> all = new ArrayList<>();
+    for (Report.Task t : tasks.values()) {
+      if (!t.exited()) {
+        all.add(t.id());
+      }
+    }
+    for (TaskId id : pending.keySet()) {
+      if (!tasks.containsKey(id) || tasks.get(id).exited()) {
+        all.add(id);
+      }
+    }
+    return all;
+  }
+
   List<TaskState> states() {
     List<TaskState> all = new ArrayList<>();
     for (Report.Task t : tasks.values()) {
--- a/src/main/java/dev/dunefront/book/WantBook.java
+++ b/src/main/java/dev/dunefront/book/WantBook.java
@@ -89,45 +89,38 @@
    * the room gathers for one that has been parked since before {@code gatherBefore}.
    */
   Want take(Size room, Size whole, double gatherBefore) {
-    for (int priority = 0; priority < PRIORITIES; priority++) {
-      List<String> ring = rings.get(priority);
-      for (int rank = 0; rank < RANKS; rank++) {
-        for (int i = 0; i < ring.size(); i++) {
-          Want w = first(priority, rank, ring.get(i), room);
-          if (w != null) {
-            ring.add(ring.remove(i));
-            if (--w.count <= 0) {
-              wants.remove(w);
-            }
-            return w;
-          }
-        }
-        if (gathers(priority, rank, whole, gatherBefore)) {
-          return null;
+    Want best = null;
+    int bestTurn = 0;
+    Want gatherer = null;
+    for (Want w : wants) {
+      if (best != null && level(w) > level(best)) {
+        continue;
+      }
+      if (w.size.fits(room)) {
+        int turn = rings.get(w.priority).indexOf(w.node);
+        if (best == null || level(w) < level(best) || turn < bestTurn) {
+          best = w;
+          bestTurn = turn;
         }
+      } else if (w.since < gatherBefore
+          && w.size.fits(whole)
+          && (gatherer == null || level(w) < level(gatherer))) {
+        gatherer = w;
       }
     }
-    return null;
-  }
-
-  private Want first(int priority, int rank, String node, Size room) {
-    for (Want w : wants) {
-      if (w.priority == priority && w.rank == rank && w.node.equals(node) && w.size.fits(room)) {
-        return w;
-      }
+    if (best == null || gatherer != null && level(gatherer) < level(best)) {
+      return null;
+    }
+    List<String> ring = rings.get(best.priority);
+    ring.add(ring.remove(bestTurn));
+    if (--best.count <= 0) {
+      wants.remove(best);
     }
-    return null;
+    return best;
   }
 
-  private boolean gathers(int priority, int rank, Size whole, double gatherBefore) {
-    for (Want w : wants) {
-      if (w.priority == priority
-          && w.rank == rank
-          && w.since < gatherBefore
-          && w.size.fits(whole)) {
-        return true;
-      }
-    }
-    return false;
+  /** Wants of a lower level are served before all of a higher one. */
+  private static int level(Want w) {
+    return w.priority * RANKS + w.rank;
   }
 }
--- a/src/main/java/dev/dunefront/claim/Chunk.java
+++ b/src/main/java/dev/dunefront/claim/Chunk.java
@@ -15,8 +15,11 @@
  * within the state service's limits.
  */
 final class Chunk {
-  /** Tasks in a chunk; at about 40 bytes for each the value stays far below 16 KiB. */
-  static final int TASKS = 128;
+  /**
+   * Tasks in a chunk. A placement takes some 12 bytes and a machine's name some 15, so the value
+   * stays below 16 KiB even if every task is on a machine of its own.
+   */
+  static final int TASKS = 512;
 
   static String prefix(String job) {
     return "t/" + job + "/";
@@ -48,12 +51,20 @@
 
   static Chunk read(Doc d, long stamp) throws BadMessage {
     Chunk c = new Chunk(stamp);
-    for (long n : d.counts("done")) {
-      c.done.set((int) n);
+    List<Long> done = d.counts("done");
+    for (int i = 0; i + 1 < done.size(); i += 2) {
+      int from = done.get(i).intValue();
+      c.done.set(from, from + done.get(i + 1).intValue());
     }
-    for (Doc p : d.docs("placed")) {
-      int n = (int) p.count("n");
-      Placement placement = new Placement(p.count("a"), p.text("h"), p.count("s"));
+    List<String> hosts = d.texts("hosts");
+    List<Long> placed = d.counts("placed");
+    for (int i = 0; i + 3 < placed.size(); i += 4) {
+      int host = placed.get(i + 2).intValue();
+      if (host < 0 || host >= hosts.size()) {
+        throw new BadMessage("a placement on a machine that is not listed");
+      }
+      int n = placed.get(i).intValue();
+      Placement placement = new Placement(placed.get(i + 1), hosts.get(host), placed.get(i + 3));
       c.placed.put(n, placement);
       c.tries.put(n, placement.attempt);
     }
@@ -64,14 +75,31 @@
     return c;
   }
 
+  /** Done tasks as runs (first, length); placements as (task, attempt, index of host, tenure). */
   Doc write(String mark) {
-    List<Object> doneList = new ArrayList<>();
-    done.stream().forEach(n -> doneList.add((long) n));
+    List<Object> runs = new ArrayList<>();
+    for (int from = done.nextSetBit(0); from >= 0; ) {
+      int to = done.nextClearBit(from);
+      runs.add((long) from);
+      runs.add((long) (to - from));
+      from = done.nextSetBit(to);
+    }
+    List<Object> hosts = new ArrayList<>();
+    Map<String, Integer> index = new HashMap<>();
     List<Object> placements = new ArrayList<>();
     placed.forEach(
-        (n, p) ->
-            placements.add(
-                Doc.of().put("n", n).put("a", p.attempt).put("h", p.host).put("s", p.tenure)));
+        (n, p) -> {
+          Integer host = index.get(p.host);
+          if (host == null) {
+            host = hosts.size();
+            index.put(p.host, host);
+            hosts.add(p.host);
+          }
+          placements.add((long) n);
+          placements.add(p.attempt);
+          placements.add((long) host);
+          placements.add(p.tenure);
+        });
     List<Object> attempts = new ArrayList<>();
     tries.forEach(
         (n, a) -> {
@@ -82,7 +110,8 @@
         });
     return Doc.of()
         .put(Store.MARK, mark)
-        .put("done", doneList)
+        .put("done", runs)
+        .put("hosts", hosts)
         .put("placed", placements)
         .put("tries", attempts);
   }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -40,6 +40,9 @@
     double stoppedAt;
     boolean ending;
 
+    /** The holder's last word showed this attempt. */
+    boolean shown;
+
     Live(Placement placement) {
       this.placement = placement;
     }
@@ -60,6 +63,10 @@
 
   int done;
   final Map<Integer, Live> live = new HashMap<>();
+
+  /** The same by machine, for what a holder says concerns one machine. */
+  private final Map<String, Map<Integer, Live>> liveOn = new HashMap<>();
+
   final List<Held> offers = new ArrayList<>();
   final List<Ended> ends = new ArrayList<>();
 
@@ -68,6 +75,36 @@
 
   final Map<String, Double> avoid = new HashMap<>();
   final Set<String> failedOn = new HashSet<>();
+
+  /** What each kind of machine is to this job, by the kind's index. */
+  final List<Parking.Fit> fits = new ArrayList<>();
+
+  /** Spreads jobs over machines that are equally good. */
+  final int mix;
+
+  /** Starts in the transaction under way. */
+  int starting;
+
+  /** For how many tasks wants were last parked, and when all machines are looked at again. */
+  int parkedFor;
+
+  double lookAgain;
+  double lookPause = 0.25;
+
+  /** The openings of room that have been looked at, and when. */
+  long openings;
+
+  double openingsAt;
+
+  /** Since when recorded-to-be ends wait for others to share their transaction. */
+  boolean gathering;
+
+  boolean gathered;
+
+  /** Counts last told to the other controllers. */
+  int toldDone;
+
+  int toldRunning;
   int reach;
   int rank = Urgencies.IN_TIME;
   double nextTick;
@@ -84,6 +121,7 @@
     this.reach = reach;
     this.unservedSince = now;
     this.nextTick = now;
+    this.mix = spec.id().hashCode() * 0x85EBCA6B;
   }
 
   String id() {
@@ -99,6 +137,12 @@
     return open() ? spec.tasks() - busy.cardinality() : 0;
   }
 
+  /** How many tasks more the team's limit lets start: what is granted already, and what is left. */
+  int allowed(Quotas.Quota quota) {
+    long granted = Math.max(0, record.granted() - live.size() - starting);
+    return (int) Math.min(Integer.MAX_VALUE, granted + quota.room(size));
+  }
+
   /** A job whose tasks fail wherever they run, as far as has been seen. */
   boolean suspect() {
     return failedOn.size() >= 2 && done == 0;
@@ -112,22 +156,52 @@
     chunk.done.stream().forEach(n -> busy.set(base + n));
     for (int n = base; n < base + Chunk.TASKS && n < spec.tasks(); n++) {
       Placement p = chunk.placed.get(n - base);
+      Live known = live.get(n);
       if (p == null) {
-        live.remove(n);
+        forgetLive(n);
       } else {
         busy.set(n);
-        Live known = live.get(n);
         if (known == null || !known.placement.equals(p)) {
-          live.put(n, new Live(p));
+          forgetLive(n);
+          Live l = new Live(p);
+          live.put(n, l);
+          liveOn.computeIfAbsent(p.host(), h -> new HashMap<>()).put(n, l);
         }
       }
     }
   }
 
+  private void forgetLive(int number) {
+    Live old = live.remove(number);
+    if (old != null) {
+      liveOn.computeIfPresent(
+          old.placement.host(),
+          (h, on) -> {
+            on.remove(number);
+            return on.isEmpty() ? null : on;
+          });
+    }
+  }
+
+  /** The placed tasks on a machine. */
+  Map<Integer, Live> liveOn(String host) {
+    return liveOn.getOrDefault(host, Map.of());
+  }
+
+  /** The machines with placed tasks. */
+  Set<String> hosts() {
+    return liveOn.keySet();
+  }
+
+  void forgetAllLive() {
+    live.clear();
+    liveOn.clear();
+  }
+
   void forgetChunks() {
     chunks.clear();
     busy.clear();
-    live.clear();
+    forgetAllLive();
     ends.clear();
     done = 0;
   }
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Desk.java
@@ -0,0 +1,37 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.book.Holds;
+import dev.dunefront.config.Settings;
+import dev.dunefront.config.Tunables;
+import dev.dunefront.fleet.Catalog;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.peer.Peers;
+import dev.dunefront.store.Membership;
+import dev.dunefront.store.Replica;
+import dev.dunefront.store.Store;
+
+/** What the parts of a claimant share. */
+public record Desk(
+    Settings settings,
+    Tunables tunables,
+    Membership membership,
+    Replica replica,
+    Holds holds,
+    JobTable jobs,
+    Catalog catalog,
+    Store store,
+    Peers peers,
+    Timers timers,
+    Ward ward) {
+
+  double now() {
+    return timers.now();
+  }
+
+  /** Runs a decision after a while. */
+  void later(double seconds, Runnable decision) {
+    timers.after(seconds, () -> ward.run(decision));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -0,0 +1,344 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Message.View;
+import dev.dunefront.wire.JobSpec;
+import dev.dunefront.wire.MachineType;
+import dev.dunefront.wire.Priority;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Where the wants of claimed jobs are parked. A job that has just come, or whose wants have grown,
+ * looks over all machines; after that it looks again at growing intervals up to the design's tick,
+ * and in between only at machines where room has opened.
+ */
+final class Parking {
+  private static final double PREEMPT_AFTER_S = 0.4;
+  private static final double PREEMPT_AGAIN_S = 2;
+
+  /** How soon an unserved job looks over all machines again; doubled up to the tick. */
+  private static final double LOOK_AGAIN_S = 0.25;
+
+  /** At most this often a job looks at the machines where room has opened. */
+  private static final double OPENINGS_S = 0.1;
+
+  /** How much of its fetch a task counts that is in no hurry. */
+  private static final double PATIENT = 0.25;
+
+  /** What taking room beside another job's image costs, in seconds of an earlier start. */
+  private static final double CROWD_S = 0.5;
+
+  /** What using a machine many times too large costs, in seconds of an earlier start. */
+  private static final double OVERSIZE_S = 3;
+
+  /** From this many tasks on, a machine is larger than a task needs. */
+  private static final int OVERSIZE = 8;
+
+  /** Wants parked where there is room now, as a multiple of what is wanted: others want it too. */
+  private static final double SURPLUS = 1.5;
+
+  /** A machine on which a job could park; the lower the tier, the sooner it is chosen. */
+  private record Choice(Room.Seen seen, int ever, int fits, int tier, double costS, int mix) {
+    static final Comparator<Choice> ORDER =
+        (a, b) -> {
+          if (a.tier != b.tier) {
+            return Integer.compare(a.tier, b.tier);
+          }
+          int cost = Double.compare(a.costS, b.costS);
+          return cost != 0 ? cost : Integer.compare(a.mix, b.mix);
+        };
+  }
+
+  private final Desk desk;
+  private final Room room;
+  private final Quotas quotas;
+  private final Urgencies urgencies;
+  private final Zones zones;
+
+  Parking(Desk desk, Room room, Quotas quotas, Urgencies urgencies, Zones zones) {
+    this.desk = desk;
+    this.room = room;
+    this.quotas = quotas;
+    this.urgencies = urgencies;
+    this.zones = zones;
+  }
+
+  /** Brings a job's parked wants up to date. */
+  void review(Claim c) {
+    double now = desk.now();
+    int wanted = wanted(c, now);
+    if (wanted <= 0 || now < c.notBefore) {
+      withdraw(c);
+      if (wanted <= 0) {
+        served(c, now);
+        c.lookPause = LOOK_AGAIN_S;
+      }
+      return;
+    }
+    if (now - c.unservedSince > desk.tunables().waitS()) {
+      served(c, now);
+      c.notBefore = now + desk.tunables().requeueDelayS();
+      withdraw(c);
+      return;
+    }
+    if (now >= c.nextTick) {
+      c.nextTick = now + desk.tunables().tickS();
+      c.reach = Math.min(desk.tunables().reachCap(), c.reach + 1);
+    }
+    if (wanted > c.parkedFor || now >= c.lookAgain) {
+      c.parkedFor = wanted;
+      c.lookAgain = now + c.lookPause;
+      c.lookPause = Math.min(desk.tunables().tickS(), c.lookPause * 2);
+      c.openings = room.openings();
+      c.openingsAt = now;
+      parkAnew(c, wanted, now);
+    } else if (c.openings != room.openings() && now - c.openingsAt >= OPENINGS_S) {
+      c.openings = room.openings();
+      c.openingsAt = now;
+      parkInOpenings(c, wanted, now);
+    }
+  }
+
+  /** Tasks for which room is wanted. */
+  private int wanted(Claim c, double now) {
+    int wanted = c.unstarted() - c.offers.size() - c.starting;
+    Quotas.Quota quota = quotas.of(c.spec.team());
+    if (quota != null) {
+      wanted = Math.min(wanted, c.allowed(quota) - c.offers.size());
+    }
+    return c.suspect() ? Math.min(wanted, 1 - c.live.size()) : wanted;
+  }
+
+  /** The job waits no longer, or has just been served: its reach starts from the least again. */
+  void served(Claim c, double now) {
+    c.unservedSince = now;
+    c.nextTick = now + desk.tunables().tickS();
+    c.reach = desk.tunables().reach();
+    c.parkedFor = Math.min(c.parkedFor, Math.max(0, c.unstarted()));
+  }
+
+  /** Whether there is a type on which the job's tasks would not be lost in space. */
+  private boolean smallerServes(Claim c) {
+    for (MachineType t : desk.catalog().types()) {
+      int times = c.size.timesIn(t.size());
+      if (times > 0
+          && times < OVERSIZE
+          && (c.spec.types() == null || c.spec.types().contains(t.name()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** What a kind of machine is to a job; worked out once for each job and kind. */
+  record Fit(int ever, boolean large, double fetchS) {}
+
+  private Fit fit(Claim c, Room.Kind kind) {
+    while (c.fits.size() <= kind.index()) {
+      c.fits.add(null);
+    }
+    Fit known = c.fits.get(kind.index());
+    if (known != null) {
+      return known;
+    }
+    MachineType type = desk.catalog().type(kind.type());
+    if (type == null) {
+      return new Fit(0, false, 0);
+    }
+    JobSpec spec = c.spec;
+    int ever = spec.allows(kind.type(), kind.zone(), kind.spot()) ? c.size.timesIn(type.size()) : 0;
+    double fetch =
+        spec.image() == null || type.fetchGbPerS() <= 0 ? 0 : spec.imageGb() / type.fetchGbPerS();
+    Fit fit = new Fit(ever, ever >= OVERSIZE && smallerServes(c), fetch);
+    c.fits.set(kind.index(), fit);
+    return fit;
+  }
+
+  /** The machine as the job sees it, or null if it cannot park there. */
+  private Choice choice(Claim c, Room.Seen s, double now) {
+    Fit fit = fit(c, s.kind());
+    View v = s.view();
+    if (fit.ever == 0
+        || !v.open()
+        || !c.avoid.isEmpty() && c.avoid.getOrDefault(v.host(), 0.0) > now
+        || (c.spec.oneZone() || c.spec.spread()) && !zones.allowed(c, v.host(), List.of())) {
+      return null;
+    }
+    int fits = s.roomy() ? c.size.timesIn(v.free()) : 0;
+    boolean urgent = c.spec.priority().urgent();
+    // Large machines are left to tasks that fit nowhere else, as long as others may turn up.
+    boolean spare =
+        fit.large
+            && !urgent
+            && now - c.unservedSince < desk.tunables().gatherTicks() * desk.tunables().tickS();
+    int tier = fits == 0 ? 1 : spare ? 2 : 0;
+    return new Choice(s, fit.ever, fits, tier, costS(c, s, fit), s.mix() ^ c.mix);
+  }
+
+  /** What a start there costs, in seconds. */
+  private double costS(Claim c, Room.Seen s, Fit fit) {
+    List<String> images = s.view().images();
+    boolean warm = c.spec.image() == null || images.contains(c.spec.image());
+    double fetch = warm ? 0 : fit.fetchS;
+    int others = images.size() - (warm && c.spec.image() != null ? 1 : 0);
+    // A task in no hurry leaves the machines that have others' images to those others.
+    double cost = c.spec.priority().urgent() ? fetch : fetch * PATIENT + others * CROWD_S;
+    return cost + (fit.large ? OVERSIZE_S : 0);
+  }
+
+  /** Puts the best of several offers first. */
+  void sortOffers(Claim c) {
+    if (c.offers.size() < 2) {
+      return;
+    }
+    Map<String, Double> costs = new HashMap<>();
+    for (Claim.Held h : c.offers) {
+      String host = h.offer().host();
+      if (!costs.containsKey(host)) {
+        Room.Seen s = room.get(host);
+        costs.put(host, s == null ? Double.MAX_VALUE : costS(c, s, fit(c, s.kind())));
+      }
+    }
+    c.offers.sort(Comparator.comparingDouble(h -> costs.get(h.offer().host())));
+  }
+
+  private void parkAnew(Claim c, int wanted, double now) {
+    List<Choice> choices = new ArrayList<>();
+    int fitting = 0;
+    for (Room.Seen s : room.all()) {
+      Choice choice = choice(c, s, now);
+      if (choice != null) {
+        choices.add(choice);
+        fitting += choice.tier == 0 ? choice.fits : 0;
+      }
+    }
+    choices.sort(Choice.ORDER);
+    preempt(c, choices, wanted, now);
+    long surplus = (long) Math.ceil(wanted * SURPLUS);
+    // Where there is room enough right now, nothing need wait for room elsewhere.
+    long left = fitting >= surplus ? surplus : (long) wanted * c.reach;
+    long now0 = surplus;
+    int machines = 0;
+    Map<String, Integer> target = new HashMap<>();
+    for (Choice ch : choices) {
+      if (left <= 0 && (machines >= c.reach || ch.tier != 0)) {
+        break;
+      }
+      if (ch.fits > 0 && now0 <= 0 && machines >= c.reach) {
+        continue;
+      }
+      int n = Math.min(wanted, ch.fits > 0 ? ch.fits : ch.ever);
+      target.put(ch.seen.view().host(), n);
+      left -= n;
+      now0 -= ch.fits > 0 ? n : 0;
+      machines++;
+    }
+    for (String host : Set.copyOf(c.parked.keySet())) {
+      if (!target.containsKey(host)) {
+        want(c, host, 0);
+      }
+    }
+    double ageS = (desk.timers().timeOfDayMs() - c.record.acceptedMs()) / 1000.0;
+    double fetchS = choices.isEmpty() ? 0 : choices.get(0).costS;
+    int rank = urgencies.rank(c.spec, ageS, fetchS);
+    boolean moved = rank != c.rank;
+    c.rank = rank;
+    target.forEach(
+        (host, n) -> {
+          if (moved || !n.equals(c.parked.get(host))) {
+            want(c, host, n);
+          }
+        });
+  }
+
+  /** Parks beside what is parked already, where there is room now. */
+  private void parkInOpenings(Claim c, int wanted, double now) {
+    List<Choice> choices = new ArrayList<>();
+    int covered = 0;
+    for (Room.Seen s : room.roomy()) {
+      Integer parked = c.parked.get(s.view().host());
+      if (parked != null) {
+        covered += Math.min(parked, c.size.timesIn(s.view().free()));
+        continue;
+      }
+      Choice choice = choice(c, s, now);
+      if (choice != null && choice.fits > 0 && choice.tier == 0) {
+        choices.add(choice);
+      }
+    }
+    choices.sort(Choice.ORDER);
+    long left = (long) Math.ceil(wanted * SURPLUS) - covered;
+    for (Choice ch : choices) {
+      if (left <= 0) {
+        return;
+      }
+      int n = Math.min(wanted, ch.fits);
+      want(c, ch.seen.view().host(), n);
+      left -= n;
+    }
+  }
+
+  /** Room for urgent tasks that find none is made where less urgent ones have just begun. */
+  private void preempt(Claim c, List<Choice> choices, int wanted, double now) {
+    Priority priority = c.spec.priority();
+    if (!priority.urgent()
+        || now - c.unservedSince < PREEMPT_AFTER_S
+        || now - c.preemptedAt < PREEMPT_AGAIN_S) {
+      return;
+    }
+    int need = wanted;
+    for (Choice ch : choices) {
+      need -= ch.fits;
+    }
+    for (Choice ch : choices) {
+      if (need <= 0) {
+        break;
+      }
+      int n = Math.min(need, ch.seen.view().below(priority));
+      if (ch.fits == 0 && n > 0) {
+        need -= n;
+        c.preemptedAt = now;
+        desk.peers()
+            .send(
+                ch.seen.holder(),
+                new Message.Preempt(ch.seen.view().host(), priority.ordinal(), c.size, n));
+      }
+    }
+  }
+
+  private void want(Claim c, String host, int count) {
+    if (count > 0) {
+      c.parked.put(host, count);
+    } else {
+      c.parked.remove(host);
+    }
+    Room.Seen s = room.get(host);
+    if (s != null) {
+      desk.peers()
+          .send(
+              s.holder(),
+              new Message.Want(host, c.id(), c.spec.priority().ordinal(), c.rank, c.size, count));
+    }
+  }
+
+  void withdraw(Claim c) {
+    c.parkedFor = 0;
+    if (!c.parked.isEmpty()) {
+      for (String host : Set.copyOf(c.parked.keySet())) {
+        want(c, host, 0);
+      }
+    }
+  }
+
+  /** The machine's book has lost the job's wants, or there is no such book any more. */
+  void lostBook(Claim c, String host) {
+    if (c.parked.remove(host) != null) {
+      c.lookAgain = Math.min(c.lookAgain, desk.now() + LOOK_AGAIN_S);
+    }
+  }
+}
--- a/src/main/java/dev/dunefront/claim/Quotas.java
+++ b/src/main/java/dev/dunefront/claim/Quotas.java
@@ -11,8 +11,9 @@
 import java.util.Map;
 
 /**
- * What each limited team's recorded placements take. The record changes in the same transactions as
- * the placements, so it is exact across controllers and crashes.
+ * What is granted of each limited team's limit. Grants are written into the job records, a piece
+ * ahead of the placements, in the transaction that changes the team's record; so the record is
+ * exact across controllers and crashes, a claim takes its grant along, and few placements touch it.
  */
 final class Quotas {
   private static final String PREFIX = Replica.PREFIX + "q/";
@@ -33,13 +34,7 @@
       return PREFIX + team.name();
     }
 
-    boolean allows(Size more, Size usedNow) {
-      Size sum = usedNow.plus(more);
-      return (team.cpusMax() <= 0 || sum.cpu() <= Math.round(team.cpusMax() * 1e6))
-          && (team.gpusMax() <= 0 || sum.gpu() <= Math.round(team.gpusMax() * 1e6));
-    }
-
-    /** How many tasks of the size may still start. */
+    /** How many tasks of the size may still be granted. */
     int room(Size size) {
       long n = Integer.MAX_VALUE;
       if (team.cpusMax() > 0 && size.cpu() > 0) {
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -0,0 +1,437 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.book.Holds;
+import dev.dunefront.claim.Chunk.Placement;
+import dev.dunefront.claim.Claim.End;
+import dev.dunefront.claim.Claim.Ended;
+import dev.dunefront.claim.Claim.Held;
+import dev.dunefront.claim.Claim.Live;
+import dev.dunefront.job.JobRecord;
+import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.peer.Message;
+import dev.dunefront.store.Store;
+import dev.dunefront.store.Txn;
+import dev.dunefront.wire.Size;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Writes placements and ends. A job has one transaction under way at a time, which carries all that
+ * has gathered; a placement is written before its start is sent, an end before its clear.
+ */
+final class Recorder {
+  private static final System.Logger LOG = System.getLogger(Recorder.class.getName());
+
+  /** Offers from several holders come close together; the best are taken, not the first. */
+  private static final double CHOOSE_S = 0.012;
+
+  /** Ends that free nothing but a record wait this long for others to share a transaction. */
+  private static final double GATHER_S = 0.4;
+
+  /** As many chunks as a transaction of 64 KiB surely takes. */
+  private static final int MAX_CHUNKS = 4;
+
+  /** A part of what is left of a team's limit, shared by all controllers, may be granted ahead. */
+  private static final int AHEAD = 4;
+
+  private final Desk desk;
+  private final Quotas quotas;
+  private final Zones zones;
+  private final Parking parking;
+  private final Room room;
+  private final Claims claims;
+
+  Recorder(Desk desk, Quotas quotas, Zones zones, Parking parking, Room room, Claims claims) {
+    this.desk = desk;
+    this.quotas = quotas;
+    this.zones = zones;
+    this.parking = parking;
+    this.room = room;
+    this.claims = claims;
+  }
+
+  private record Starting(Held held, int number, Placement placement) {}
+
+  /** One transaction under way. */
+  private record Flight(
+      Map<Integer, Chunk> next, List<Starting> starts, List<Ended> ends, int granted) {}
+
+  void chooseSoon(Claim c) {
+    if (c.choosing) {
+      return;
+    }
+    c.choosing = true;
+    desk.later(
+        CHOOSE_S,
+        () -> {
+          c.choosing = false;
+          flush(c);
+        });
+  }
+
+  void declineAll(Claim c) {
+    c.offers.forEach(this::decline);
+    c.offers.clear();
+  }
+
+  private void decline(Held h) {
+    desk.peers().send(h.holder(), new Message.Decline(h.offer().offer(), h.offer().host()));
+  }
+
+  /** Whether what there is to record can wait for more. */
+  private boolean canGather(Claim c, Quotas.Quota quota) {
+    if (!c.offers.isEmpty() || c.gathered || !c.open()) {
+      return false;
+    }
+    int done = c.done;
+    for (Ended e : c.ends) {
+      if (e.end() != End.DONE) {
+        return false;
+      }
+      done++;
+    }
+    // With little left of the team's limit others wait for what these give back.
+    return done < c.spec.tasks() && (quota == null || quota.room(c.size) > c.live.size());
+  }
+
+  void flush(Claim c) {
+    if (c.flying || c.loading || c.dropped) {
+      return;
+    }
+    if (!c.open()) {
+      declineAll(c);
+    }
+    boolean over = !c.open() && c.live.isEmpty();
+    if (c.offers.isEmpty() && c.ends.isEmpty() && !over) {
+      return;
+    }
+    Quotas.Quota quota = quotas.of(c.spec.team());
+    if (!over && canGather(c, quota)) {
+      if (!c.gathering) {
+        c.gathering = true;
+        desk.later(
+            GATHER_S,
+            () -> {
+              c.gathering = false;
+              c.gathered = true;
+              flush(c);
+            });
+      }
+      return;
+    }
+    c.gathered = false;
+    if (quota != null && quota.busy) {
+      quota.waiting.add(() -> flush(c));
+      return;
+    }
+    Flight f = plan(c, quota);
+    if (f.starts.isEmpty() && f.ends.isEmpty() && !over) {
+      return;
+    }
+    write(c, f, quota);
+  }
+
+  private void write(Claim c, Flight f, Quotas.Quota quota) {
+    String mark = desk.store().newMark();
+    int txnOps = desk.settings().stateLimits().txnOps();
+    Txn txn = new Txn().when(JobRecord.key(c.id()), c.stamp);
+    int doneAfter = c.done;
+    boolean anyPlaced = false;
+    for (var e : f.next.entrySet()) {
+      Chunk old = c.chunks.get(e.getKey());
+      txn.when(Chunk.key(c.id(), e.getKey()), old == null ? 0 : old.stamp);
+      doneAfter += e.getValue().done.cardinality() - (old == null ? 0 : old.done.cardinality());
+    }
+    for (var e : c.chunks.entrySet()) {
+      anyPlaced |= !f.next.getOrDefault(e.getKey(), e.getValue()).placed.isEmpty();
+    }
+    Status last = null;
+    if (c.open() && doneAfter == c.spec.tasks() && !c.spec.service()) {
+      last = Status.DONE;
+    } else if (!c.open() && !anyPlaced) {
+      last = c.record.status();
+    }
+    // A job in more chunks than a transaction takes is emptied first, a few chunks at a time.
+    boolean fits = c.chunks.size() + f.next.size() + 4 <= txnOps;
+    Set<String> hosts = new HashSet<>();
+    for (Starting s : f.starts) {
+      if (hosts.add(s.placement.host())) {
+        txn.when(Holds.key(s.placement.host()), s.held.offer().holdStamp());
+      }
+    }
+    for (Ended e : f.ends) {
+      if (e.holdStamp() > 0 && hosts.add(e.placement().host())) {
+        txn.when(Holds.key(e.placement().host()), e.holdStamp());
+      }
+    }
+    JobRecord rewritten = null;
+    List<Integer> emptied = new ArrayList<>();
+    int granted = last == null ? f.granted : 0;
+    if (last != null && fits) {
+      txn.put(JobRecord.finalKey(c.id()), JobRecord.writeFinal(last, mark));
+      txn.remove(JobRecord.key(c.id()));
+      c.chunks.keySet().forEach(i -> txn.remove(Chunk.key(c.id(), i)));
+    } else if (last != null) {
+      rewritten = c.record.with(last).granting(0);
+      txn.put(JobRecord.key(c.id()), rewritten.write(mark));
+      for (int i : c.chunks.keySet()) {
+        if (emptied.size() + 4 < txnOps) {
+          emptied.add(i);
+          txn.remove(Chunk.key(c.id(), i));
+        }
+      }
+    } else {
+      f.next.forEach((i, chunk) -> txn.put(Chunk.key(c.id(), i), chunk.write(mark)));
+      if (granted != c.record.granted()) {
+        rewritten = c.record.granting(granted);
+        txn.put(JobRecord.key(c.id()), rewritten.write(mark));
+      }
+    }
+    boolean regrant = quota != null && granted != c.record.granted();
+    Size used = regrant ? quota.used.plus(c.size.times(granted - c.record.granted())) : Size.NONE;
+    if (regrant) {
+      quota.busy = true;
+      txn.when(quota.key(), quota.stamp).put(quota.key(), Quotas.write(used, mark));
+    }
+    c.flying = true;
+    c.starting = f.starts.size();
+    c.offers.removeAll(f.starts.stream().map(Starting::held).toList());
+    Status finalStatus = last;
+    JobRecord record = rewritten;
+    desk.store()
+        .commit(
+            txn,
+            mark,
+            done -> {
+              c.flying = false;
+              c.starting = 0;
+              if (done.ok()) {
+                if (regrant) {
+                  quotas.saw(quota, Quotas.write(used, mark), done.revision());
+                }
+                written(c, f, finalStatus, record, emptied, mark, done.revision());
+              } else if (!c.dropped) {
+                refused(c, f, done);
+              } else {
+                f.starts.forEach(s -> decline(s.held));
+              }
+              if (regrant && !done.ok() && done.failed().contains(quota.key())) {
+                refresh(quota, c);
+              } else if (regrant) {
+                quota.release();
+              }
+            });
+  }
+
+  private Flight plan(Claim c, Quotas.Quota quota) {
+    int txnOps = desk.settings().stateLimits().txnOps();
+    int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
+    // Conditions may be four times as many as changes; some are on the job, its chunks, its team.
+    int maxHosts = 4 * txnOps - maxChunks - 2;
+    Map<Integer, Chunk> next = new TreeMap<>();
+    List<Ended> ends = new ArrayList<>();
+    List<Starting> starts = new ArrayList<>();
+    Map<String, Long> stamps = new HashMap<>();
+    List<Ended> all = List.copyOf(c.ends);
+    c.ends.clear();
+    for (Ended e : all) {
+      int index = e.number() / Chunk.TASKS;
+      int n = e.number() % Chunk.TASKS;
+      Chunk now = next.containsKey(index) ? next.get(index) : c.chunks.get(index);
+      if (now == null || !e.placement().equals(now.placed.get(n))) {
+        continue;
+      }
+      if (!next.containsKey(index) && next.size() >= maxChunks
+          || e.holdStamp() > 0 && !agrees(stamps, e.placement().host(), e.holdStamp())) {
+        c.ends.add(e);
+        continue;
+      }
+      Chunk chunk = next.computeIfAbsent(index, i -> now.copy(0));
+      ends.add(e);
+      chunk.placed.remove(n);
+      if (e.end() == End.DONE) {
+        chunk.done.set(n);
+        chunk.tries.remove(n);
+      }
+    }
+    parking.sortOffers(c);
+    int placed = c.live.size() - ends.size();
+    int limit =
+        quota == null
+            ? Integer.MAX_VALUE
+            : (int) Math.min(Integer.MAX_VALUE, (long) c.record.granted() + quota.room(c.size));
+    int number = 0;
+    int allowed = c.suspect() ? Math.max(0, 1 - c.live.size()) : Integer.MAX_VALUE;
+    List<String> startHosts = new ArrayList<>();
+    List<Held> offers = List.copyOf(c.offers);
+    List<Held> kept = new ArrayList<>();
+    for (Held h : offers) {
+      Message.Offer o = h.offer();
+      if (stamps.size() >= maxHosts && !stamps.containsKey(o.host())) {
+        // More machines than one transaction can name: taken with the next.
+        kept.add(h);
+        continue;
+      }
+      number = c.busy.nextClearBit(number);
+      int index = number / Chunk.TASKS;
+      boolean take =
+          c.open()
+              && number < c.spec.tasks()
+              && starts.size() < allowed
+              && placed + starts.size() < limit
+              && desk.now() >= c.notBefore
+              && (next.containsKey(index) || next.size() < maxChunks)
+              && zones.allowed(c, o.host(), startHosts)
+              && agrees(stamps, o.host(), o.holdStamp());
+      if (!take) {
+        decline(h);
+        continue;
+      }
+      kept.add(h);
+      Chunk old = c.chunks.get(index);
+      Chunk chunk = next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
+      int n = number % Chunk.TASKS;
+      Placement p = new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.tenure());
+      chunk.tries.put(n, p.attempt());
+      chunk.placed.put(n, p);
+      starts.add(new Starting(h, number, p));
+      startHosts.add(o.host());
+      number++;
+    }
+    c.offers.clear();
+    c.offers.addAll(kept);
+    return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), starts, ends));
+  }
+
+  /** How many tasks are to be granted when so many are placed. */
+  private int grant(
+      Claim c, Quotas.Quota quota, int placed, List<Starting> starts, List<Ended> ends) {
+    if (quota == null) {
+      return 0;
+    }
+    int granted = c.record.granted();
+    long finished = ends.stream().filter(e -> e.end() == End.DONE).count();
+    int unstarted =
+        (int) Math.max(0, c.spec.tasks() - c.done - finished - placed) * (c.open() ? 1 : 0);
+    int left = quota.room(c.size);
+    int ahead = Math.min(unstarted, left / (AHEAD * desk.settings().controllers()));
+    if (placed > granted) {
+      return placed + Math.min(ahead, left - (placed - granted));
+    }
+    int idle = granted - placed;
+    boolean tight = left < granted;
+    return idle > ahead && (tight || idle >= Math.max(8, granted / 2)) ? placed + ahead : granted;
+  }
+
+  /** Two proofs that rest on different records of one hold cannot share a transaction. */
+  private static boolean agrees(Map<String, Long> stamps, String host, long stamp) {
+    return stamps.putIfAbsent(host, stamp) == null || stamps.get(host) == stamp;
+  }
+
+  private void written(
+      Claim c,
+      Flight f,
+      Status last,
+      JobRecord rewritten,
+      List<Integer> emptied,
+      String mark,
+      long revision) {
+    for (Ended e : f.ends) {
+      if (e.end() != End.GONE) {
+        Room.Seen s = room.get(e.placement().host());
+        if (s != null) {
+          desk.peers()
+              .send(
+                  s.holder(),
+                  new Message.Clear(
+                      e.placement().host(), c.id(), e.number(), e.placement().attempt()));
+        }
+      }
+    }
+    if (c.dropped) {
+      // Written just before the claim went to another controller, which will find it.
+      return;
+    }
+    for (Starting s : f.starts) {
+      Message.Offer o = s.held.offer();
+      LOG.log(Level.DEBUG, "placed {0}/{1} on {2}", c.id(), s.number, o.host());
+      desk.peers()
+          .send(
+              s.held.holder(),
+              new Message.Start(
+                  o.offer(), o.host(), o.baton(), c.id(), s.number, s.placement.attempt()));
+    }
+    if (last != null && rewritten == null) {
+      claims.finished(c, last, revision);
+      return;
+    }
+    if (rewritten != null) {
+      c.record = rewritten;
+      c.stamp = revision;
+      desk.jobs().wrote(c.id(), rewritten, mark, revision);
+    }
+    if (last != null) {
+      emptied.forEach(c.chunks::remove);
+      c.forgetAllLive();
+      flush(c);
+      return;
+    }
+    f.next.forEach((i, chunk) -> c.install(i, chunk.copy(revision)));
+    double now = desk.now();
+    f.starts.forEach(s -> c.live.get(s.number).probedAt = now);
+    if (!f.starts.isEmpty()) {
+      parking.served(c, now);
+    }
+    claims.review(c);
+  }
+
+  /** Another controller has changed the team's record: it is read before it is changed again. */
+  private void refresh(Quotas.Quota quota, Claim c) {
+    desk.store()
+        .get(
+            quota.key(),
+            Store.Urgency.CORE,
+            got -> {
+              if (got.outcome() == Store.Outcome.OK) {
+                quotas.saw(quota, got.value(), got.stamp());
+              }
+              quota.release();
+              flush(c);
+            });
+  }
+
+  private void refused(Claim c, Flight f, Store.Done done) {
+    Set<String> failed = new HashSet<>(done.failed());
+    LOG.log(Level.DEBUG, "recording of {0} refused: {1}", c.id(), failed);
+    boolean jobFailed = failed.contains(JobRecord.key(c.id()));
+    boolean chunkFailed = failed.stream().anyMatch(k -> k.startsWith(Chunk.prefix(c.id())));
+    for (Starting s : f.starts) {
+      if (jobFailed || chunkFailed || failed.contains(Holds.key(s.placement.host()))) {
+        decline(s.held);
+      } else {
+        c.offers.add(s.held);
+      }
+    }
+    for (Ended e : f.ends) {
+      boolean proofGone = e.holdStamp() > 0 && failed.contains(Holds.key(e.placement().host()));
+      Live l = c.live.get(e.number());
+      if (proofGone && l != null) {
+        l.ending = false;
+      } else {
+        c.ends.add(e);
+      }
+    }
+    if (jobFailed || chunkFailed || failed.isEmpty()) {
+      declineAll(c);
+      claims.reload(c);
+      return;
+    }
+    desk.later(0.05, () -> flush(c));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Zones.java
@@ -0,0 +1,62 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.claim.Claim.Live;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Whether a task may be placed in a zone, given the job's other tasks. */
+final class Zones {
+  private final Room room;
+
+  /** The zone of a machine with placed tasks, remembered beyond its holder's link. */
+  private final Map<String, String> zones = new HashMap<>();
+
+  Zones(Room room) {
+    this.room = room;
+  }
+
+  /** {@code starts} are the machines of tasks that are about to be placed beside the recorded. */
+  boolean allowed(Claim c, String host, List<String> starts) {
+    Room.Seen seen = room.get(host);
+    if (seen == null
+        || !c.spec.allows(seen.view().type(), seen.view().zone(), seen.view().spot())) {
+      return false;
+    }
+    if (!c.spec.oneZone() && !c.spec.spread()) {
+      return true;
+    }
+    String zone = seen.view().zone();
+    int same = 0;
+    int other = 0;
+    boolean unknown = false;
+    for (Live l : c.live.values()) {
+      String its = zoneOf(l.placement.host());
+      unknown |= its == null;
+      if (zone.equals(its)) {
+        same++;
+      } else {
+        other++;
+      }
+    }
+    for (String s : starts) {
+      if (zone.equals(zoneOf(s))) {
+        same++;
+      } else {
+        other++;
+      }
+    }
+    if (c.spec.oneZone()) {
+      return other == 0;
+    }
+    return same + 1 <= (c.spec.tasks() + 1) / 2 && !unknown;
+  }
+
+  private String zoneOf(String host) {
+    Room.Seen s = room.get(host);
+    if (s != null) {
+      zones.put(host, s.view().zone());
+    }
+    return zones.get(host);
+  }
+}
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -3,6 +3,7 @@
 import dev.dunefront.book.Books;
 import dev.dunefront.book.Holds;
 import dev.dunefront.claim.Claims;
+import dev.dunefront.claim.Desk;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.fleet.Catalog;
@@ -25,6 +26,10 @@
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.Report;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.BiFunction;
 
 /** One controller, put together from its parts; network, clock and store come from outside. */
@@ -32,6 +37,9 @@
   private static final double TICK_S = 0.25;
   private static final double SLOW_TICK_S = 0.5;
 
+  /** What is assumed of a controller that lives but is not heard: more than an equal part. */
+  private static final Store.Use UNHEARD = new Store.Use(1e6, 1e6);
+
   /** How long a peer's word on the state service counts. */
   private static final double HEALTH_S = 2;
 
@@ -50,6 +58,7 @@
   private final JobApi api;
   private final Peers peers;
   private final Meters meters = new Meters();
+  private final Map<String, Store.Use> uses = new HashMap<>();
   private double servedElsewhere = Double.NEGATIVE_INFINITY;
 
   public Daemon(
@@ -85,17 +94,18 @@
             ward);
     claims =
         new Claims(
-            settings,
-            tunables,
-            membership,
-            replica,
-            holds,
-            jobs,
-            catalog,
-            store,
-            peers,
-            timers,
-            ward);
+            new Desk(
+                settings,
+                tunables,
+                membership,
+                replica,
+                holds,
+                jobs,
+                catalog,
+                store,
+                peers,
+                timers,
+                ward));
     fleet =
         new Fleet(
             settings,
@@ -158,7 +168,11 @@
     ward.run(
         () -> {
           fleet.tick();
-          peers.broadcast(new Message.Health(!store.down()));
+          shareBudget();
+          Message.Progress progress = claims.progress();
+          if (!progress.counts().isEmpty()) {
+            peers.broadcast(progress);
+          }
           String leader = fleet.leaderNode();
           if (leader != null && membership.self() != null) {
             peers.send(leader, claims.demand());
@@ -167,6 +181,27 @@
     timers.after(SLOW_TICK_S, this::slowTick);
   }
 
+  /**
+   * Tells the others what this controller asks of the state service, and takes its part of the
+   * common budget. A living controller that is not heard counts with an equal part.
+   */
+  private void shareBudget() {
+    Store.Use own = store.use();
+    uses.keySet().retainAll(membership.liveNodes());
+    List<Store.Use> others = new ArrayList<>();
+    for (String node : membership.liveNodes()) {
+      if (!node.equals(settings.node())) {
+        others.add(uses.getOrDefault(node, UNHEARD));
+      }
+    }
+    if (membership.self() != null && replica.ready()) {
+      store.share(own, others);
+    }
+    for (Settings.Peer p : settings.peers()) {
+      peers.send(p.node(), new Message.Health(!store.down(), own.requests(), own.writes()));
+    }
+  }
+
   /**
    * Whether users' requests can be taken. A controller that the state service refuses while it
    * serves others sends its users to those; in an outage that all share, each goes on answering.
@@ -263,7 +298,8 @@
     if (m instanceof Message.Demand d) {
       fleet.received(from, d);
     } else if (m instanceof Message.Health h) {
-      if (h.stateServes() && !from.equals(settings.node())) {
+      uses.put(from, new Store.Use(h.requests(), h.writes()));
+      if (h.stateServes()) {
         servedElsewhere = timers.now();
       }
     } else {
@@ -280,6 +316,7 @@
 
   @Override
   public void gone(String node) {
+    uses.remove(node);
     books.gone(node);
     claims.gone(node);
     fleet.gone(node);
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -288,7 +288,7 @@
     }
     for (Room.Seen s : room.all()) {
       String host = s.view().host();
-      if (!s.view().tasks().isEmpty() || !s.view().open()) {
+      if (!s.view().idle() || !s.view().open()) {
         idleSince.remove(host);
       } else if (now - idleSince.computeIfAbsent(host, h -> now) > tunables.idleReturnS()
           && demands.values().stream().allMatch(d -> d.waiting().isEmpty())
@@ -316,7 +316,12 @@
       return seen.view().lost();
     }
     Holds.Hold hold = holds.get(host);
-    return hold == null || hold.dead() || !membership.alive(hold.holder());
+    if (hold == null || hold.dead()) {
+      return true;
+    }
+    // A live holder that can be heard would have told of the machine if it heard it itself.
+    String holder = Membership.nodeOf(hold.holder());
+    return !membership.liveNodes().contains(holder) || demands.containsKey(holder);
   }
 
   private void delete(List<String> hosts) {
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -90,7 +90,7 @@
   private void accept(JobSpec spec, Answer answer) {
     String claim = claims.admits(spec) ? membership.self() : null;
     JobRecord record =
-        new JobRecord(spec, timers.timeOfDayMs(), claim, claim == null ? 0 : 1, Status.OPEN);
+        new JobRecord(spec, timers.timeOfDayMs(), claim, claim == null ? 0 : 1, Status.OPEN, 0);
     String mark = store.newMark();
     store.tryTxn(
         new Txn()
@@ -249,8 +249,8 @@
 
   private byte[] status(String id, Status status, JobTable.Entry entry) {
     Claims.Counts counts = claims.counts(id);
-    int done = counts == null ? 0 : counts.done();
-    int running = counts == null ? claims.runningElsewhere(id) : counts.running();
+    int done = counts.done();
+    int running = counts.running();
     if (status == Status.DONE && entry != null) {
       done = entry.record().spec().tasks();
     }
--- a/src/main/java/dev/dunefront/job/JobRecord.java
+++ b/src/main/java/dev/dunefront/job/JobRecord.java
@@ -13,8 +13,10 @@
  * @param acceptedMs time of day when the job was accepted
  * @param claim the incarnation that has claimed the job, or null
  * @param term rises with every claim
+ * @param granted how many of its tasks may be placed at once within the team's limit; 0 without one
  */
-public record JobRecord(JobSpec spec, long acceptedMs, String claim, long term, Status status) {
+public record JobRecord(
+    JobSpec spec, long acceptedMs, String claim, long term, Status status, int granted) {
   public static final String PREFIX = Replica.PREFIX + "j/";
 
   public enum Status {
@@ -38,7 +40,8 @@
         d.countOr("at", 0),
         d.textOr("claim", null),
         d.countOr("term", 0),
-        Status.valueOf(d.text("status")));
+        Status.valueOf(d.text("status")),
+        (int) d.countOr("granted", 0));
   }
 
   public Doc write(String mark) {
@@ -48,6 +51,7 @@
         .put("claim", claim)
         .put("term", term)
         .put("status", status.name())
+        .put("granted", granted)
         .put(Store.MARK, mark);
   }
 
@@ -60,10 +64,19 @@
   }
 
   public JobRecord claimedBy(String incarnation) {
-    return new JobRecord(spec, acceptedMs, incarnation, term + 1, status);
+    return new JobRecord(spec, acceptedMs, incarnation, term + 1, status, granted);
+  }
+
+  /** Whether this incarnation, if any, has the claim. */
+  public boolean heldBy(String incarnation) {
+    return incarnation != null && incarnation.equals(claim);
   }
 
   public JobRecord with(Status next) {
-    return new JobRecord(spec, acceptedMs, claim, term, next);
+    return new JobRecord(spec, acceptedMs, claim, term, next, granted);
+  }
+
+  public JobRecord granting(int tasks) {
+    return new JobRecord(spec, acceptedMs, claim, term, status, tasks);
   }
 }
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -1,5 +1,6 @@
 package dev.dunefront.peer;
 
+import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Size;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -43,7 +44,10 @@
     REFUSED
   }
 
-  /** A held machine: what runs on it and what room it has. Sent on every change. */
+  /**
+   * A held machine: what room it has, told to every controller when it changes, and those of its
+   * tasks whose jobs the receiver has claimed or nobody is known to have claimed.
+   */
   record View(
       String host,
       String type,
@@ -62,8 +66,43 @@
       boolean quarantined,
       Size free,
       List<String> images,
+      /** Unfinished tasks on it, by priority. */
+      List<Integer> unfinished,
       List<TaskState> tasks)
-      implements Message {}
+      implements Message {
+    /** How many unfinished tasks there are of a lower priority. */
+    public int below(Priority priority) {
+      int n = 0;
+      for (int p = priority.ordinal() + 1; p < unfinished.size(); p++) {
+        n += unfinished.get(p);
+      }
+      return n;
+    }
+
+    /** Whether nothing runs or is about to. */
+    public boolean idle() {
+      return below(Priority.CRITICAL) == 0 && (unfinished.isEmpty() || unfinished.get(0) == 0);
+    }
+
+    public View withTasks(List<TaskState> shown) {
+      return new View(
+          host,
+          type,
+          zone,
+          spot,
+          baton,
+          holdStamp,
+          tenure,
+          settled,
+          lost,
+          open,
+          quarantined,
+          free,
+          images,
+          unfinished,
+          shown);
+    }
+  }
 
   /** The sender no longer holds the machine. */
   record Unheld(String host) implements Message {}
@@ -114,11 +153,16 @@
 
   record Waiting(String job, int tasks) {}
 
+  /** What has changed in the task counts of the sender's jobs, for users who ask elsewhere. */
+  record Progress(List<Count> counts) implements Message {}
+
+  record Count(String job, int done, int running) {}
+
   /** Asks to stop young tasks of lower priority, so that so many tasks of this size find room. */
   record Preempt(String host, int priority, Size size, int count) implements Message {}
 
-  /** Whether the state service serves the sender. */
-  record Health(boolean stateServes) implements Message {}
+  /** Whether the state service serves the sender, and how much of it the sender asks a second. */
+  record Health(boolean stateServes, double requests, double writes) implements Message {}
 
   int MAX_RECORD = 4 << 20;
 
@@ -156,6 +200,10 @@
       for (String image : v.images) {
         out.writeUTF(image);
       }
+      out.writeByte(v.unfinished.size());
+      for (int n : v.unfinished) {
+        out.writeShort(n);
+      }
       out.writeInt(v.tasks.size());
       for (TaskState t : v.tasks) {
         out.writeUTF(t.job);
@@ -234,9 +282,19 @@
       out.writeByte(p.priority);
       writeSize(out, p.size);
       out.writeInt(p.count);
+    } else if (m instanceof Progress p) {
+      out.writeByte(20);
+      out.writeInt(p.counts.size());
+      for (Count n : p.counts) {
+        out.writeUTF(n.job);
+        out.writeInt(n.done);
+        out.writeInt(n.running);
+      }
     } else if (m instanceof Health h) {
       out.writeByte(18);
       out.writeBoolean(h.stateServes);
+      out.writeDouble(h.requests);
+      out.writeDouble(h.writes);
     } else if (m instanceof Demand d) {
       out.writeByte(17);
       out.writeInt(d.waiting.size());
@@ -321,7 +379,15 @@
             yield new Demand(all);
           }
           case 19 -> new Preempt(in.readUTF(), in.readByte(), readSize(in), in.readInt());
-          case 18 -> new Health(in.readBoolean());
+          case 18 -> new Health(in.readBoolean(), in.readDouble(), in.readDouble());
+          case 20 -> {
+            int n = in.readInt();
+            List<Count> all = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+              all.add(new Count(in.readUTF(), in.readInt(), in.readInt()));
+            }
+            yield new Progress(all);
+          }
           default -> throw new IOException("unknown record " + kind);
         };
     if (in.read() >= 0) {
@@ -347,6 +413,10 @@
     for (int n = in.readShort(); n > 0; n--) {
       images.add(in.readUTF());
     }
+    List<Integer> unfinished = new ArrayList<>();
+    for (int n = in.readByte(); n > 0; n--) {
+      unfinished.add((int) in.readShort());
+    }
     List<TaskState> tasks = new ArrayList<>();
     for (int n = in.readInt(); n > 0; n--) {
       tasks.add(
@@ -371,6 +441,7 @@
         quarantined,
         free,
         images,
+        unfinished,
         tasks);
   }
 
--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -165,6 +165,7 @@
     private Reader reader = new Reader();
     private double heard;
     private boolean up;
+    private boolean flushing;
 
     Out(Settings.Peer peer) {
       this.peer = peer;
@@ -245,7 +246,19 @@
         close(connection, "too much is queued");
         return;
       }
-      flush(connection);
+      if (!flushing) {
+        // One write for all that this turn of the loop queues.
+        flushing = true;
+        worker
+            .getIoThread()
+            .execute(
+                () -> {
+                  flushing = false;
+                  if (up) {
+                    flush(connection);
+                  }
+                });
+      }
     }
 
     private void flush(StreamConnection c) {
--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -26,6 +26,7 @@
   private final Map<Long, Double> lives = new HashMap<>();
   private final List<Change> changes = new ArrayList<>();
   private final List<Runnable> watches = new ArrayList<>();
+  private final Map<String, Integer> written = new HashMap<>();
   private long revision = 1;
   private long lastLease = 6;
   private boolean out;
@@ -46,6 +47,14 @@
   }
 
   /** The value of a key, or null. */
+  /** How often keys with the prefix have been put or removed so far. */
+  public int written(String prefix) {
+    return written.entrySet().stream()
+        .filter(e -> e.getKey().startsWith(prefix))
+        .mapToInt(Map.Entry::getValue)
+        .sum();
+  }
+
   public Doc value(String key) {
     expire();
     Value v = keys.get(key);
@@ -156,9 +165,11 @@
     revision++;
     for (Doc t : txn.docs("then")) {
       if (t.has("put")) {
+        written.merge(t.text("put"), 1, Integer::sum);
         keys.put(t.text("put"), new Value(t.doc("data"), revision, t.countOr("tenancy", 0)));
         changes.add(new Change(revision, t.text("put"), t.doc("data")));
       } else if (keys.remove(t.text("remove")) != null) {
+        written.merge(t.text("remove"), 1, Integer::sum);
         changes.add(new Change(revision, t.text("remove"), null));
       }
     }
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -9,6 +9,7 @@
 import dev.dunefront.wire.Doc;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -27,13 +28,18 @@
   private final Caller caller;
   private final Timers timers;
   private final Ward ward;
-  private final double rps;
-  private final double writeRps;
+  private final Share requestShare;
+  private final Share writeShare;
+  private double rps;
+  private double writeRps;
   private final String markPrefix;
   private final Map<Urgency, ArrayDeque<Waiting>> queues = new EnumMap<>(Urgency.class);
   private double requests;
   private double writes;
   private double refilled;
+  private double asked;
+  private double askedWrites;
+  private double askedSince;
   private boolean pumping;
   private boolean down;
   private boolean probing;
@@ -44,13 +50,16 @@
     this.caller = caller;
     this.timers = timers;
     this.ward = ward;
-    this.rps = settings.stateLimits().rps() / settings.controllers();
-    this.writeRps = settings.stateLimits().writeRps() / settings.controllers();
+    this.requestShare = new Share(settings.stateLimits().rps(), settings.controllers());
+    this.writeShare = new Share(settings.stateLimits().writeRps(), settings.controllers());
+    this.rps = requestShare.equalPart();
+    this.writeRps = writeShare.equalPart();
     this.markPrefix = markPrefix;
-    // The burst is a fraction of the common one: three controllers may start at once.
+    // The burst is a part of the common one: all controllers may start at once.
     this.requests = rps * 0.8;
     this.writes = writeRps * 0.8;
     this.refilled = timers.now();
+    this.askedSince = timers.now();
     for (Urgency u : Urgency.values()) {
       queues.put(u, new ArrayDeque<>());
     }
@@ -61,6 +70,31 @@
     return down;
   }
 
+  @Override
+  public Use use() {
+    int queuedWrites = 0;
+    int queued = 0;
+    for (ArrayDeque<Waiting> queue : queues.values()) {
+      for (Waiting w : queue) {
+        queuedWrites += w.writes;
+        queued++;
+      }
+    }
+    double spanS = Math.max(0.1, timers.now() - askedSince);
+    Use use = new Use(asked / spanS + queued, askedWrites / spanS + queuedWrites);
+    asked = 0;
+    askedWrites = 0;
+    askedSince = timers.now();
+    return use;
+  }
+
+  @Override
+  public void share(Use own, Collection<Use> others) {
+    pump();
+    rps = requestShare.of(own.requests(), others.stream().map(Use::requests).toList());
+    writeRps = writeShare.of(own.writes(), others.stream().map(Use::writes).toList());
+  }
+
   @Override
   public String newMark() {
     return markPrefix + "-" + ++marks;
@@ -356,6 +390,8 @@
           queue.poll();
           requests -= 1;
           writes -= w.writes;
+          asked++;
+          askedWrites += w.writes;
           ward.then(w.start);
         } else {
           left = true;
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -65,6 +65,11 @@
     return incarnation.equals(live.get(nodeOf(incarnation)));
   }
 
+  /** The living incarnation of a node, or null. */
+  public String incarnation(String name) {
+    return live.get(name);
+  }
+
   public Set<String> liveNodes() {
     return live.keySet();
   }
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -1,6 +1,7 @@
 package dev.dunefront.store;
 
 import dev.dunefront.wire.Doc;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -21,9 +22,11 @@
     UNCLEAR
   }
 
-  /** Whose work a request is; users' writes go first. */
+  /** Whose work a request is; in the order in which it goes. */
   enum Urgency {
     USER,
+    /** What keeps a worker's lease alive. */
+    LEASE,
     CORE,
     BACKGROUND
   }
@@ -66,6 +69,15 @@
 
   void touchLease(long tenancy, Consumer<Done> then);
 
+  /** What a controller asks of the service in a second. */
+  record Use(double requests, double writes) {}
+
+  /** What was asked since this was last called, and is still waiting. */
+  Use use();
+
+  /** Shares the common budget with the other living controllers by what each asks for. */
+  void share(Use own, Collection<Use> others);
+
   /** Whether the service refused the last request that it answered. */
   boolean down();
 
--- a/src/main/java/dev/dunefront/wire/Doc.java
+++ b/src/main/java/dev/dunefront/wire/Doc.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageFormat;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
@@ -42,13 +43,17 @@
     if (depth > MAX_DEPTH) {
       throw new BadMessage("nested too deeply");
     }
-    switch (in.getNextFormat().getValueType()) {
+    MessageFormat format = in.getNextFormat();
+    switch (format.getValueType()) {
       case NIL:
         in.unpackNil();
         return null;
       case BOOLEAN:
         return in.unpackBoolean();
       case INTEGER:
+        if (format != MessageFormat.UINT64) {
+          return in.unpackLong();
+        }
         var big = in.unpackBigInteger();
         return big.bitLength() <= 63 ? (Object) big.longValue() : (Object) big.doubleValue();
       case FLOAT:
--- a/src/main/java/dev/dunefront/wire/Size.java
+++ b/src/main/java/dev/dunefront/wire/Size.java
@@ -31,6 +31,10 @@
     return cpu <= room.cpu && gpu <= room.gpu && ram <= room.ram;
   }
 
+  public Size times(long n) {
+    return new Size(cpu * n, gpu * n, ram * n);
+  }
+
   /** How many tasks of this size fit into the room. */
   public int timesIn(Size room) {
     if (!fits(room)) {
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -32,8 +32,10 @@
               false,
               new Size(1, 2, 3),
               List.of("img"),
+              List.of(0, 1, 0, 2),
               List.of(new TaskState("wk-1", 2, 3, State.EXITED, Why.DONE))),
           new Message.Unheld("h"),
+          new Message.Progress(List.of(new Message.Count("wk-1", 2, 3))),
           new Message.Want("h", "wk-1", 1, 2, new Size(1, 2, 3), 4),
           new Message.Offer(1, "h", "wk-1", 2, 3, 4),
           new Message.Decline(1, "h"),
@@ -46,7 +48,7 @@
           new Message.HoldAsk("h"),
           new Message.HoldSay("h", true, 0.5),
           new Message.Cancelled("wk-1"),
-          new Message.Health(true),
+          new Message.Health(true, 1.5, 2.5),
           new Message.Preempt("h", 1, new Size(1, 2, 3), 4),
           new Message.Demand(List.of(new Message.Waiting("wk-1", 3))));
 
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/ScaleTest.java
@@ -0,0 +1,86 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.standin.WorkerStandIn;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Several controllers and hundreds of machines: what is counted is what each step costs. */
+class ScaleTest {
+  private static final int MACHINES = 200;
+  private static final String LIMITED =
+      "[[facts.teams]]\nname = \"t\"\ncpus = 100.0\ncpus_max = 5000.0\n";
+
+  private static World world() {
+    World w = new World(5, LIMITED);
+    for (int i = 0; i < MACHINES; i++) {
+      w.machine("host-" + i, "small", "a", "node-" + i % 5);
+    }
+    w.start().pass(10);
+    return w;
+  }
+
+  @Test
+  void aStartCostsPartsOfAWriteAndFewMessages() {
+    World w = world();
+    int reports = w.reports;
+    int messages = w.messages;
+    w.pass(10);
+    int idle = w.messages - messages;
+    assertTrue(idle < (w.reports - reports) / 2, idle + " messages while nothing changes");
+    messages = w.messages;
+    int writes = w.state.written("");
+    int jobs = 12;
+    int tasks = 60;
+    for (int i = 0; i < jobs; i++) {
+      assertEquals(201, w.submit("node-" + i % 5, World.job("wk-" + i, tasks, 1)).status());
+    }
+    int started = 0;
+    for (int round = 0; round < 20; round++) {
+      w.pass(1);
+      started = 0;
+      for (WorkerStandIn m : w.workers.values()) {
+        started += m.starts().size();
+        m.running().forEach(t -> m.exit(t, "done"));
+      }
+    }
+    w.pass(3);
+    assertEquals(jobs * tasks, started);
+    for (int i = 0; i < jobs; i++) {
+      assertEquals("done", w.poll("node-" + (i + 1) % 5, "wk-" + i).state());
+    }
+    assertEquals(List.of(), w.overlaps);
+    double perTask = (double) (w.state.written("") - writes) / started;
+    assertTrue(perTask < 0.4, perTask + " changes for a task");
+    double sent = (double) (w.messages - messages - idle) / started;
+    assertTrue(sent < 16, sent + " messages for a task");
+  }
+
+  @Test
+  void controllersThatReturnHoldTheirMachinesOnWithoutWriting() {
+    World w = world();
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 300, 1)).status());
+    w.pass(2);
+    int running = running(w);
+    assertEquals(300, running);
+    int holds = w.state.written("w/h/");
+    w.nodes.values().forEach(World.Node::crash);
+    w.pass(3);
+    w.nodes.values().forEach(World.Node::start);
+    w.pass(World.LEASE_S);
+    assertEquals(300, running(w), "no lease ran out");
+    assertEquals(holds, w.state.written("w/h/"), "no hold was written again");
+    for (WorkerStandIn m : w.workers.values()) {
+      m.running().forEach(t -> m.exit(t, "done"));
+    }
+    w.pass(5);
+    assertEquals("done", w.poll("node-3", "wk-1").state());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  private static int running(World w) {
+    return w.workers.values().stream().mapToInt(m -> m.running().size()).sum();
+  }
+}
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -51,6 +51,11 @@
       new PriorityQueue<>(
           (a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
   private double now = 100;
+
+  /** Records between controllers, and reports of workers, so far. */
+  int messages;
+
+  int reports;
   private long order;
 
   final Timers timers = new FakeTimers(() -> true);
@@ -132,7 +137,6 @@
       Due d = due.poll();
       now = d.at;
       d.action.run();
-      watchOverlaps();
     }
     now = until;
   }
@@ -232,6 +236,7 @@
 
     @Override
     public void send(String node, Message message) {
+      messages++;
       Node to = nodes.get(node);
       int life = to == null ? 0 : to.life;
       byte[] record = Message.encode(message);
@@ -352,6 +357,7 @@
       if (w != null && !silent.contains(w.host())) {
         try {
           Caller.Reply reply = w.orders(body);
+          watchOverlaps();
           then.accept(reply);
         } catch (BadMessage e) {
           throw new AssertionError(e);
@@ -384,6 +390,7 @@
     Node n = nodes.get(reportsTo.get(w.host()));
     double sent = now;
     byte[] body = w.report();
+    reports++;
     boolean lostNow = silent.contains(w.host()) || !n.up || lost.test(w.endpoint(), n.name);
     if (lostNow) {
       tryNext(w, n);
