--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -546,11 +546,8 @@
       return;
     }
     TaskId id = new TaskId(s.job(), s.number());
-    Machine.Offered offer = m.offers.get(s.offer());
     boolean good =
-        offer != null
-            && offer.node().equals(from)
-            && offer.job().equals(s.job())
+        (offered(m, from, s) || stillFits(m, s))
             && m.baton == s.baton()
             && !m.doubt
             && !m.raising
@@ -567,6 +564,22 @@
     act(m);
   }
 
+  private static boolean offered(Machine m, String from, Message.Start s) {
+    Machine.Offered offer = m.offers.get(s.offer());
+    return offer != null && offer.node().equals(from) && offer.job().equals(s.job());
+  }
+
+  /**
+   * Whether there is room for a start whose offer has run out. When many placements wait for the
+   * state's budget, offers run out before they are recorded; were such starts refused, each would
+   * cost the budget a lost attempt and a new one, and nothing would start at all.
+   */
+  private boolean stillFits(Machine m, Message.Start s) {
+    MachineType type = catalog.type(m.typeName);
+    Size size = sizeOf(s.job());
+    return type != null && size != null && m.open() && size.fits(m.free(type, this::sizeOf));
+  }
+
   private void probed(String from, Message.Probe p) {
     Machine m = held.get(p.host());
     if (m == null || !m.settled || m.doubt || m.raising || m.lost) {
@@ -683,15 +696,19 @@
         m.quarantined,
         m.free(catalog.type(m.typeName), this::sizeOf),
         List.copyOf(m.images),
-        unfinished(m),
+        unfinished(m, 0),
+        unfinished(m, timers.now() - YOUNG_S),
         List.of());
   }
 
-  private List<Integer> unfinished(Machine m) {
+  /** Unfinished tasks that have started since then, by priority. */
+  private List<Integer> unfinished(Machine m, double since) {
     int[] n = new int[Priority.values().length];
     for (TaskId id : m.unfinished()) {
       JobTable.Entry e = jobs.get(id.job());
-      n[e == null ? 0 : e.record().spec().priority().ordinal()]++;
+      if (since == 0 || m.startedAt.getOrDefault(id, 0.0) > since) {
+        n[e == null ? 0 : e.record().spec().priority().ordinal()]++;
+      }
     }
     return Arrays.stream(n).boxed().toList();
   }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -96,10 +96,8 @@
 
   double openingsAt;
 
-  /** Since when recorded-to-be ends wait for others to share their transaction. */
-  boolean gathering;
-
-  boolean gathered;
+  /** When what waits to be recorded is written at the latest. */
+  double flushDue = Double.POSITIVE_INFINITY;
 
   /** Counts last told to the other controllers. */
   int toldDone;
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -306,7 +306,7 @@
 
   public void received(String from, Message message) {
     if (message instanceof View v) {
-      Room.Seen old = room.put(from, v);
+      Room.Seen old = room.put(from, v, desk.now());
       if (old != null && (!old.holder().equals(from) || old.view().baton() != v.baton())) {
         unpark(v.host());
       }
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -18,8 +18,11 @@
  * and in between only at machines where room has opened.
  */
 final class Parking {
-  private static final double PREEMPT_AFTER_S = 0.4;
-  private static final double PREEMPT_AGAIN_S = 2;
+  private static final double PREEMPT_AFTER_S = 0.1;
+  private static final double PREEMPT_AGAIN_S = 1;
+
+  /** How long a holder's word that there are young tasks is taken for true. */
+  private static final double YOUNG_S = 15;
 
   /** How soon an unserved job looks over all machines again; doubled up to the tick. */
   private static final double LOOK_AGAIN_S = 0.25;
@@ -93,7 +96,8 @@
     if (wanted > c.parkedFor || now >= c.lookAgain) {
       c.parkedFor = wanted;
       c.lookAgain = now + c.lookPause;
-      c.lookPause = Math.min(desk.tunables().tickS(), c.lookPause * 2);
+      double longest = desk.tunables().tickS() / (c.spec.priority().urgent() ? 4 : 1);
+      c.lookPause = Math.min(longest, c.lookPause * 2);
       c.openings = room.openings();
       c.openingsAt = now;
       parkAnew(c, wanted, now);
@@ -299,8 +303,8 @@
       if (need <= 0) {
         break;
       }
-      int n = Math.min(need, ch.seen.view().below(priority));
-      if (ch.fits == 0 && n > 0) {
+      int n = Math.min(need, ch.seen.view().youngBelow(priority));
+      if (ch.fits == 0 && n > 0 && now - ch.seen.at() < YOUNG_S) {
         need -= n;
         c.preemptedAt = now;
         desk.peers()
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -32,7 +32,15 @@
   private static final double CHOOSE_S = 0.012;
 
   /** Ends that free nothing but a record wait this long for others to share a transaction. */
-  private static final double GATHER_S = 0.4;
+  private static final double GATHER_S = 1;
+
+  /**
+   * While changes have to wait for the budget anyway, what is to be recorded gathers before its
+   * transaction is made, so that each carries the more; but no longer than this.
+   */
+  private static final double PRESSED_S = 1;
+
+  private static final double NO_PRESSURE_S = 0.05;
 
   /** As many chunks as a transaction of 64 KiB surely takes. */
   private static final int MAX_CHUNKS = 4;
@@ -86,7 +94,7 @@
 
   /** Whether what there is to record can wait for more. */
   private boolean canGather(Claim c, Quotas.Quota quota) {
-    if (!c.offers.isEmpty() || c.gathered || !c.open()) {
+    if (!c.offers.isEmpty() || !c.open()) {
       return false;
     }
     int done = c.done;
@@ -100,6 +108,25 @@
     return done < c.spec.tasks() && (quota == null || quota.room(c.size) > c.live.size());
   }
 
+  private double pressureS() {
+    double delay = desk.store().writeDelayS();
+    return delay < NO_PRESSURE_S ? 0 : Math.min(PRESSED_S, delay);
+  }
+
+  /** Whether what there is has waited long enough; if not, it is looked at again in time. */
+  private boolean due(Claim c, double waitS) {
+    double now = desk.now();
+    if (waitS > 0 && now + 0.002 < c.flushDue) {
+      if (now + waitS < c.flushDue) {
+        c.flushDue = now + waitS;
+        desk.later(waitS, () -> flush(c));
+      }
+      return false;
+    }
+    c.flushDue = Double.POSITIVE_INFINITY;
+    return true;
+  }
+
   void flush(Claim c) {
     if (c.flying || c.loading || c.dropped) {
       return;
@@ -112,20 +139,9 @@
       return;
     }
     Quotas.Quota quota = quotas.of(c.spec.team());
-    if (!over && canGather(c, quota)) {
-      if (!c.gathering) {
-        c.gathering = true;
-        desk.later(
-            GATHER_S,
-            () -> {
-              c.gathering = false;
-              c.gathered = true;
-              flush(c);
-            });
-      }
+    if (!over && !due(c, canGather(c, quota) ? GATHER_S : pressureS())) {
       return;
     }
-    c.gathered = false;
     if (quota != null && quota.busy) {
       quota.waiting.add(() -> flush(c));
       return;
@@ -354,6 +370,11 @@
         }
       }
     }
+    if (last != null && rewritten == null) {
+      // The replica may have shown the end before the answer came.
+      claims.finished(c, last, revision);
+      return;
+    }
     if (c.dropped) {
       // Written just before the claim went to another controller, which will find it.
       return;
@@ -367,10 +388,6 @@
               new Message.Start(
                   o.offer(), o.host(), o.baton(), c.id(), s.number, s.placement.attempt()));
     }
-    if (last != null && rewritten == null) {
-      claims.finished(c, last, revision);
-      return;
-    }
     if (rewritten != null) {
       c.record = rewritten;
       c.stamp = revision;
--- a/src/main/java/dev/dunefront/claim/Room.java
+++ b/src/main/java/dev/dunefront/claim/Room.java
@@ -16,8 +16,8 @@
   /** What a job may be allowed or not: type, zone, spot. Each kind has a dense index. */
   public record Kind(int index, String type, String zone, boolean spot) {}
 
-  /** A machine and who holds it; {@code mix} spreads equal choices over machines. */
-  public record Seen(String holder, View view, Kind kind, int mix) {
+  /** A machine as told at a time; {@code mix} spreads equal choices over machines. */
+  public record Seen(String holder, View view, Kind kind, int mix, double at) {
     /** Whether anything may fit right now. */
     public boolean roomy() {
       return view.open() && (view.free().cpu() > 0 || view.free().gpu() > 0);
@@ -33,7 +33,7 @@
   private final List<Integer> counts = new ArrayList<>();
   private long openings;
 
-  Seen put(String holder, View view) {
+  Seen put(String holder, View view, double now) {
     Seen old = machines.get(view.host());
     if (old != null && old.view.baton() > view.baton()) {
       // A former holder's last words.
@@ -41,7 +41,7 @@
     }
     Kind kind = old != null ? old.kind : kind(view);
     int mix = old != null ? old.mix : view.host().hashCode() * 0x9E3779B9;
-    Seen seen = new Seen(holder, view, kind, mix);
+    Seen seen = new Seen(holder, view, kind, mix, now);
     machines.put(view.host(), seen);
     if (old == null) {
       counts.set(kind.index, counts.get(kind.index) + 1);
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -160,6 +160,7 @@
         () -> {
           books.tick();
           claims.tick();
+          fleet.tick();
         });
     timers.after(TICK_S, this::tick);
   }
@@ -167,7 +168,6 @@
   private void slowTick() {
     ward.run(
         () -> {
-          fleet.tick();
           shareBudget();
           Message.Progress progress = claims.progress();
           if (!progress.counts().isEmpty()) {
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -23,6 +23,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -41,6 +42,11 @@
   private static final int MAX_HIRE = 50;
   private static final int MAX_DELETE = 100;
 
+  /** From this many tasks on, a machine is larger than a task needs. */
+  private static final int OVERSIZE = 8;
+
+  private static final double OVERSIZE_COST = 2;
+
   /** A machine as the cloud lists it, with the steady time at which it was first listed. */
   private record Listed(
       String host, String type, String zone, boolean spot, String status, double since) {}
@@ -130,7 +136,7 @@
     demands.remove(node);
   }
 
-  /** Called about every half second. */
+  /** Called several times a second; the cloud is called as often as its rate allows. */
   public void tick() {
     String self = membership.self();
     if (self == null || !catalog.known()) {
@@ -360,62 +366,96 @@
         });
   }
 
-  /** What to rent next, if anything. */
+  /**
+   * What to rent next, if anything. All that waits is put together first: the cloud takes few calls
+   * a second but many machines a call, so a wave of work is answered with few large hires.
+   */
   private Hire needed(double now) {
-    Map<Kind, Integer> coming = new HashMap<>();
-    for (Listed l : listed.values()) {
-      if (!l.status.equals("failed") && !deleted.containsKey(l.host) && room.get(l.host) == null) {
-        coming.merge(new Kind(l.type, l.zone, l.spot), 1, Integer::sum);
-      }
-    }
-    expectedKind.forEach((host, kind) -> coming.merge(kind, 1, Integer::sum));
     refused.values().removeIf(until -> until < now);
     List<Message.Waiting> waiting = new ArrayList<>();
     demands.values().forEach(d -> waiting.addAll(d.waiting()));
     waiting.removeIf(w -> jobs.get(w.job()) == null);
     waiting.sort(Comparator.comparing(w -> jobs.get(w.job()).record().spec().priority()));
+    // Both in machines, with parts of machines, for tasks of several jobs share one.
+    Map<Kind, Double> coming = coming();
+    Map<Kind, Double> planned = new LinkedHashMap<>();
     for (Message.Waiting w : waiting) {
       JobSpec spec = jobs.get(w.job()).record().spec();
-      int missing = w.tasks();
+      double missing = w.tasks();
       for (var e : coming.entrySet()) {
-        MachineType t = catalog.type(e.getKey().type);
-        if (t != null && spec.allows(e.getKey().type, e.getKey().zone, e.getKey().spot)) {
-          int fit = spec.size().timesIn(t.size());
-          if (fit > 0) {
-            int used = Math.min(e.getValue(), (missing + fit - 1) / fit);
-            missing -= used * fit;
-            e.setValue(e.getValue() - used);
-          }
-        }
-        if (missing <= 0) {
-          break;
+        int fit = fit(spec, e.getKey());
+        if (fit > 0) {
+          double used = Math.min(e.getValue(), missing / fit);
+          missing -= used * fit;
+          e.setValue(e.getValue() - used);
         }
       }
-      if (missing > 0) {
-        Hire hire = choose(spec, missing);
-        if (hire != null) {
-          return hire;
-        }
+      Kind kind;
+      while (missing > 1e-6 && (kind = choose(spec, planned)) != null) {
+        int fit = fit(spec, kind);
+        double had = planned.getOrDefault(kind, 0.0);
+        double more = Math.min(MAX_HIRE - had, missing / fit);
+        planned.put(kind, had + more);
+        missing -= more * fit;
+      }
+    }
+    Kind most = null;
+    for (Kind k : planned.keySet()) {
+      if (most == null || planned.get(k) > planned.get(most)) {
+        most = k;
       }
     }
-    return null;
+    if (most == null) {
+      return null;
+    }
+    int count = (int) Math.ceil(planned.get(most) - 1e-6);
+    return new Hire("hire-" + membership.self().replace('#', '-') + "-" + ++hires, most, count);
   }
 
-  private Hire choose(JobSpec spec, int tasks) {
+  /** Machines that are rented and not yet held by anybody. */
+  private Map<Kind, Double> coming() {
+    Map<Kind, Double> coming = new HashMap<>();
+    for (Listed l : listed.values()) {
+      if (!l.status.equals("failed") && !deleted.containsKey(l.host) && room.get(l.host) == null) {
+        coming.merge(new Kind(l.type, l.zone, l.spot), 1.0, Double::sum);
+      }
+    }
+    expectedKind.forEach((host, kind) -> coming.merge(kind, 1.0, Double::sum));
+    return coming;
+  }
+
+  /** How many tasks of the job a machine of the kind takes. */
+  private int fit(JobSpec spec, Kind kind) {
+    MachineType t = catalog.type(kind.type);
+    return t != null && spec.allows(kind.type, kind.zone, kind.spot)
+        ? spec.size().timesIn(t.size())
+        : 0;
+  }
+
+  /** The cheapest kind for the job's tasks of which more can be had, or null. */
+  private Kind choose(JobSpec spec, Map<Kind, Double> planned) {
     Kind best = null;
     double bestCost = Double.MAX_VALUE;
+    boolean smallerServes = false;
+    for (MachineType t : catalog.types()) {
+      int times = spec.size().timesIn(t.size());
+      smallerServes |= times > 0 && times < OVERSIZE;
+    }
     for (MachineType t : catalog.types()) {
-      int fit = spec.size().timesIn(t.size());
-      if (fit == 0) {
-        continue;
-      }
       for (String zone : t.zones()) {
         for (boolean spot : new boolean[] {false, true}) {
           Kind kind = new Kind(t.name(), zone, spot);
-          if (!spec.allows(t.name(), zone, spot) || refused.containsKey(kind)) {
+          int fit = fit(spec, kind);
+          if (fit == 0
+              || refused.containsKey(kind)
+              || planned.getOrDefault(kind, 0.0) >= MAX_HIRE) {
             continue;
           }
-          double cost = (spot ? t.spotPrice() : t.price()) / Math.min(fit, Math.max(1, tasks));
+          double cost = (spot ? t.spotPrice() : t.price()) / fit;
+          // Machines many times too large are left to tasks that fit nowhere else.
+          if (fit >= OVERSIZE && smallerServes) {
+            cost *= OVERSIZE_COST;
+          }
           if (cost < bestCost) {
             bestCost = cost;
             best = kind;
@@ -423,12 +463,7 @@
         }
       }
     }
-    if (best == null) {
-      return null;
-    }
-    int fit = spec.size().timesIn(catalog.type(best.type).size());
-    int count = Math.min(MAX_HIRE, (tasks + fit - 1) / fit);
-    return new Hire("hire-" + membership.self().replace('#', '-') + "-" + ++hires, best, count);
+    return best;
   }
 
   private void hire(Hire h) {
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -68,20 +68,22 @@
       List<String> images,
       /** Unfinished tasks on it, by priority. */
       List<Integer> unfinished,
+      /** Those of them that began so recently that they may give way. */
+      List<Integer> young,
       List<TaskState> tasks)
       implements Message {
-    /** How many unfinished tasks there are of a lower priority. */
-    public int below(Priority priority) {
+    /** How many young tasks there are of a lower priority. */
+    public int youngBelow(Priority priority) {
       int n = 0;
-      for (int p = priority.ordinal() + 1; p < unfinished.size(); p++) {
-        n += unfinished.get(p);
+      for (int p = priority.ordinal() + 1; p < young.size(); p++) {
+        n += young.get(p);
       }
       return n;
     }
 
     /** Whether nothing runs or is about to. */
     public boolean idle() {
-      return below(Priority.CRITICAL) == 0 && (unfinished.isEmpty() || unfinished.get(0) == 0);
+      return unfinished.stream().allMatch(n -> n == 0);
     }
 
     public View withTasks(List<TaskState> shown) {
@@ -100,6 +102,7 @@
           free,
           images,
           unfinished,
+          young,
           shown);
     }
   }
@@ -200,10 +203,8 @@
       for (String image : v.images) {
         out.writeUTF(image);
       }
-      out.writeByte(v.unfinished.size());
-      for (int n : v.unfinished) {
-        out.writeShort(n);
-      }
+      writeCounts(out, v.unfinished);
+      writeCounts(out, v.young);
       out.writeInt(v.tasks.size());
       for (TaskState t : v.tasks) {
         out.writeUTF(t.job);
@@ -305,6 +306,21 @@
     }
   }
 
+  private static void writeCounts(DataOutputStream out, List<Integer> counts) throws IOException {
+    out.writeByte(counts.size());
+    for (int n : counts) {
+      out.writeShort(n);
+    }
+  }
+
+  private static List<Integer> readCounts(DataInputStream in) throws IOException {
+    List<Integer> counts = new ArrayList<>();
+    for (int n = in.readByte(); n > 0; n--) {
+      counts.add((int) in.readShort());
+    }
+    return counts;
+  }
+
   private static void writeSize(DataOutputStream out, Size s) throws IOException {
     out.writeLong(s.cpu());
     out.writeLong(s.gpu());
@@ -413,10 +429,8 @@
     for (int n = in.readShort(); n > 0; n--) {
       images.add(in.readUTF());
     }
-    List<Integer> unfinished = new ArrayList<>();
-    for (int n = in.readByte(); n > 0; n--) {
-      unfinished.add((int) in.readShort());
-    }
+    List<Integer> unfinished = readCounts(in);
+    List<Integer> young = readCounts(in);
     List<TaskState> tasks = new ArrayList<>();
     for (int n = in.readInt(); n > 0; n--) {
       tasks.add(
@@ -442,6 +456,7 @@
         free,
         images,
         unfinished,
+        young,
         tasks);
   }
 
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -70,6 +70,18 @@
     return down;
   }
 
+  @Override
+  public double writeDelayS() {
+    int queued = 1;
+    for (Urgency u : List.of(Urgency.USER, Urgency.LEASE, Urgency.CORE)) {
+      for (Waiting w : queues.get(u)) {
+        queued += w.writes;
+      }
+    }
+    double saved = Math.min(writeRps * 0.8, writes + (timers.now() - refilled) * writeRps);
+    return Math.max(0, (queued - saved) / writeRps);
+  }
+
   @Override
   public Use use() {
     int queuedWrites = 0;
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -69,6 +69,9 @@
 
   void touchLease(long tenancy, Consumer<Done> then);
 
+  /** How long a change would wait now before it is sent. */
+  double writeDelayS();
+
   /** What a controller asks of the service in a second. */
   record Use(double requests, double writes) {}
 
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -33,6 +33,7 @@
               new Size(1, 2, 3),
               List.of("img"),
               List.of(0, 1, 0, 2),
+              List.of(0, 1, 0, 0),
               List.of(new TaskState("wk-1", 2, 3, State.EXITED, Why.DONE))),
           new Message.Unheld("h"),
           new Message.Progress(List.of(new Message.Count("wk-1", 2, 3))),
