--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -28,9 +28,11 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The machines that this controller holds: takes reports, keeps a book for each, deals freed room,
@@ -46,6 +48,20 @@
   /** The part of a lease for which a silent holder is waited for. */
   private static final double PATIENCE = 0.25;
 
+  /** A machine that was sent to another controller and comes back this soon is taken. */
+  private static final double SENT_S = 20;
+
+  /** How often a machine is let go of for another controller, when the budget is idle. */
+  private static final double SPREAD_S = 0.5;
+
+  /** Another controller has far fewer machines: this many times, and so many on top. */
+  private static final double FAR_MORE = 1.25;
+
+  private static final int FEW = 4;
+
+  /** How long room is kept for an offer that is being taken. */
+  private static final double TAKING_S = 15;
+
   /** Changes of a machine gather this long before the other controllers hear of them. */
   private static final double TELL_S = 0.04;
 
@@ -96,6 +112,16 @@
 
   private record Silence(String incarnation, double since) {}
 
+  /** Machines held by the other controllers that can be heard. */
+  private final Map<String, Integer> loads = new HashMap<>();
+
+  /** Zones with controllers. */
+  private final Set<String> zones = new HashSet<>();
+
+  /** When a machine was last sent to another controller. */
+  private final Map<String, Double> sentOn = new HashMap<>();
+
+  private double spreadAt;
   private double begun;
   private double strangersAt;
 
@@ -128,7 +154,11 @@
     this.begun = timers.now();
     this.offers = timers.timeOfDayMs() << 16;
     nodes.add(settings.node());
-    settings.peers().forEach(p -> nodes.add(p.node()));
+    zones.add(settings.zone());
+    for (Settings.Peer p : settings.peers()) {
+      nodes.add(p.node());
+      zones.add(p.zone());
+    }
   }
 
   // ---- reports ----
@@ -154,7 +184,7 @@
     } else if (membership.self() == null || !catalog.known()) {
       answer.send(503, null, 1);
     } else if (hold == null || ours) {
-      take(r, answer);
+      takeNear(r, answer);
     } else if (hold.dead()) {
       answer.send(503, null, 5);
     } else {
@@ -164,9 +194,88 @@
       } else if (patient(holder)) {
         answer.send(503, null, 1);
       } else {
-        take(r, answer);
+        takeNear(r, answer);
+      }
+    }
+  }
+
+  /**
+   * Takes a machine, or sends it to a controller of its own zone, which goes on hearing it when the
+   * zone is cut off. Once sent, a machine that comes back is taken: it cannot get there.
+   */
+  private void takeNear(Report r, Answer answer) {
+    if (!r.zone().equals(settings.zone())) {
+      String near = leastLoaded(r.zone());
+      Double sent = sentOn.get(r.host());
+      if (near != null && (sent == null || timers.now() - sent > SENT_S)) {
+        sentOn.put(r.host(), timers.now());
+        redirect(answer, near);
+        return;
+      }
+    }
+    take(r, answer);
+  }
+
+  /** The living, reachable controller of a zone that holds least, or null. */
+  private String leastLoaded(String zone) {
+    String best = null;
+    for (Settings.Peer p : settings.peers()) {
+      if (p.zone().equals(zone)
+          && loads.containsKey(p.node())
+          && membership.liveNodes().contains(p.node())
+          && (best == null || loads.get(p.node()) < loads.get(best))) {
+        best = p.node();
+      }
+    }
+    if (best != null) {
+      // Counted at once, so that a wave of machines is not all sent to one.
+      loads.merge(best, 1, Integer::sum);
+    }
+    return best;
+  }
+
+  /** A controller tells how many machines it holds. */
+  public void load(String node, int machines) {
+    loads.put(node, machines);
+  }
+
+  /**
+   * Lets go of a machine that another controller should hold: one of its own zone, or of ours that
+   * has far fewer. It comes back to nobody's harm: its report finds the other, which takes it.
+   */
+  private void spread(double now) {
+    if (now - spreadAt < SPREAD_S || store.down() || store.writeDelayS() > 0) {
+      return;
+    }
+    spreadAt = now;
+    String few = leastLoadedNear();
+    for (Machine m : held.values()) {
+      if (!m.settled || m.doubt || m.raising || m.lost || m.busy()) {
+        continue;
+      }
+      String to = m.zone.equals(settings.zone()) ? few : leastLoaded(m.zone);
+      if (to == null && !zones.contains(m.zone)) {
+        to = few;
+      }
+      if (to != null && m.sendTo == null) {
+        m.sendTo = to;
+        return;
+      }
+    }
+  }
+
+  /** A controller of this zone that holds far fewer machines than this one, or null. */
+  private String leastLoadedNear() {
+    String best = null;
+    for (Settings.Peer p : settings.peers()) {
+      if (p.zone().equals(settings.zone())
+          && loads.containsKey(p.node())
+          && membership.liveNodes().contains(p.node())
+          && (best == null || loads.get(p.node()) < loads.get(best))) {
+        best = p.node();
       }
     }
+    return best != null && held.size() > loads.get(best) * FAR_MORE + FEW ? best : null;
   }
 
   /**
@@ -293,6 +402,16 @@
     if (r.newerThan(m.tenure, m.serial)) {
       apply(m, r);
     }
+    if (m.sendTo != null) {
+      String to = m.sendTo;
+      m.sendTo = null;
+      if (loads.containsKey(to) && !m.busy() && !m.doubt && !m.raising) {
+        dropHold(m, "it is better held by " + to);
+        sentOn.put(m.host, timers.now());
+        redirect(answer, to);
+        return;
+      }
+    }
     if (m.doubt) {
       raise(m);
     }
@@ -309,6 +428,12 @@
       m.offers.clear();
       m.lost = false;
     }
+    m.dirty |=
+        r.tenure() != m.tenure
+            || (r.noticeS() == null) != (m.noticeS == null)
+            || r.baton() == m.baton && !m.settled
+            || !m.pending.isEmpty()
+            || !sameTasks(m, r);
     m.tenure = r.tenure();
     m.serial = r.serial();
     if (!r.endpoint().isEmpty()) {
@@ -353,7 +478,18 @@
     m.startedAt.keySet().removeIf(id -> !m.tasks.containsKey(id) && !m.pending.containsKey(id));
     forget(m.stops, m, true);
     forget(m.clears, m, false);
-    m.dirty = true;
+  }
+
+  private static boolean sameTasks(Machine m, Report r) {
+    if (m.tasks.size() != r.tasks().size()) {
+      return false;
+    }
+    for (Report.Task t : r.tasks()) {
+      if (!t.equals(m.tasks.get(t.id()))) {
+        return false;
+      }
+    }
+    return true;
   }
 
   private static void forget(Map<TaskId, Machine.Wish> wishes, Machine m, boolean untilExited) {
@@ -506,6 +642,11 @@
         m.dirty = true;
         act(m);
       }
+    } else if (message instanceof Message.Taking t) {
+      Machine m = held.get(t.host());
+      if (m != null) {
+        m.offers.computeIfPresent(t.offer(), (k, o) -> o.until(timers.now() + TAKING_S));
+      }
     } else if (message instanceof Message.Start s) {
       start(from, s);
     } else if (message instanceof Message.Probe p) {
@@ -656,6 +797,7 @@
 
   /** A controller's link is gone, and with it all that it wanted. */
   public void gone(String node) {
+    loads.remove(node);
     for (Machine m : held.values()) {
       m.book.drop(node);
       if (m.offers.values().removeIf(o -> o.node().equals(node))) {
@@ -912,6 +1054,7 @@
       strangersAt = now;
       lookUpStrangers(now);
     }
+    spread(now);
   }
 
   /** Tasks that can save are told to, while there is time. */
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -29,7 +29,11 @@
     }
   }
 
-  record Offered(String node, String job, Size size, double until) {}
+  record Offered(String node, String job, Size size, double until) {
+    Offered until(double later) {
+      return new Offered(node, job, size, later);
+    }
+  }
 
   /** An attempt to be stopped or cleared, repeated until the worker's report shows it. */
   static final class Wish {
@@ -62,6 +66,9 @@
   boolean raising;
   boolean ordering;
 
+  /** The controller to which its next report is sent, or null. */
+  String sendTo;
+
   /** Orders of an earlier incarnation may still be on their way to the worker. */
   boolean resumed;
 
@@ -133,6 +140,11 @@
     return free;
   }
 
+  /** Whether starts are under way that a change of hands would disturb. */
+  boolean busy() {
+    return ordering || !pending.isEmpty() || !offers.isEmpty();
+  }
+
   /** Whether a task of the job is here or about to be. */
   boolean has(String job) {
     for (TaskId id : tasks.keySet()) {
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -17,7 +17,7 @@
 /** A job that this controller has claimed. */
 final class Claim {
   /** An offer that waits to be taken or declined. */
-  record Held(String holder, Message.Offer offer) {}
+  record Held(String holder, Message.Offer offer, double at) {}
 
   /** Why an attempt is over. */
   enum End {
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -347,7 +347,7 @@
     if (c == null || c.loading || !c.open() || desk.store().down()) {
       desk.peers().send(from, new Message.Decline(o.offer(), o.host()));
     } else {
-      c.offers.add(new Held(from, o));
+      c.offers.add(new Held(from, o, desk.now()));
       recorder.chooseSoon(c);
     }
   }
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -295,6 +295,10 @@
         || now - c.preemptedAt < PREEMPT_AGAIN_S) {
       return;
     }
+    if (desk.store().writeDelayS() > PREEMPT_AFTER_S) {
+      // What waits then is the record, not room; stopped tasks would only have to be recorded too.
+      return;
+    }
     int need = wanted;
     for (Choice ch : choices) {
       need -= ch.fits;
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -31,8 +31,12 @@
   /** Offers from several holders come close together; the best are taken, not the first. */
   private static final double CHOOSE_S = 0.012;
 
-  /** Ends that free nothing but a record wait this long for others to share a transaction. */
-  private static final double GATHER_S = 1;
+  /**
+   * Ends wait this long for others to share their transaction, and under pressure up to as much
+   * again for each second that a change has to wait: the worker keeps what has ended, its room is
+   * dealt already, and the last end of a job is written at once.
+   */
+  private static final double GATHER_S = 2;
 
   /**
    * While changes have to wait for the budget anyway, what is to be recorded gathers before its
@@ -139,7 +143,8 @@
       return;
     }
     Quotas.Quota quota = quotas.of(c.spec.team());
-    if (!over && !due(c, canGather(c, quota) ? GATHER_S : pressureS())) {
+    double pressure = pressureS();
+    if (!over && !due(c, canGather(c, quota) ? GATHER_S * (1 + pressure) : pressure)) {
       return;
     }
     if (quota != null && quota.busy) {
@@ -215,6 +220,13 @@
       quota.busy = true;
       txn.when(quota.key(), quota.stamp).put(quota.key(), Quotas.write(used, mark));
     }
+    if (desk.store().writeDelayS() > NO_PRESSURE_S) {
+      // The record may come later than offers live: their holders hear that they are answered.
+      for (Starting s : f.starts) {
+        Message.Offer o = s.held.offer();
+        desk.peers().send(s.held.holder(), new Message.Taking(o.offer(), o.host()));
+      }
+    }
     c.flying = true;
     c.starting = f.starts.size();
     c.offers.removeAll(f.starts.stream().map(Starting::held).toList());
@@ -289,6 +301,10 @@
     List<Held> kept = new ArrayList<>();
     for (Held h : offers) {
       Message.Offer o = h.offer();
+      if (desk.now() - h.at() > desk.tunables().offerWaitS()) {
+        decline(h);
+        continue;
+      }
       if (stamps.size() >= maxHosts && !stamps.containsKey(o.host())) {
         // More machines than one transaction can name: taken with the next.
         kept.add(h);
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -198,7 +198,9 @@
       store.share(own, others);
     }
     for (Settings.Peer p : settings.peers()) {
-      peers.send(p.node(), new Message.Health(!store.down(), own.requests(), own.writes()));
+      peers.send(
+          p.node(),
+          new Message.Health(!store.down(), own.requests(), own.writes(), books.heldMachines()));
     }
   }
 
@@ -298,6 +300,7 @@
     if (m instanceof Message.Demand d) {
       fleet.received(from, d);
     } else if (m instanceof Message.Health h) {
+      books.load(from, h.held());
       uses.put(from, new Store.Use(h.requests(), h.writes()));
       if (h.stateServes()) {
         servedElsewhere = timers.now();
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -123,6 +123,9 @@
 
   record Decline(long offer, String host) implements Message {}
 
+  /** The offer is being taken: its room is kept until the placement is recorded. */
+  record Taking(long offer, String host) implements Message {}
+
   /** Takes an offer: the placement is recorded and the task may be started. */
   record Start(long offer, String host, long baton, String job, int number, long attempt)
       implements Message {}
@@ -164,8 +167,11 @@
   /** Asks to stop young tasks of lower priority, so that so many tasks of this size find room. */
   record Preempt(String host, int priority, Size size, int count) implements Message {}
 
-  /** Whether the state service serves the sender, and how much of it the sender asks a second. */
-  record Health(boolean stateServes, double requests, double writes) implements Message {}
+  /**
+   * Whether the state service serves the sender, how much of it the sender asks a second, and how
+   * many machines the sender holds.
+   */
+  record Health(boolean stateServes, double requests, double writes, int held) implements Message {}
 
   int MAX_RECORD = 4 << 20;
 
@@ -236,6 +242,10 @@
       out.writeByte(7);
       out.writeLong(d.offer);
       out.writeUTF(d.host);
+    } else if (m instanceof Taking t) {
+      out.writeByte(21);
+      out.writeLong(t.offer);
+      out.writeUTF(t.host);
     } else if (m instanceof Start s) {
       out.writeByte(8);
       out.writeLong(s.offer);
@@ -296,6 +306,7 @@
       out.writeBoolean(h.stateServes);
       out.writeDouble(h.requests);
       out.writeDouble(h.writes);
+      out.writeInt(h.held);
     } else if (m instanceof Demand d) {
       out.writeByte(17);
       out.writeInt(d.waiting.size());
@@ -361,6 +372,7 @@
                   in.readLong(),
                   in.readLong());
           case 7 -> new Decline(in.readLong(), in.readUTF());
+          case 21 -> new Taking(in.readLong(), in.readUTF());
           case 8 ->
               new Start(
                   in.readLong(),
@@ -395,7 +407,7 @@
             yield new Demand(all);
           }
           case 19 -> new Preempt(in.readUTF(), in.readByte(), readSize(in), in.readInt());
-          case 18 -> new Health(in.readBoolean(), in.readDouble(), in.readDouble());
+          case 18 -> new Health(in.readBoolean(), in.readDouble(), in.readDouble(), in.readInt());
           case 20 -> {
             int n = in.readInt();
             List<Count> all = new ArrayList<>();
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -40,6 +40,7 @@
           new Message.Want("h", "wk-1", 1, 2, new Size(1, 2, 3), 4),
           new Message.Offer(1, "h", "wk-1", 2, 3, 4),
           new Message.Decline(1, "h"),
+          new Message.Taking(1, "h"),
           new Message.Start(1, "h", 2, "wk-1", 3, 4),
           new Message.Probe("h", 2, "wk-1", 3, 4),
           new Message.Absent("h", 2, 3, "wk-1", 4, 5),
@@ -49,7 +50,7 @@
           new Message.HoldAsk("h"),
           new Message.HoldSay("h", true, 0.5),
           new Message.Cancelled("wk-1"),
-          new Message.Health(true, 1.5, 2.5),
+          new Message.Health(true, 1.5, 2.5, 3),
           new Message.Preempt("h", 1, new Size(1, 2, 3), 4),
           new Message.Demand(List.of(new Message.Waiting("wk-1", 3))));
 
