--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -155,6 +155,11 @@
     slowTick();
   }
 
+  /** Whether requests can be answered with knowledge. */
+  public boolean informed() {
+    return replica.ready() && catalog.known();
+  }
+
   private void tick() {
     ward.run(
         () -> {
--- a/src/main/java/dev/dunefront/cli/Main.java
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -86,6 +86,9 @@
     return -1;
   }
 
+  /** How long the first requests wait at most for the state to be read. */
+  private static final double INFORMED_S = 2;
+
   static void run(Settings settings, Tunables tunables) throws IOException {
     XnioWorker worker =
         Xnio.getInstance()
@@ -114,10 +117,35 @@
             timers,
             ward,
             (w, listener) -> links[0] = new XnioPeers(settings, worker, timers, w, listener));
-    HttpServer.start(worker, buffers, settings.listen(), daemon::handle);
     links[0].start();
     thread.execute(daemon::start);
-    LOG.log(Level.INFO, "{0} listens on {1}", settings.node(), settings.listen());
+    double until = timers.now() + INFORMED_S;
+    thread.execute(() -> listen(settings, worker, timers, buffers, daemon, until));
+  }
+
+  /**
+   * Requests are taken once there is something to answer them with, or after a while in any case.
+   * Before, each would cost a refusal out of the little processor time that reading the state
+   * needs.
+   */
+  private static void listen(
+      Settings settings,
+      XnioWorker worker,
+      XnioTimers timers,
+      DefaultByteBufferPool buffers,
+      Daemon daemon,
+      double until) {
+    if (!daemon.informed() && timers.now() < until) {
+      timers.after(0.02, () -> listen(settings, worker, timers, buffers, daemon, until));
+      return;
+    }
+    try {
+      HttpServer.start(worker, buffers, settings.listen(), daemon::handle);
+      LOG.log(Level.INFO, "{0} listens on {1}", settings.node(), settings.listen());
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "cannot listen on " + settings.listen(), e);
+      System.exit(1);
+    }
   }
 
   /** Checks files without starting anything. */
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -42,6 +42,14 @@
   private static final int MAX_HIRE = 50;
   private static final int MAX_DELETE = 100;
 
+  /** A zone with at least so many silent machines, and this part of all, is cut off. */
+  private static final int CUT_LEAST = 4;
+
+  private static final double CUT_PART = 0.3;
+
+  /** How many leases long machines in a cut zone are waited for. */
+  private static final double CUT_LEASES = 10;
+
   /** From this many tasks on, a machine is larger than a task needs. */
   private static final int OVERSIZE = 8;
 
@@ -268,6 +276,7 @@
   /** Machines that are to be deleted, each for a reason of its own. */
   private List<String> doomed(double now) {
     double lease = settings.workers().leaseS();
+    Set<String> cut = cutZones();
     Map<String, String> why = new HashMap<>();
     for (Listed l : listed.values()) {
       Room.Seen seen = room.get(l.host);
@@ -281,7 +290,7 @@
         }
       } else if (silent(l.host, seen)) {
         double since = silentSince.computeIfAbsent(l.host, h -> now);
-        double patience = seen != null ? lease + 10 : 2 * lease + 10;
+        double patience = cut.contains(l.zone) ? CUT_LEASES * lease : patience(type, lease);
         if (now - since > patience && now - leadingSince > patience) {
           why.put(l.host, "it is silent");
         }
@@ -316,6 +325,41 @@
     return doomed;
   }
 
+  /**
+   * How long a silent machine is waited for: about as long as another would take to come. What
+   * fails the cloud itself lists as failed; what is silent mostly hangs or is cut off, and is back
+   * with its images before another has them.
+   */
+  private double patience(MachineType type, double lease) {
+    double boot = type == null ? 30 : type.bootS();
+    return 2 * lease + 1.5 * boot + settings.cloudLimits().listLagS();
+  }
+
+  /**
+   * Zones of which so much is silent at once that the zone must be cut off, not its machines
+   * broken. Inside, they may well be heard and run their tasks.
+   */
+  private Set<String> cutZones() {
+    Map<String, int[]> zones = new HashMap<>();
+    for (Listed l : listed.values()) {
+      if (l.status.equals("running")) {
+        int[] counts = zones.computeIfAbsent(l.zone, z -> new int[2]);
+        counts[0]++;
+        if (silent(l.host, room.get(l.host))) {
+          counts[1]++;
+        }
+      }
+    }
+    Set<String> cut = new HashSet<>();
+    zones.forEach(
+        (zone, counts) -> {
+          if (counts[1] >= CUT_LEAST && counts[1] > counts[0] * CUT_PART) {
+            cut.add(zone);
+          }
+        });
+    return cut;
+  }
+
   /** Nobody hears the machine, as far as can be told here. */
   private boolean silent(String host, Room.Seen seen) {
     if (seen != null) {
