--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -889,7 +889,7 @@
         continue;
       }
       Message.View view = view(m);
-      boolean changed = !view.equals(m.told);
+      boolean changed = !view.saysTheSame(m.told);
       m.told = view;
       Map<String, List<Message.TaskState>> tasks = tasksFor(m);
       for (String node : nodes) {
--- a/src/main/java/dev/dunefront/book/WantBook.java
+++ b/src/main/java/dev/dunefront/book/WantBook.java
@@ -12,7 +12,7 @@
  */
 final class WantBook {
   /** Ranks within a priority. */
-  static final int RANKS = 4;
+  static final int RANKS = 7;
 
   private static final int PRIORITIES = 4;
 
--- a/src/main/java/dev/dunefront/claim/Chunk.java
+++ b/src/main/java/dev/dunefront/claim/Chunk.java
@@ -29,7 +29,20 @@
     return prefix(job) + index;
   }
 
-  record Placement(long attempt, String host, long tenure) {}
+  record Placement(long attempt, String host, long tenure) {
+    @Override
+    public boolean equals(Object o) {
+      return o instanceof Placement p
+          && attempt == p.attempt
+          && tenure == p.tenure
+          && host.equals(p.host);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * host.hashCode() + Long.hashCode(attempt);
+    }
+  }
 
   final long stamp;
   final BitSet done = new BitSet();
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -41,6 +41,7 @@
   private final Parking parking;
   private final Recorder recorder;
   private final Settling settling;
+  private final Urgencies urgencies;
   private final Map<String, Claim> claims = new HashMap<>();
   private final Set<String> claiming = new HashSet<>();
 
@@ -50,11 +51,14 @@
   /** Task counts of jobs that others have claimed, as they tell. */
   private final Map<String, Counts> elsewhere = new HashMap<>();
 
+  /** Jobs whose size has been learned from. */
+  private final Set<String> sized = new HashSet<>();
+
   private boolean reviewing;
 
   public Claims(Desk desk) {
     this.desk = desk;
-    Urgencies urgencies = new Urgencies(desk.settings());
+    urgencies = new Urgencies(desk.settings());
     Zones zones = new Zones(room);
     quotas = new Quotas(desk.settings(), desk.replica(), this::reviewSoon);
     parking = new Parking(desk, room, quotas, urgencies, zones);
@@ -284,6 +288,9 @@
   public void jobChanged(String id, JobTable.Entry entry) {
     if (entry == null) {
       elsewhere.remove(id);
+      sized.remove(id);
+    } else if (sized.add(id)) {
+      urgencies.seen(entry.record().spec());
     }
     Claim c = claims.get(id);
     if (c == null || entry != null && entry.stamp() <= c.stamp) {
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -249,7 +249,7 @@
     }
     double ageS = (desk.timers().timeOfDayMs() - c.record.acceptedMs()) / 1000.0;
     double fetchS = choices.isEmpty() ? 0 : choices.get(0).costS;
-    int rank = urgencies.rank(c.spec, ageS, fetchS);
+    int rank = urgencies.rank(c.spec, c.unstarted(), ageS, fetchS);
     boolean moved = rank != c.rank;
     c.rank = rank;
     target.forEach(
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -229,7 +229,9 @@
     }
     c.flying = true;
     c.starting = f.starts.size();
-    c.offers.removeAll(f.starts.stream().map(Starting::held).toList());
+    Set<Long> taken = new HashSet<>();
+    f.starts.forEach(s -> taken.add(s.held.offer().offer()));
+    c.offers.removeIf(h -> taken.contains(h.offer().offer()));
     Status finalStatus = last;
     JobRecord record = rewritten;
     desk.store()
--- a/src/main/java/dev/dunefront/claim/Room.java
+++ b/src/main/java/dev/dunefront/claim/Room.java
@@ -24,11 +24,9 @@
     }
   }
 
-  private record KindName(String type, String zone, boolean spot) {}
-
   private final Map<String, Seen> machines = new HashMap<>();
   private final Map<String, Seen> roomy = new LinkedHashMap<>();
-  private final Map<KindName, Kind> kindsByName = new HashMap<>();
+  private final Map<String, Kind> kindsByName = new HashMap<>();
   private final List<Kind> kinds = new ArrayList<>();
   private final List<Integer> counts = new ArrayList<>();
   private long openings;
@@ -61,9 +59,9 @@
 
   private Kind kind(View v) {
     return kindsByName.computeIfAbsent(
-        new KindName(v.type(), v.zone(), v.spot()),
+        v.type() + "/" + v.zone() + (v.spot() ? "/spot" : ""),
         name -> {
-          Kind k = new Kind(kinds.size(), name.type, name.zone, name.spot);
+          Kind k = new Kind(kinds.size(), v.type(), v.zone(), v.spot());
           kinds.add(k);
           counts.add(0);
           return k;
--- a/src/main/java/dev/dunefront/claim/Urgencies.java
+++ b/src/main/java/dev/dunefront/claim/Urgencies.java
@@ -10,16 +10,27 @@
 /**
  * Ranks jobs of one priority by what is still to be won: those that would miss their aim if they
  * waited, those that have time, those that have missed their first aim, those that have missed all.
- * How long tasks run is learned from those that ended, for owners' estimates are biased.
+ * Where there is too little room for all, jobs with much left to start come after those with
+ * little: a few large ones would make many late. How long tasks run, and how many a job of a class
+ * has, is learned, for owners' estimates are biased.
  */
 final class Urgencies {
   static final int PRESSING = 0;
   static final int IN_TIME = 1;
-  static final int LATE = 2;
-  static final int LOST = 3;
+
+  /** What is added to the two above for a job with much left to start. */
+  private static final int LARGE = 2;
+
+  static final int LATE = 4;
+  private static final int LATE_LARGE = 5;
+  static final int LOST = 6;
 
   private static final double PRESSING_S = 15;
   private static final double LEARN = 0.1;
+
+  /** A job has much left if it is this many times what a job of its class has in all. */
+  private static final double MUCH = 1.4;
+
   private static final double LEAST = 0.3;
   private static final double MOST = 3;
 
@@ -28,6 +39,9 @@
   /** By class: how long tasks ran, as a multiple of their estimate. */
   private final Map<String, Double> bias = new HashMap<>();
 
+  /** By class: how many tasks a job has. */
+  private final Map<String, Double> tasks = new HashMap<>();
+
   Urgencies(Settings settings) {
     this.settings = settings;
   }
@@ -40,16 +54,26 @@
     }
   }
 
-  int rank(JobSpec spec, double ageS, double fetchS) {
+  /** A job has been seen, which tells how large jobs of its class are. */
+  void seen(JobSpec spec) {
+    tasks.merge(spec.jobClass(), (double) spec.tasks(), (old, now) -> old + LEARN * (now - old));
+  }
+
+  int rank(JobSpec spec, int unstarted, double ageS, double fetchS) {
+    boolean large = unstarted > MUCH * tasks.getOrDefault(spec.jobClass(), 1e9);
+
     List<Double> aims = aims(spec);
     double needs = spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0) + fetchS;
     for (int i = 0; i < aims.size(); i++) {
       double slack = aims.get(i) - ageS - needs;
       if (slack >= 0) {
-        return i > 0 ? LATE : slack < PRESSING_S ? PRESSING : IN_TIME;
+        if (i > 0) {
+          return large ? LATE_LARGE : LATE;
+        }
+        return (slack < PRESSING_S ? PRESSING : IN_TIME) + (large ? LARGE : 0);
       }
     }
-    return aims.isEmpty() ? IN_TIME : LOST;
+    return aims.isEmpty() ? IN_TIME + (large ? LARGE : 0) : LOST;
   }
 
   /** The ages at which a job should be done, soonest first. */
--- a/src/main/java/dev/dunefront/cli/Main.java
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -5,6 +5,7 @@
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.net.HttpServer;
+import dev.dunefront.net.NoManagement;
 import dev.dunefront.net.UndertowCaller;
 import dev.dunefront.net.Ward;
 import dev.dunefront.net.XnioTimers;
@@ -90,6 +91,7 @@
   private static final double INFORMED_S = 2;
 
   static void run(Settings settings, Tunables tunables) throws IOException {
+    NoManagement.install();
     XnioWorker worker =
         Xnio.getInstance()
             .createWorker(
--- a/src/main/java/dev/dunefront/cli/Rehearsal.java
+++ b/src/main/java/dev/dunefront/cli/Rehearsal.java
@@ -5,6 +5,7 @@
 import dev.dunefront.config.Tunables;
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.HttpServer;
+import dev.dunefront.net.NoManagement;
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.UndertowCaller;
 import dev.dunefront.net.XnioTimers;
@@ -43,6 +44,7 @@
   @Override
   public Integer call() throws IOException, InterruptedException, BadSetting {
     Log.start("error");
+    NoManagement.install();
     XnioWorker worker =
         Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
     Timers timers = new XnioTimers(worker.getIoThread());
--- /dev/null
+++ b/src/main/java/dev/dunefront/net/NoManagement.java
@@ -0,0 +1,27 @@
+package dev.dunefront.net;
+
+import javax.management.MBeanServer;
+import javax.management.MBeanServerBuilder;
+import javax.management.MBeanServerDelegate;
+
+/**
+ * Refuses to make a management server. XNIO registers its workers and servers with one, and making
+ * it takes nearly half of the processor time of a start; without one XNIO goes on. What operators
+ * read is at {@link HttpServer#TEXT_PATH}.
+ */
+public final class NoManagement extends MBeanServerBuilder {
+  private static final String BUILDER = "javax.management.builder.initial";
+
+  /** Has effect before the first use of XNIO, and unless the operator has chosen a builder. */
+  public static void install() {
+    if (System.getProperty(BUILDER) == null) {
+      System.setProperty(BUILDER, NoManagement.class.getName());
+    }
+  }
+
+  @Override
+  public MBeanServer newMBeanServer(
+      String defaultDomain, MBeanServer outer, MBeanServerDelegate delegate) {
+    throw new IllegalStateException("no management server is wanted");
+  }
+}
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -26,6 +26,21 @@
     public boolean exited() {
       return state == State.EXITED;
     }
+
+    @Override
+    public boolean equals(Object o) {
+      return o instanceof TaskState t
+          && number == t.number
+          && attempt == t.attempt
+          && state == t.state
+          && why == t.why
+          && job.equals(t.job);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * job.hashCode() + number;
+    }
   }
 
   enum State {
@@ -72,6 +87,22 @@
       List<Integer> young,
       List<TaskState> tasks)
       implements Message {
+    /** Whether the other says the same of the machine itself, whatever tasks it shows. */
+    public boolean saysTheSame(View o) {
+      return o != null
+          && baton == o.baton
+          && holdStamp == o.holdStamp
+          && tenure == o.tenure
+          && settled == o.settled
+          && lost == o.lost
+          && open == o.open
+          && quarantined == o.quarantined
+          && free.equals(o.free)
+          && images.equals(o.images)
+          && unfinished.equals(o.unfinished)
+          && young.equals(o.young);
+    }
+
     /** How many young tasks there are of a lower priority. */
     public int youngBelow(Priority priority) {
       int n = 0;
--- a/src/main/java/dev/dunefront/wire/Report.java
+++ b/src/main/java/dev/dunefront/wire/Report.java
@@ -21,6 +21,20 @@
     public boolean exited() {
       return state.equals("exited");
     }
+
+    @Override
+    public boolean equals(Object o) {
+      return o instanceof Task t
+          && attempt == t.attempt
+          && id.equals(t.id)
+          && state.equals(t.state)
+          && why.equals(t.why);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * id.hashCode() + Long.hashCode(attempt);
+    }
   }
 
   public static Report read(Doc d) throws BadMessage {
--- a/src/main/java/dev/dunefront/wire/Size.java
+++ b/src/main/java/dev/dunefront/wire/Size.java
@@ -19,6 +19,16 @@
     return (long) Math.ceil(v * 1e6 - 1e-3);
   }
 
+  @Override
+  public boolean equals(Object o) {
+    return o instanceof Size s && cpu == s.cpu && gpu == s.gpu && ram == s.ram;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(31 * (31 * cpu + gpu) + ram);
+  }
+
   public Size plus(Size o) {
     return new Size(cpu + o.cpu, gpu + o.gpu, ram + o.ram);
   }
--- a/src/main/java/dev/dunefront/wire/TaskId.java
+++ b/src/main/java/dev/dunefront/wire/TaskId.java
@@ -11,6 +11,18 @@
     }
   }
 
+  // Equality is written out in the records that are compared often: what the compiler makes is
+  // linked at its first use, which costs a returning controller milliseconds for each record.
+  @Override
+  public boolean equals(Object o) {
+    return o instanceof TaskId t && number == t.number && job.equals(t.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * job.hashCode() + number;
+  }
+
   @Override
   public String toString() {
     return job + "/" + number;
--- /dev/null
+++ b/src/test/java/dev/dunefront/claim/UrgenciesTest.java
@@ -0,0 +1,93 @@
+package dev.dunefront.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.config.BadSetting;
+import dev.dunefront.config.Settings;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.JobSpec;
+import org.junit.jupiter.api.Test;
+
+/** What is served first within a priority. */
+class UrgenciesTest {
+  private static JobSpec job(int tasks) throws BadMessage {
+    return JobSpec.read(
+        Doc.of()
+            .put("id", "wk-" + tasks)
+            .put("batchclass", "c")
+            .put("owner", "t")
+            .put("shape", "sweep")
+            .put("urgency", "normal")
+            .put("pieces", tasks)
+            .put("vcpus", 1.0)
+            .put("ram_gb", 1.0)
+            .put("expect_s", 30.0));
+  }
+
+  private static Settings settings() throws BadSetting {
+    return Settings.parse(
+        """
+        host_name = "n"
+        site = "a"
+        listen = "10.0.0.1:80"
+        peer_bind = "10.0.0.1:81"
+        [outside]
+        cloud = "10.2.0.2:1"
+        state = "10.2.0.1:1"
+        [[facts.objectives]]
+        kind = "finished"
+        class = "c"
+        share = 0.9
+        within_s = 100.0
+        [[facts.objectives]]
+        kind = "finished"
+        class = "c"
+        share = 0.9
+        within_s = 180.0
+        [facts.workers]
+        report_s = 1.0
+        lease_s = 10.0
+        cancel_s = 20.0
+        [facts.state]
+        rps = 100.0
+        write_rps = 50.0
+        value_kb = 16.0
+        txn_ops = 24
+        [facts.cloud]
+        rps = 5.0
+        list_lag_s = 2.0
+        [facts.limits]
+        cores = 1.0
+        memory_mb = 256.0
+        fd_limit = 500
+        """);
+  }
+
+  @Test
+  void whatCanStillBeWonComesFirstAndLargeJobsAfterSmallOnes() throws Exception {
+    Urgencies u = new Urgencies(settings());
+    for (int i = 0; i < 20; i++) {
+      u.seen(job(40));
+    }
+    int fresh = u.rank(job(40), 40, 0, 0);
+    int pressing = u.rank(job(40), 40, 65, 0);
+    int late = u.rank(job(40), 40, 90, 0);
+    int lost = u.rank(job(40), 40, 170, 0);
+    assertTrue(pressing < fresh && fresh < late && late < lost);
+    int large = u.rank(job(200), 200, 0, 0);
+    assertTrue(large > fresh && large < late, "a large job makes many small ones late");
+    assertEquals(fresh, u.rank(job(200), 30, 0, 0), "what is left of it is small in the end");
+  }
+
+  @Test
+  void howLongTasksRunIsLearned() throws Exception {
+    Urgencies u = new Urgencies(settings());
+    assertEquals(Urgencies.IN_TIME, u.rank(job(40), 1, 40, 0));
+    for (int i = 0; i < 60; i++) {
+      u.ran(job(40), 75);
+    }
+    assertEquals(Urgencies.LATE, u.rank(job(40), 1, 40, 0));
+  }
+}
