--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -51,6 +51,15 @@
   /** A machine that was sent to another controller and comes back this soon is taken. */
   private static final double SENT_S = 20;
 
+  /** This controller is behind when its timers are so late. */
+  private static final double BEHIND_S = 0.4;
+
+  /** And another keeps up whose timers are late by less than this part of that. */
+  private static final double KEEPS_UP = 0.4;
+
+  /** A controller that is behind keeps at least so many machines. */
+  private static final int KEEP = 5;
+
   /** How often a machine is let go of for another controller, when the budget is idle. */
   private static final double SPREAD_S = 0.5;
 
@@ -115,6 +124,11 @@
   /** Machines held by the other controllers that can be heard. */
   private final Map<String, Integer> loads = new HashMap<>();
 
+  /** By how much the timers of those are late. */
+  private final Map<String, Double> lags = new HashMap<>();
+
+  private double lagS;
+
   /** Zones with controllers. */
   private final Set<String> zones = new HashSet<>();
 
@@ -234,9 +248,41 @@
     return best;
   }
 
-  /** A controller tells how many machines it holds. */
-  public void load(String node, int machines) {
+  /** A controller tells how many machines it holds, and how late its timers are. */
+  public void load(String node, int machines, double lagS) {
     loads.put(node, machines);
+    lags.put(node, lagS);
+  }
+
+  /** Whether this controller is far behind with its work while another is not. */
+  public boolean overloaded() {
+    return idler() != null;
+  }
+
+  /**
+   * Another controller that keeps up, if this one does not; of its zone if there is one. A
+   * controller that has just returned, or computes slowly, falls behind with its machines' reports;
+   * what it cannot answer in time would lose its lease, so it passes machines on instead.
+   */
+  private String idler() {
+    if (lagS < BEHIND_S) {
+      return null;
+    }
+    String best = null;
+    boolean bestNear = false;
+    for (Settings.Peer p : settings.peers()) {
+      boolean near = p.zone().equals(settings.zone());
+      if (lags.getOrDefault(p.node(), lagS) < lagS * KEEPS_UP
+          && loads.containsKey(p.node())
+          && membership.liveNodes().contains(p.node())
+          && (best == null
+              || near && !bestNear
+              || near == bestNear && loads.get(p.node()) < loads.get(best))) {
+        best = p.node();
+        bestNear = near;
+      }
+    }
+    return best;
   }
 
   /**
@@ -402,6 +448,9 @@
     if (r.newerThan(m.tenure, m.serial)) {
       apply(m, r);
     }
+    if (m.sendTo == null && held.size() > KEEP && lagS >= BEHIND_S) {
+      m.sendTo = idler();
+    }
     if (m.sendTo != null) {
       String to = m.sendTo;
       m.sendTo = null;
@@ -798,6 +847,7 @@
   /** A controller's link is gone, and with it all that it wanted. */
   public void gone(String node) {
     loads.remove(node);
+    lags.remove(node);
     for (Machine m : held.values()) {
       m.book.drop(node);
       if (m.offers.values().removeIf(o -> o.node().equals(node))) {
@@ -1020,7 +1070,8 @@
   }
 
   /** Called several times a second. */
-  public void tick() {
+  public void tick(double lateS) {
+    lagS = lateS;
     double now = timers.now();
     double lease = settings.workers().leaseS();
     for (Machine m : List.copyOf(held.values())) {
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -15,6 +15,7 @@
 import dev.dunefront.net.HttpServer;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.HttpServer.Request;
+import dev.dunefront.net.Lag;
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
@@ -59,6 +60,7 @@
   private final Peers peers;
   private final Meters meters = new Meters();
   private final Map<String, Store.Use> uses = new HashMap<>();
+  private final Lag lag = new Lag();
   private double servedElsewhere = Double.NEGATIVE_INFINITY;
 
   public Daemon(
@@ -161,9 +163,10 @@
   }
 
   private void tick() {
+    lag.fired(timers.now(), TICK_S);
     ward.run(
         () -> {
-          books.tick();
+          books.tick(lag.seconds());
           claims.tick();
           fleet.tick();
         });
@@ -205,7 +208,8 @@
     for (Settings.Peer p : settings.peers()) {
       peers.send(
           p.node(),
-          new Message.Health(!store.down(), own.requests(), own.writes(), books.heldMachines()));
+          new Message.Health(
+              !store.down(), own.requests(), own.writes(), books.heldMachines(), lag.seconds()));
     }
   }
 
@@ -215,7 +219,11 @@
    */
   private boolean ready() {
     boolean refusedAlone = store.down() && timers.now() - servedElsewhere < HEALTH_S;
-    return !refusedAlone && replica.ready() && membership.self() != null && catalog.known();
+    return !refusedAlone
+        && !books.overloaded()
+        && replica.ready()
+        && membership.self() != null
+        && catalog.known();
   }
 
   // ---- requests ----
@@ -305,7 +313,7 @@
     if (m instanceof Message.Demand d) {
       fleet.received(from, d);
     } else if (m instanceof Message.Health h) {
-      books.load(from, h.held());
+      books.load(from, h.held(), h.lagS());
       uses.put(from, new Store.Use(h.requests(), h.writes()));
       if (h.stateServes()) {
         servedElsewhere = timers.now();
--- a/src/main/java/dev/dunefront/cli/Log.java
+++ b/src/main/java/dev/dunefront/cli/Log.java
@@ -32,6 +32,28 @@
     }
   }
 
+  /**
+   * Puts the parameters in. The platform's own message formats cost a fraction of a millisecond for
+   * each line, which a controller with a small part of a core feels when it returns.
+   */
+  static String fill(String pattern, Object[] parameters) {
+    if (parameters == null || parameters.length == 0) {
+      return pattern;
+    }
+    StringBuilder out = new StringBuilder(pattern.length() + 40);
+    for (int i = 0; i < pattern.length(); i++) {
+      char c = pattern.charAt(i);
+      int n = c == '{' && i + 2 < pattern.length() ? pattern.charAt(i + 1) - '0' : -1;
+      if (n >= 0 && n < parameters.length && pattern.charAt(i + 2) == '}') {
+        out.append(parameters[n]);
+        i += 2;
+      } else {
+        out.append(c);
+      }
+    }
+    return out.toString();
+  }
+
   private static final class Lines extends Handler {
     private final Formatter formatter =
         new Formatter() {
@@ -48,7 +70,7 @@
                 .append(' ')
                 .append(name == null ? "" : name.substring(name.lastIndexOf('.') + 1))
                 .append(": ")
-                .append(formatMessage(r));
+                .append(fill(r.getMessage(), r.getParameters()));
             if (r.getThrown() != null) {
               line.append(' ').append(r.getThrown());
               for (StackTraceElement e : r.getThrown().getStackTrace()) {
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -200,9 +200,10 @@
 
   /**
    * Whether the state service serves the sender, how much of it the sender asks a second, and how
-   * many machines the sender holds.
+   * many machines the sender holds, and by how much its timers are late.
    */
-  record Health(boolean stateServes, double requests, double writes, int held) implements Message {}
+  record Health(boolean stateServes, double requests, double writes, int held, double lagS)
+      implements Message {}
 
   int MAX_RECORD = 4 << 20;
 
@@ -338,6 +339,7 @@
       out.writeDouble(h.requests);
       out.writeDouble(h.writes);
       out.writeInt(h.held);
+      out.writeDouble(h.lagS);
     } else if (m instanceof Demand d) {
       out.writeByte(17);
       out.writeInt(d.waiting.size());
@@ -438,7 +440,13 @@
             yield new Demand(all);
           }
           case 19 -> new Preempt(in.readUTF(), in.readByte(), readSize(in), in.readInt());
-          case 18 -> new Health(in.readBoolean(), in.readDouble(), in.readDouble(), in.readInt());
+          case 18 ->
+              new Health(
+                  in.readBoolean(),
+                  in.readDouble(),
+                  in.readDouble(),
+                  in.readInt(),
+                  in.readDouble());
           case 20 -> {
             int n = in.readInt();
             List<Count> all = new ArrayList<>();
--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -23,7 +23,7 @@
 public final class XnioPeers implements Peers {
   private static final System.Logger LOG = System.getLogger(XnioPeers.class.getName());
   private static final double PING_S = 1.0;
-  private static final double SILENCE_S = 3.5;
+  private static final double SILENCE_S = 5;
   private static final double REDIAL_S = 0.5;
   private static final int MAX_QUEUED = 8 << 20;
 
