--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -108,7 +108,8 @@
   double nextTick;
   double unservedSince;
   double notBefore;
-  double preemptedAt;
+  double preemptedAt = Double.NEGATIVE_INFINITY;
+  int preempted;
   int failures;
 
   Claim(JobRecord record, long stamp, int reach, double now) {
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -31,7 +31,7 @@
  */
 public final class Claims {
   private static final System.Logger LOG = System.getLogger(Claims.class.getName());
-  private static final double RANK_WAIT_S = 1.0;
+  private static final double RANK_WAIT_S = 0.4;
   private static final double REPEAT_S = 1.5;
   private static final double REVIEW_S = 0.02;
 
@@ -100,6 +100,21 @@
     return load * fitting + Math.min(spec.tasks(), share) <= share;
   }
 
+  /**
+   * Whether a job that has just come may be claimed at once: jobs of its priority that came before
+   * it and wait unclaimed for room go first.
+   */
+  public boolean admitsAtOnce(JobSpec spec) {
+    for (JobTable.Entry e : desk.jobs().all()) {
+      if (e.record().claim() == null
+          && e.record().status() == Status.OPEN
+          && e.record().spec().priority().compareTo(spec.priority()) <= 0) {
+        return false;
+      }
+    }
+    return admits(spec);
+  }
+
   /** How many tasks of the job the machines could hold if they were empty. */
   private long fittingRoom(JobSpec spec) {
     long fitting = 0;
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -20,6 +20,7 @@
 final class Parking {
   private static final double PREEMPT_AFTER_S = 0.1;
   private static final double PREEMPT_AGAIN_S = 1;
+  private static final double PREEMPT_ASKED_S = 2.5;
 
   /** How long a holder's word that there are young tasks is taken for true. */
   private static final double YOUNG_S = 15;
@@ -299,7 +300,9 @@
       // What waits then is the record, not room; stopped tasks would only have to be recorded too.
       return;
     }
-    int need = wanted;
+    // What was asked for just now is still on its way here.
+    int need = now - c.preemptedAt < PREEMPT_ASKED_S ? wanted - c.preempted : wanted;
+    c.preempted = now - c.preemptedAt < PREEMPT_ASKED_S ? c.preempted : 0;
     for (Choice ch : choices) {
       need -= ch.fits;
     }
@@ -310,6 +313,7 @@
       int n = Math.min(need, ch.seen.view().youngBelow(priority));
       if (ch.fits == 0 && n > 0 && now - ch.seen.at() < YOUNG_S) {
         need -= n;
+        c.preempted += n;
         c.preemptedAt = now;
         desk.peers()
             .send(
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import dev.dunefront.claim.Room;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
+import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.Timers;
@@ -42,6 +43,9 @@
   private static final int MAX_HIRE = 50;
   private static final int MAX_DELETE = 100;
 
+  /** The part of the cloud's rate that is used, for a former leader's calls may still count. */
+  private static final double RATE_PART = 0.9;
+
   /** A zone with at least so many silent machines, and this part of all, is cut off. */
   private static final int CUT_LEAST = 4;
 
@@ -92,6 +96,8 @@
   private final ArrayDeque<Hire> unclear = new ArrayDeque<>();
   private boolean calling;
   private double nextCall;
+  private double calls = 1;
+  private double callsAt;
   private double nextList;
   private double leadingSince;
 
@@ -119,6 +125,7 @@
     this.caller = caller;
     this.timers = timers;
     this.ward = ward;
+    this.callsAt = timers.now();
     replica.listen(
         KEY,
         (rest, value, stamp) -> {
@@ -169,11 +176,11 @@
       return;
     }
     double now = timers.now();
-    if (calling || now < nextCall) {
+    if (calling || now < nextCall || !allowance(now)) {
       return;
     }
     if (now >= nextList) {
-      nextList = now + Math.max(2, settings.cloudLimits().listLagS() / 3);
+      nextList = now + Math.max(2, settings.cloudLimits().listLagS() / 2);
       List<Listed> all = new ArrayList<>();
       list("", all);
       return;
@@ -201,9 +208,17 @@
         done -> timers.after(1.0, () -> ward.run(() -> asking = false)));
   }
 
+  /** Whether a call is within the cloud's rate, of which short bursts are allowed. */
+  private boolean allowance(double now) {
+    double rps = settings.cloudLimits().rps();
+    calls = Math.min(Math.max(1, rps), calls + (now - callsAt) * rps * RATE_PART);
+    callsAt = now;
+    return calls >= 1;
+  }
+
   private void call(String method, String path, Doc body, Consumer<Caller.Reply> then) {
     calling = true;
-    nextCall = timers.now() + 1.15 / settings.cloudLimits().rps();
+    calls -= 1;
     ward.then(
         () ->
             caller.call(
@@ -220,6 +235,8 @@
                             nextCall = Math.max(nextCall, timers.now() + 1);
                           }
                           then.accept(reply);
+                          // The next call need not wait for the next tick.
+                          tick();
                         })));
   }
 
@@ -419,6 +436,12 @@
     List<Message.Waiting> waiting = new ArrayList<>();
     demands.values().forEach(d -> waiting.addAll(d.waiting()));
     waiting.removeIf(w -> jobs.get(w.job()) == null);
+    // What nobody has claimed yet, for want of room, needs room no less.
+    for (JobTable.Entry e : jobs.all()) {
+      if (e.record().claim() == null && e.record().status() == JobRecord.Status.OPEN) {
+        waiting.add(new Message.Waiting(e.record().spec().id(), e.record().spec().tasks()));
+      }
+    }
     waiting.sort(Comparator.comparing(w -> jobs.get(w.job()).record().spec().priority()));
     // Both in machines, with parts of machines, for tasks of several jobs share one.
     Map<Kind, Double> coming = coming();
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -88,7 +88,7 @@
   }
 
   private void accept(JobSpec spec, Answer answer) {
-    String claim = claims.admits(spec) ? membership.self() : null;
+    String claim = claims.admitsAtOnce(spec) ? membership.self() : null;
     JobRecord record =
         new JobRecord(spec, timers.timeOfDayMs(), claim, claim == null ? 0 : 1, Status.OPEN, 0);
     String mark = store.newMark();
