Machines are held by nature, without a write, until another controller takes them

Cause: on rkv steady 220 hold records at 40 changes a second kept the first tasks waiting for 8 s, and 360 more kept new machines empty for 10 s.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -135,6 +135,9 @@
   /** When a machine was last sent to another controller. */
   private final Map<String, Double> sentOn = new HashMap<>();
 
+  /** Machines that were let go of, and by whom. */
+  private final Map<String, String> released = new HashMap<>();
+
   private double spreadAt;
   private double begun;
   private double strangersAt;
@@ -191,28 +194,45 @@
       asking.get(r.host()).add(new Waiter(r, answer));
       return;
     }
-    Holds.Hold hold = holds.get(r.host());
+    Holds.Hold hold = holds.of(r.host(), r.zone());
     boolean ours = holds.heldBy(settings.node(), hold);
     if (ours && r.baton() <= hold.baton()) {
       resume(hold, r, answer);
-    } else if (membership.self() == null || !catalog.known()) {
+    } else if (membership.self() == null || !catalog.known() || hold == null) {
       answer.send(503, null, 1);
-    } else if (hold == null || ours) {
-      takeNear(r, answer);
     } else if (hold.dead()) {
       answer.send(503, null, 5);
+    } else if (ours) {
+      take(r, answer);
     } else {
-      String holder = Membership.nodeOf(hold.holder());
-      if (membership.liveNodes().contains(holder)) {
-        ask(holder, r, answer);
-      } else if (patient(holder)) {
-        answer.send(503, null, 1);
-      } else {
-        takeNear(r, answer);
-      }
+      reportOfOthers(hold, r, answer);
+    }
+  }
+
+  /** The machine has another holder; yet its worker has come here. */
+  private void reportOfOthers(Holds.Hold hold, Report r, Answer answer) {
+    String holder = Membership.nodeOf(hold.holder());
+    boolean live = membership.liveNodes().contains(holder);
+    if (holder.equals(released.get(r.host()))) {
+      take(r, answer);
+    } else if (live && hold.stamp() == 0 && !sentLately(r.host())) {
+      // It has yet to learn who its natural holder is.
+      sentOn.put(r.host(), timers.now());
+      redirect(answer, holder);
+    } else if (live) {
+      ask(holder, r, answer);
+    } else if (patient(holder)) {
+      answer.send(503, null, 1);
+    } else {
+      takeNear(r, answer);
     }
   }
 
+  private boolean sentLately(String host) {
+    Double sent = sentOn.get(host);
+    return sent != null && timers.now() - sent < SENT_S;
+  }
+
   /**
    * Takes a machine, or sends it to a controller of its own zone, which goes on hearing it when the
    * zone is cut off. Once sent, a machine that comes back is taken: it cannot get there.
@@ -220,8 +240,7 @@
   private void takeNear(Report r, Answer answer) {
     if (!r.zone().equals(settings.zone())) {
       String near = leastLoaded(r.zone());
-      Double sent = sentOn.get(r.host());
-      if (near != null && (sent == null || timers.now() - sent > SENT_S)) {
+      if (near != null && !sentLately(r.host())) {
         sentOn.put(r.host(), timers.now());
         redirect(answer, near);
         return;
@@ -325,16 +344,17 @@
   }
 
   /**
-   * A machine that an earlier incarnation of this controller held, and that nobody has taken since:
-   * it is held on under the same record. So a return of many controllers at once costs no write for
-   * each machine, and no lease runs out behind the budget. What the earlier incarnation may have
-   * sent is in doubt only for tasks that the worker does not show, see {@link #probed}.
+   * A machine that is this controller's by nature, or that an earlier incarnation held and nobody
+   * has taken since: it is held without a write. So the arrival of many machines, and a return of
+   * many controllers at once costs no write for each machine, and no lease runs out behind the
+   * budget. What the earlier incarnation may have sent is in doubt only for tasks that the worker
+   * does not show, see {@link #probed}.
    */
   private void resume(Holds.Hold hold, Report r, Answer answer) {
     Machine m = new Machine(r, hold.baton(), hold.stamp(), timers.now());
     m.resumed = true;
     held.put(r.host(), m);
-    LOG.log(Level.INFO, "holding {0} on, a {1}, under baton {2}", r.host(), r.type(), m.baton);
+    LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", r.host(), r.type(), m.baton);
     reportOfHeld(m, r, answer);
   }
 
@@ -353,7 +373,7 @@
     return timers.now() - s.since < settings.workers().leaseS() * PATIENCE;
   }
 
-  /** The machine has a live holder; yet a worker comes here only when that one did not answer. */
+  /** Asks a live holder whether it hears the machine: its worker may have come for lack of that. */
   private void ask(String holder, Report r, Answer answer) {
     asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
     peers.send(holder, new Message.HoldAsk(r.host()));
@@ -363,7 +383,8 @@
   private void holdAsked(String from, String host) {
     Machine m = held.get(host);
     // A machine that this controller held before it crashed is waited for from its start on.
-    boolean ours = m != null || holds.heldBy(settings.node(), holds.get(host));
+    Holds.Hold record = holds.get(host);
+    boolean ours = m != null || record == null || holds.heldBy(settings.node(), record);
     double heard = m != null ? m.heard : begun;
     peers.send(from, new Message.HoldSay(host, ours, timers.now() - heard));
   }
@@ -373,7 +394,7 @@
     if (waiting == null) {
       return;
     }
-    Holds.Hold hold = holds.get(host);
+    Holds.Hold hold = holds.of(host, waiting.get(0).report.zone());
     boolean heard =
         say != null && say.held() && say.heardAgoS() < settings.workers().reportS() * 1.5;
     if (say == null && hold != null && !hold.dead() && !held.containsKey(host)) {
@@ -399,20 +420,18 @@
 
   /** Takes the hold of a machine, raising its baton above all that its worker has seen. */
   private void take(Report r, Answer answer) {
-    Holds.Hold hold = holds.get(r.host());
-    if (store.down()) {
+    Holds.Hold hold = holds.of(r.host(), r.zone());
+    if (store.down() || hold == null) {
       answer.send(503, null, 1);
       return;
     }
-    long baton = Math.max(r.baton(), hold == null ? 0 : hold.baton()) + 1;
+    long baton = Math.max(r.baton(), hold.baton()) + 1;
     String self = membership.self();
     String mark = store.newMark();
     Doc value = Holds.write(self, baton, mark);
     taking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
     store.tryTxn(
-        new Txn()
-            .when(Holds.key(r.host()), hold == null ? 0 : hold.stamp())
-            .put(Holds.key(r.host()), value),
+        new Txn().when(Holds.key(r.host()), hold.stamp()).put(Holds.key(r.host()), value),
         Store.Urgency.LEASE,
         done -> {
           List<Waiter> waiting = taking.remove(r.host());
@@ -425,6 +444,7 @@
             return;
           }
           holds.wrote(r.host(), value, done.revision());
+          released.remove(r.host());
           LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", r.host(), r.type(), baton);
           Machine m = new Machine(r, baton, done.revision(), timers.now());
           held.put(r.host(), m);
@@ -609,7 +629,7 @@
   public void reborn() {
     begun = timers.now();
     for (Machine m : List.copyOf(held.values())) {
-      Holds.Hold hold = holds.get(m.host);
+      Holds.Hold hold = holds.of(m.host, m.zone);
       if (hold == null || hold.stamp() != m.holdStamp && !m.raising) {
         dropHold(m, "another controller has taken it");
       }
@@ -716,6 +736,10 @@
       preempt(p);
     } else if (message instanceof Message.Blame b) {
       blamed(b);
+    } else if (message instanceof Message.Unheld u) {
+      if (!from.equals(settings.node())) {
+        released.put(u.host(), from);
+      }
     } else if (message instanceof Message.HoldAsk a) {
       holdAsked(from, a.host());
     } else if (message instanceof Message.HoldSay s) {
--- a/src/main/java/dev/dunefront/book/Holds.java
+++ b/src/main/java/dev/dunefront/book/Holds.java
@@ -1,23 +1,45 @@
 package dev.dunefront.book;
 
+import dev.dunefront.config.Settings;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
 import dev.dunefront.store.Store;
+import dev.dunefront.store.Txn;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** The hold records of all machines, as the replica shows them. */
+/**
+ * Who holds which machine: as recorded, or, while there is no record, by nature. Every controller
+ * works out alike from the roster which of them is a machine's natural holder, under baton 1;
+ * whoever else takes the machine writes a record, on the condition that there is none. So hundreds
+ * of machines that come at once are held without a single write, and no more than one holds each.
+ */
 public final class Holds {
   public static final String PREFIX = Replica.PREFIX + "h/";
 
-  /** Who holds a machine under which baton; {@code dead} once the cloud has confirmed its end. */
+  /** The controllers among which machines are shared by nature: written once and for all. */
+  private static final String ROSTER = Replica.PREFIX + "roster";
+
+  private static final long NATURAL_BATON = 1;
+
+  /**
+   * Who holds a machine under which baton; {@code dead} once the cloud has confirmed its end. The
+   * stamp is 0 where there is no record.
+   */
   public record Hold(String holder, long baton, boolean dead, long stamp) {}
 
+  private record Member(String node, String zone) {}
+
   private final Map<String, Hold> all = new HashMap<>();
+  private final Map<String, String> natural = new HashMap<>();
   private final Replica replica;
+  private List<Member> roster = List.of();
+  private boolean establishing;
   private Consumer<String> listener = host -> {};
 
   public Holds(Replica replica) {
@@ -42,6 +64,47 @@
           }
           listener.accept(host);
         });
+    replica.listen(ROSTER, (rest, value, stamp) -> enrol(value));
+  }
+
+  private void enrol(Doc value) {
+    if (value == null || !roster.isEmpty()) {
+      return;
+    }
+    try {
+      List<Member> members = new ArrayList<>();
+      List<String> zones = value.texts("zones");
+      for (String node : value.texts("nodes")) {
+        members.add(new Member(node, zones.get(members.size())));
+      }
+      roster = members;
+    } catch (BadMessage | IndexOutOfBoundsException e) {
+      throw new IllegalStateException("the roster cannot be read", e);
+    }
+  }
+
+  /** Writes the roster if there is none; whoever is first decides it for all. */
+  public void establish(Settings settings, Store store) {
+    if (!roster.isEmpty() || establishing || !replica.ready()) {
+      return;
+    }
+    establishing = true;
+    List<Object> nodes = new ArrayList<>(List.of(settings.node()));
+    List<Object> zones = new ArrayList<>(List.of(settings.zone()));
+    for (Settings.Peer p : settings.peers()) {
+      nodes.add(p.node());
+      zones.add(p.zone());
+    }
+    Doc value = Doc.of().put("nodes", nodes).put("zones", zones);
+    store.tryTxn(
+        new Txn().when(ROSTER, 0).put(ROSTER, value),
+        Store.Urgency.LEASE,
+        done -> {
+          establishing = false;
+          if (done.ok()) {
+            replica.apply(ROSTER, value, done.revision());
+          }
+        });
   }
 
   public void listen(Consumer<String> changed) {
@@ -52,11 +115,41 @@
     return PREFIX + host;
   }
 
+  /** The record of a machine, or null. */
   public Hold get(String host) {
     return all.get(host);
   }
 
-  /** Whether the machine was last held by this controller, in whatever incarnation. */
+  /** Who holds the machine, by record or by nature; null only while the roster is unknown. */
+  public Hold of(String host, String zone) {
+    Hold recorded = all.get(host);
+    if (recorded != null) {
+      return recorded;
+    }
+    String holder = roster.isEmpty() ? null : natural.computeIfAbsent(host, h -> choose(h, zone));
+    return holder == null ? null : new Hold(holder + "#0", NATURAL_BATON, false, 0);
+  }
+
+  /** One of the machine's own zone, if there is any there: it hears it when the zone is cut off. */
+  private String choose(String host, String zone) {
+    Member best = null;
+    boolean bestNear = false;
+    int bestDraw = 0;
+    for (Member m : roster) {
+      boolean near = m.zone.equals(zone);
+      int draw = (host + "@" + m.node).hashCode() * 0x9E3779B9;
+      draw ^= draw >>> 15;
+      draw *= 0x85EBCA6B;
+      if (best == null || near && !bestNear || near == bestNear && draw > bestDraw) {
+        best = m;
+        bestNear = near;
+        bestDraw = draw;
+      }
+    }
+    return best == null ? null : best.node;
+  }
+
+  /** Whether the machine is held by this controller, in whatever incarnation. */
   boolean heldBy(String node, Hold hold) {
     return hold != null
         && !hold.dead()
@@ -64,10 +157,6 @@
         && Membership.nodeOf(hold.holder()).equals(node);
   }
 
-  public Map<String, Hold> all() {
-    return all;
-  }
-
   static Doc write(String holder, long baton, String mark) {
     return Doc.of().put("holder", holder).put("baton", baton).put(Store.MARK, mark);
   }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -28,8 +28,14 @@
     GONE
   }
 
-  /** An end to be recorded; a hold stamp above 0 is a condition of the proof. */
-  record Ended(int number, Placement placement, End end, long holdStamp) {}
+  /** An end to be recorded; the hold's stamp is a condition of the proof, unless there is none. */
+  record Ended(int number, Placement placement, End end, long holdStamp) {
+    static final long UNCONDITIONAL = -1;
+
+    boolean conditional() {
+      return holdStamp != UNCONDITIONAL;
+    }
+  }
 
   /** What is known of a placed task beyond its record. */
   static final class Live {
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -187,7 +187,7 @@
       }
     }
     for (Ended e : f.ends) {
-      if (e.holdStamp() > 0 && hosts.add(e.placement().host())) {
+      if (e.conditional() && hosts.add(e.placement().host())) {
         txn.when(Holds.key(e.placement().host()), e.holdStamp());
       }
     }
@@ -278,7 +278,7 @@
         continue;
       }
       if (!next.containsKey(index) && next.size() >= maxChunks
-          || e.holdStamp() > 0 && !agrees(stamps, e.placement().host(), e.holdStamp())) {
+          || e.conditional() && !agrees(stamps, e.placement().host(), e.holdStamp())) {
         c.ends.add(e);
         continue;
       }
@@ -454,7 +454,7 @@
       }
     }
     for (Ended e : f.ends) {
-      boolean proofGone = e.holdStamp() > 0 && failed.contains(Holds.key(e.placement().host()));
+      boolean proofGone = e.conditional() && failed.contains(Holds.key(e.placement().host()));
       Live l = c.live.get(e.number());
       if (proofGone && l != null) {
         l.ending = false;
--- a/src/main/java/dev/dunefront/claim/Settling.java
+++ b/src/main/java/dev/dunefront/claim/Settling.java
@@ -86,9 +86,9 @@
       TaskState t = current.get(number);
       l.shown = t != null;
       if (v.tenure() > l.placement.tenure()) {
-        end(c, number, l, End.GONE, 0);
+        end(c, number, l, End.GONE, Ended.UNCONDITIONAL);
       } else if (t != null && t.exited()) {
-        end(c, number, l, endOf(t.why()), 0);
+        end(c, number, l, endOf(t.why()), Ended.UNCONDITIONAL);
       } else if (v.lost()) {
         // The last report still shows the task, but its lease is surely over.
         end(c, number, l, End.GONE, v.holdStamp());
@@ -154,7 +154,7 @@
         .forEach(
             (number, l) -> {
               if (!l.ending) {
-                end(c, number, l, End.GONE, 0);
+                end(c, number, l, End.GONE, Ended.UNCONDITIONAL);
               }
             });
     recorder.flush(c);
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -149,7 +149,7 @@
   public void start() {
     ward.run(
         () -> {
-          replica.start();
+          replica.start(() -> holds.establish(settings, store));
           membership.start();
           catalog.start();
         });
@@ -177,6 +177,7 @@
     ward.run(
         () -> {
           shareBudget();
+          holds.establish(settings, store);
           Message.Progress progress = claims.progress();
           if (!progress.counts().isEmpty()) {
             peers.broadcast(progress);
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -305,7 +305,7 @@
         if (seen == null && now - l.since > patience) {
           why.put(l.host, "it does not boot");
         }
-      } else if (silent(l.host, seen)) {
+      } else if (silent(l, seen)) {
         double since = silentSince.computeIfAbsent(l.host, h -> now);
         double patience = cut.contains(l.zone) ? CUT_LEASES * lease : patience(type, lease);
         if (now - since > patience && now - leadingSince > patience) {
@@ -362,7 +362,7 @@
       if (l.status.equals("running")) {
         int[] counts = zones.computeIfAbsent(l.zone, z -> new int[2]);
         counts[0]++;
-        if (silent(l.host, room.get(l.host))) {
+        if (silent(l, room.get(l.host))) {
           counts[1]++;
         }
       }
@@ -378,13 +378,13 @@
   }
 
   /** Nobody hears the machine, as far as can be told here. */
-  private boolean silent(String host, Room.Seen seen) {
+  private boolean silent(Listed l, Room.Seen seen) {
     if (seen != null) {
       return seen.view().lost();
     }
-    Holds.Hold hold = holds.get(host);
+    Holds.Hold hold = holds.of(l.host, l.zone);
     if (hold == null || hold.dead()) {
-      return true;
+      return hold != null;
     }
     // A live holder that can be heard would have told of the machine if it heard it itself.
     String holder = Membership.nodeOf(hold.holder());
@@ -413,12 +413,13 @@
   /** Records the confirmed end of a machine, by which all that ran there is proven gone. */
   private void buried(String host) {
     Holds.Hold hold = holds.get(host);
-    if (hold == null || hold.dead()) {
+    if (hold != null && hold.dead()) {
       return;
     }
+    long stamp = hold == null ? 0 : hold.stamp();
     String mark = store.newMark();
     store.commit(
-        new Txn().when(Holds.key(host), hold.stamp()).put(Holds.key(host), Holds.writeDead(mark)),
+        new Txn().when(Holds.key(host), stamp).put(Holds.key(host), Holds.writeDead(mark)),
         mark,
         done -> {
           if (!done.ok()) {
--- a/src/main/java/dev/dunefront/store/Replica.java
+++ b/src/main/java/dev/dunefront/store/Replica.java
@@ -35,6 +35,7 @@
         }
       };
   private boolean ready;
+  private Runnable whenRead = () -> {};
 
   public Replica(Store store, Timers timers) {
     this.store = store;
@@ -50,8 +51,13 @@
     listeners.put(prefix, listener);
   }
 
-  /** Reads everything, then follows the changes for ever. */
-  public void start() {
+  /** Reads everything, tells so, then follows the changes for ever. */
+  public void start(Runnable read) {
+    whenRead = read;
+    start();
+  }
+
+  private void start() {
     store.range(
         PREFIX,
         Urgency.CORE,
@@ -70,7 +76,10 @@
               apply(key, null, range.revision());
             }
           }
-          ready = true;
+          if (!ready) {
+            ready = true;
+            whenRead.run();
+          }
           follow(range.revision());
         });
   }
--- a/src/test/java/dev/dunefront/story/ScaleTest.java
+++ b/src/test/java/dev/dunefront/story/ScaleTest.java
@@ -66,6 +66,7 @@
     int running = running(w);
     assertEquals(300, running);
     int holds = w.state.written("w/h/");
+    assertEquals(0, holds, "machines are held by nature, without a write");
     w.nodes.values().forEach(World.Node::crash);
     w.pass(3);
     w.nodes.values().forEach(World.Node::start);
