--- a/src/test/java/dev/dunefront/story/ScaleTest.java
+++ b/src/test/java/dev/dunefront/story/ScaleTest.java
@@ -15,10 +15,11 @@
 
   private static World world() {
     World w = new World(5, LIMITED);
+    w.start().pass(2);
     for (int i = 0; i < MACHINES; i++) {
       w.machine("host-" + i, "small", "a", "node-" + i % 5);
     }
-    w.start().pass(10);
+    w.pass(10);
     return w;
   }
 
