--- a/src/main/java/dev/dunefront/config/Tunables.java
+++ b/src/main/java/dev/dunefront/config/Tunables.java
@@ -17,6 +17,7 @@
  * @param requeueDelayS and parked anew after this time
  * @param nodeLeaseS life of a controller's lease in the state service
  * @param idleReturnS a hired machine that idles this long is returned
+ * @param spare room kept ready for urgent work, as a part of what open urgent jobs take
  */
 public record Tunables(
     int reach,
@@ -28,7 +29,8 @@
     double waitS,
     double requeueDelayS,
     double nodeLeaseS,
-    double idleReturnS) {
+    double idleReturnS,
+    double spare) {
 
   /** A setting as operators name it: its default and what it may be. */
   public record Setting(double standard, double least, double most, boolean whole) {}
@@ -50,6 +52,7 @@
     all.put("requeue_delay_s", new Setting(10, 0, 3_600, false));
     all.put("node_lease_s", new Setting(4, 1, 600, false));
     all.put("idle_return_s", new Setting(300, 10, 1_000_000, false));
+    all.put("spare", new Setting(0.5, 0, 10, false));
     return all;
   }
 
@@ -65,7 +68,8 @@
         value(changed, "wait_s"),
         value(changed, "requeue_delay_s"),
         value(changed, "node_lease_s"),
-        value(changed, "idle_return_s"));
+        value(changed, "idle_return_s"),
+        value(changed, "spare"));
   }
 
   private static double value(Map<String, Double> changed, String name) {
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -54,6 +54,9 @@
   /** How many leases long machines in a cut zone are waited for. */
   private static final double CUT_LEASES = 10;
 
+  /** Of a single job no more tasks than these count for spare room. */
+  private static final int MAX_SPARE = 1000;
+
   /** From this many tasks on, a machine is larger than a task needs. */
   private static final int OVERSIZE = 8;
 
@@ -449,24 +452,9 @@
     Map<Kind, Double> planned = new LinkedHashMap<>();
     for (Message.Waiting w : waiting) {
       JobSpec spec = jobs.get(w.job()).record().spec();
-      double missing = w.tasks();
-      for (var e : coming.entrySet()) {
-        int fit = fit(spec, e.getKey());
-        if (fit > 0) {
-          double used = Math.min(e.getValue(), missing / fit);
-          missing -= used * fit;
-          e.setValue(e.getValue() - used);
-        }
-      }
-      Kind kind;
-      while (missing > 1e-6 && (kind = choose(spec, planned)) != null) {
-        int fit = fit(spec, kind);
-        double had = planned.getOrDefault(kind, 0.0);
-        double more = Math.min(MAX_HIRE - had, missing / fit);
-        planned.put(kind, had + more);
-        missing -= more * fit;
-      }
+      plan(spec, fill(spec, w.tasks(), coming), planned);
     }
+    planSpare(coming, planned);
     Kind most = null;
     for (Kind k : planned.keySet()) {
       if (most == null || planned.get(k) > planned.get(most)) {
@@ -480,6 +468,63 @@
     return new Hire("hire-" + membership.self().replace('#', '-') + "-" + ++hires, most, count);
   }
 
+  /**
+   * Room for a part as much again as open urgent jobs take is kept ready: a burst of them has no
+   * time to wait for machines to boot.
+   */
+  private void planSpare(Map<Kind, Double> coming, Map<Kind, Double> planned) {
+    if (tunables.spare() <= 0) {
+      return;
+    }
+    Map<Kind, Double> free = free();
+    for (JobTable.Entry e : jobs.all()) {
+      JobSpec spec = e.record().spec();
+      if (e.record().status() == JobRecord.Status.OPEN && spec.priority().urgent()) {
+        double missing = Math.min(spec.tasks(), MAX_SPARE) * tunables.spare();
+        missing = fill(spec, missing, free);
+        plan(spec, fill(spec, missing, coming), planned);
+      }
+    }
+  }
+
+  /** Takes room for the tasks from machines that there are; returns how many find none. */
+  private double fill(JobSpec spec, double missing, Map<Kind, Double> machines) {
+    for (var e : machines.entrySet()) {
+      int fit = fit(spec, e.getKey());
+      if (fit > 0 && missing > 0) {
+        double used = Math.min(e.getValue(), missing / fit);
+        missing -= used * fit;
+        e.setValue(e.getValue() - used);
+      }
+    }
+    return missing;
+  }
+
+  /** Adds machines for the tasks to the plan, the cheapest first, as far as they can be had. */
+  private void plan(JobSpec spec, double missing, Map<Kind, Double> planned) {
+    Kind kind;
+    while (missing > 1e-6 && (kind = choose(spec, planned)) != null) {
+      int fit = fit(spec, kind);
+      double had = planned.getOrDefault(kind, 0.0);
+      double more = Math.min(MAX_HIRE - had, missing / fit);
+      planned.put(kind, had + more);
+      missing -= more * fit;
+    }
+  }
+
+  /** Room that nothing takes, in machines. */
+  private Map<Kind, Double> free() {
+    Map<Kind, Double> free = new HashMap<>();
+    for (Room.Seen s : room.all()) {
+      MachineType t = catalog.type(s.view().type());
+      if (t != null && s.view().open() && t.size().cpu() > 0) {
+        double part = Math.max(0, (double) s.view().free().cpu() / t.size().cpu());
+        free.merge(new Kind(s.view().type(), s.view().zone(), s.view().spot()), part, Double::sum);
+      }
+    }
+    return free;
+  }
+
   /** Machines that are rented and not yet held by anybody. */
   private Map<Kind, Double> coming() {
     Map<Kind, Double> coming = new HashMap<>();
