--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -110,7 +110,7 @@
 
   int toldRunning;
   int reach;
-  int rank;
+  int rank = Urgencies.IN_TIME;
   double nextTick;
   double unservedSince;
   double notBefore;
--- a/src/main/java/dev/dunefront/claim/Urgencies.java
+++ b/src/main/java/dev/dunefront/claim/Urgencies.java
@@ -15,16 +15,22 @@
  * has, is learned, for owners' estimates are biased.
  */
 final class Urgencies {
-  /** Jobs in time have the ranks from 0 on, by how much of them is left to start. */
-  private static final double[] SIZES = {0.4, 0.9, 1.8};
+  static final int PRESSING = 0;
+  static final int IN_TIME = 1;
 
-  static final int LATE = SIZES.length + 1;
-  private static final int LATE_LARGE = LATE + 1;
-  static final int LOST = LATE + 2;
+  /** What is added to the two above for a job with much left to start. */
+  private static final int LARGE = 2;
+
+  static final int LATE = 4;
+  private static final int LATE_LARGE = 5;
+  static final int LOST = 6;
 
   private static final double PRESSING_S = 15;
   private static final double LEARN = 0.1;
 
+  /** A job has much left if it is this many times what a job of its class has in all. */
+  private static final double MUCH = 1.4;
+
   private static final double LEAST = 0.3;
   private static final double MOST = 3;
 
@@ -54,28 +60,20 @@
   }
 
   int rank(JobSpec spec, int unstarted, double ageS, double fetchS) {
-    int size = size(spec, unstarted);
+    boolean large = unstarted > MUCH * tasks.getOrDefault(spec.jobClass(), 1e9);
+
     List<Double> aims = aims(spec);
     double needs = spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0) + fetchS;
     for (int i = 0; i < aims.size(); i++) {
       double slack = aims.get(i) - ageS - needs;
-      if (slack >= 0 && i > 0) {
-        return size < 2 ? LATE : LATE_LARGE;
-      } else if (slack >= 0) {
-        return slack < PRESSING_S ? Math.max(0, size - 1) : size;
+      if (slack >= 0) {
+        if (i > 0) {
+          return large ? LATE_LARGE : LATE;
+        }
+        return (slack < PRESSING_S ? PRESSING : IN_TIME) + (large ? LARGE : 0);
       }
     }
-    return aims.isEmpty() ? size : LOST;
-  }
-
-  /** How much of a job is left to start, from 0 for little, as jobs of its class go. */
-  private int size(JobSpec spec, int unstarted) {
-    double usual = tasks.getOrDefault(spec.jobClass(), (double) spec.tasks());
-    int size = 0;
-    while (size < SIZES.length && unstarted > SIZES[size] * usual) {
-      size++;
-    }
-    return size;
+    return aims.isEmpty() ? IN_TIME + (large ? LARGE : 0) : LOST;
   }
 
   /** The ages at which a job should be done, soonest first. */
--- a/src/test/java/dev/dunefront/claim/UrgenciesTest.java
+++ b/src/test/java/dev/dunefront/claim/UrgenciesTest.java
@@ -78,13 +78,13 @@
     assertTrue(pressing < fresh && fresh < late && late < lost);
     int large = u.rank(job(200), 200, 0, 0);
     assertTrue(large > fresh && large < late, "a large job makes many small ones late");
-    assertTrue(u.rank(job(200), 30, 0, 0) < fresh, "what is left of it is little in the end");
+    assertEquals(fresh, u.rank(job(200), 30, 0, 0), "what is left of it is small in the end");
   }
 
   @Test
   void howLongTasksRunIsLearned() throws Exception {
     Urgencies u = new Urgencies(settings());
-    assertTrue(u.rank(job(40), 1, 40, 0) < Urgencies.LATE);
+    assertEquals(Urgencies.IN_TIME, u.rank(job(40), 1, 40, 0));
     for (int i = 0; i < 60; i++) {
       u.ran(job(40), 75);
     }
