--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -65,6 +65,7 @@
     try {
       spec = JobSpec.read(Doc.decode(body));
     } catch (BadMessage e) {
+      LOG.log(Level.INFO, "a submission is malformed: {0}", e.getMessage());
       answer.send(400, error(e.getMessage()));
       return;
     }
--- a/src/main/java/dev/dunefront/wire/JobSpec.java
+++ b/src/main/java/dev/dunefront/wire/JobSpec.java
@@ -31,7 +31,7 @@
   public static JobSpec read(Doc d) throws BadMessage {
     String shape = d.text("shape");
     if (!shape.equals("sweep") && !shape.equals("daemon")) {
-      throw new BadMessage("shape is neither sweep nor daemon");
+      throw new BadMessage("shape is neither sweep nor daemon but " + cut(shape));
     }
     long tasks = d.count("pieces");
     if (tasks < 1 || tasks > MAX_TASKS) {
@@ -83,6 +83,10 @@
         .allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c == '-');
   }
 
+  private static String cut(String word) {
+    return word.length() > 20 ? word.substring(0, 20) : word;
+  }
+
   private static String name(Doc d, String field) throws BadMessage {
     String s = d.text(field);
     if (s.isEmpty() || s.length() > MAX_NAME) {
