--- a/src/main/java/dev/dunefront/claim/Urgencies.java
+++ b/src/main/java/dev/dunefront/claim/Urgencies.java
@@ -59,11 +59,13 @@
     tasks.merge(spec.jobClass(), (double) spec.tasks(), (old, now) -> old + LEARN * (now - old));
   }
 
-  int rank(JobSpec spec, int unstarted, double ageS, double fetchS) {
+  int rank(JobSpec spec, int unstarted, double ageS, double typicalS, double fetchS) {
     boolean large = unstarted > MUCH * tasks.getOrDefault(spec.jobClass(), 1e9);
 
     List<Double> aims = aims(spec);
-    double needs = spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0) + fetchS;
+    double runs =
+        typicalS > 0 ? typicalS : spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0);
+    double needs = runs + fetchS;
     for (int i = 0; i < aims.size(); i++) {
       double slack = aims.get(i) - ageS - needs;
       if (slack >= 0) {
