--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -33,6 +33,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * The machines that this controller holds: takes reports, keeps a book for each, deals freed room,
@@ -239,7 +240,7 @@
    */
   private void takeNear(Report r, Answer answer) {
     if (!r.zone().equals(settings.zone())) {
-      String near = leastLoaded(r.zone());
+      String near = leastLoadedOf(r.zone());
       if (near != null && !sentLately(r.host())) {
         sentOn.put(r.host(), timers.now());
         redirect(answer, near);
@@ -249,17 +250,23 @@
     take(r, answer);
   }
 
-  /** The living, reachable controller of a zone that holds least, or null. */
-  private String leastLoaded(String zone) {
+  /** The living controller within reach that holds least of those that qualify, or null. */
+  private String leastLoaded(Predicate<Settings.Peer> qualifies) {
     String best = null;
     for (Settings.Peer p : settings.peers()) {
-      if (p.zone().equals(zone)
+      if (qualifies.test(p)
           && loads.containsKey(p.node())
           && membership.liveNodes().contains(p.node())
           && (best == null || loads.get(p.node()) < loads.get(best))) {
         best = p.node();
       }
     }
+    return best;
+  }
+
+  /** The controller of a zone to which a machine of that zone is best sent, or null. */
+  private String leastLoadedOf(String zone) {
+    String best = leastLoaded(p -> p.zone().equals(zone));
     if (best != null) {
       // Counted at once, so that a wave of machines is not all sent to one.
       loads.merge(best, 1, Integer::sum);
@@ -287,21 +294,9 @@
     if (lagS < BEHIND_S) {
       return null;
     }
-    String best = null;
-    boolean bestNear = false;
-    for (Settings.Peer p : settings.peers()) {
-      boolean near = p.zone().equals(settings.zone());
-      if (lags.getOrDefault(p.node(), lagS) < lagS * KEEPS_UP
-          && loads.containsKey(p.node())
-          && membership.liveNodes().contains(p.node())
-          && (best == null
-              || near && !bestNear
-              || near == bestNear && loads.get(p.node()) < loads.get(best))) {
-        best = p.node();
-        bestNear = near;
-      }
-    }
-    return best;
+    Predicate<Settings.Peer> keepsUp = p -> lags.getOrDefault(p.node(), lagS) < lagS * KEEPS_UP;
+    String near = leastLoaded(p -> p.zone().equals(settings.zone()) && keepsUp.test(p));
+    return near != null ? near : leastLoaded(keepsUp);
   }
 
   /**
@@ -318,7 +313,7 @@
       if (!m.settled || m.doubt || m.raising || m.lost || m.busy()) {
         continue;
       }
-      String to = m.zone.equals(settings.zone()) ? few : leastLoaded(m.zone);
+      String to = m.zone.equals(settings.zone()) ? few : leastLoadedOf(m.zone);
       if (to == null && !zones.contains(m.zone)) {
         to = few;
       }
@@ -331,15 +326,7 @@
 
   /** A controller of this zone that holds far fewer machines than this one, or null. */
   private String leastLoadedNear() {
-    String best = null;
-    for (Settings.Peer p : settings.peers()) {
-      if (p.zone().equals(settings.zone())
-          && loads.containsKey(p.node())
-          && membership.liveNodes().contains(p.node())
-          && (best == null || loads.get(p.node()) < loads.get(best))) {
-        best = p.node();
-      }
-    }
+    String best = leastLoaded(p -> p.zone().equals(settings.zone()));
     return best != null && held.size() > loads.get(best) * FAR_MORE + FEW ? best : null;
   }
 
