--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -28,12 +28,9 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * The machines that this controller holds: takes reports, keeps a book for each, deals freed room,
@@ -52,23 +49,12 @@
   /** A machine that was sent to another controller and comes back this soon is taken. */
   private static final double SENT_S = 20;
 
-  /** This controller is behind when its timers are so late. */
-  private static final double BEHIND_S = 0.4;
-
-  /** And another keeps up whose timers are late by less than this part of that. */
-  private static final double KEEPS_UP = 0.4;
-
   /** A controller that is behind keeps at least so many machines. */
   private static final int KEEP = 5;
 
   /** How often a machine is let go of for another controller, when the budget is idle. */
   private static final double SPREAD_S = 0.5;
 
-  /** Another controller has far fewer machines: this many times, and so many on top. */
-  private static final double FAR_MORE = 1.25;
-
-  private static final int FEW = 4;
-
   /** How long room is kept for an offer that is being taken. */
   private static final double TAKING_S = 15;
 
@@ -122,16 +108,7 @@
 
   private record Silence(String incarnation, double since) {}
 
-  /** Machines held by the other controllers that can be heard. */
-  private final Map<String, Integer> loads = new HashMap<>();
-
-  /** By how much the timers of those are late. */
-  private final Map<String, Double> lags = new HashMap<>();
-
-  private double lagS;
-
-  /** Zones with controllers. */
-  private final Set<String> zones = new HashSet<>();
+  private final Neighbours neighbours;
 
   /** When a machine was last sent to another controller. */
   private final Map<String, Double> sentOn = new HashMap<>();
@@ -172,11 +149,8 @@
     this.begun = timers.now();
     this.offers = timers.timeOfDayMs() << 16;
     nodes.add(settings.node());
-    zones.add(settings.zone());
-    for (Settings.Peer p : settings.peers()) {
-      nodes.add(p.node());
-      zones.add(p.zone());
-    }
+    settings.peers().forEach(p -> nodes.add(p.node()));
+    this.neighbours = new Neighbours(settings, membership);
   }
 
   // ---- reports ----
@@ -240,7 +214,7 @@
    */
   private void takeNear(Report r, Answer answer) {
     if (!r.zone().equals(settings.zone())) {
-      String near = leastLoadedOf(r.zone());
+      String near = neighbours.of(r.zone());
       if (near != null && !sentLately(r.host())) {
         sentOn.put(r.host(), timers.now());
         redirect(answer, near);
@@ -250,53 +224,14 @@
     take(r, answer);
   }
 
-  /** The living controller within reach that holds least of those that qualify, or null. */
-  private String leastLoaded(Predicate<Settings.Peer> qualifies) {
-    String best = null;
-    for (Settings.Peer p : settings.peers()) {
-      if (qualifies.test(p)
-          && loads.containsKey(p.node())
-          && membership.liveNodes().contains(p.node())
-          && (best == null || loads.get(p.node()) < loads.get(best))) {
-        best = p.node();
-      }
-    }
-    return best;
-  }
-
-  /** The controller of a zone to which a machine of that zone is best sent, or null. */
-  private String leastLoadedOf(String zone) {
-    String best = leastLoaded(p -> p.zone().equals(zone));
-    if (best != null) {
-      // Counted at once, so that a wave of machines is not all sent to one.
-      loads.merge(best, 1, Integer::sum);
-    }
-    return best;
-  }
-
   /** A controller tells how many machines it holds, and how late its timers are. */
-  public void load(String node, int machines, double lagS) {
-    loads.put(node, machines);
-    lags.put(node, lagS);
+  public void load(String node, int machines, double lateS) {
+    neighbours.tells(node, machines, lateS);
   }
 
   /** Whether this controller is far behind with its work while another is not. */
   public boolean overloaded() {
-    return idler() != null;
-  }
-
-  /**
-   * Another controller that keeps up, if this one does not; of its zone if there is one. A
-   * controller that has just returned, or computes slowly, falls behind with its machines' reports;
-   * what it cannot answer in time would lose its lease, so it passes machines on instead.
-   */
-  private String idler() {
-    if (lagS < BEHIND_S) {
-      return null;
-    }
-    Predicate<Settings.Peer> keepsUp = p -> lags.getOrDefault(p.node(), lagS) < lagS * KEEPS_UP;
-    String near = leastLoaded(p -> p.zone().equals(settings.zone()) && keepsUp.test(p));
-    return near != null ? near : leastLoaded(keepsUp);
+    return neighbours.idler() != null;
   }
 
   /**
@@ -308,28 +243,17 @@
       return;
     }
     spreadAt = now;
-    String few = leastLoadedNear();
+    String few = neighbours.farBelow(held.size());
     for (Machine m : held.values()) {
-      if (!m.settled || m.doubt || m.raising || m.lost || m.busy()) {
-        continue;
-      }
-      String to = m.zone.equals(settings.zone()) ? few : leastLoadedOf(m.zone);
-      if (to == null && !zones.contains(m.zone)) {
-        to = few;
-      }
-      if (to != null && m.sendTo == null) {
-        m.sendTo = to;
-        return;
+      if (m.settled && !m.doubt && !m.raising && !m.lost && !m.busy() && m.sendTo == null) {
+        m.sendTo = neighbours.better(m.zone, few);
+        if (m.sendTo != null) {
+          return;
+        }
       }
     }
   }
 
-  /** A controller of this zone that holds far fewer machines than this one, or null. */
-  private String leastLoadedNear() {
-    String best = leastLoaded(p -> p.zone().equals(settings.zone()));
-    return best != null && held.size() > loads.get(best) * FAR_MORE + FEW ? best : null;
-  }
-
   /**
    * A machine that is this controller's by nature, or that an earlier incarnation held and nobody
    * has taken since: it is held without a write. So the arrival of many machines, and a return of
@@ -455,13 +379,13 @@
     if (r.newerThan(m.tenure, m.serial)) {
       apply(m, r);
     }
-    if (m.sendTo == null && held.size() > KEEP && lagS >= BEHIND_S) {
-      m.sendTo = idler();
+    if (m.sendTo == null && held.size() > KEEP) {
+      m.sendTo = neighbours.idler();
     }
     if (m.sendTo != null) {
       String to = m.sendTo;
       m.sendTo = null;
-      if (loads.containsKey(to) && !m.busy() && !m.doubt && !m.raising) {
+      if (neighbours.reachable(to) && !m.busy() && !m.doubt && !m.raising) {
         dropHold(m, "it is better held by " + to);
         sentOn.put(m.host, timers.now());
         redirect(answer, to);
@@ -857,8 +781,7 @@
 
   /** A controller's link is gone, and with it all that it wanted. */
   public void gone(String node) {
-    loads.remove(node);
-    lags.remove(node);
+    neighbours.gone(node);
     for (Machine m : held.values()) {
       m.book.drop(node);
       if (m.offers.values().removeIf(o -> o.node().equals(node))) {
@@ -1082,7 +1005,7 @@
 
   /** Called several times a second. */
   public void tick(double lateS) {
-    lagS = lateS;
+    neighbours.late(lateS);
     double now = timers.now();
     double lease = settings.workers().leaseS();
     for (Machine m : List.copyOf(held.values())) {
