Long names of machines cannot outgrow a value

Found by reading: 512 placements on machines with names of 70 letters make a record of 22 KiB, which the state service refuses for ever. The story fails without the check.

--- a/src/main/java/dev/dunefront/claim/Chunk.java
+++ b/src/main/java/dev/dunefront/claim/Chunk.java
@@ -6,8 +6,10 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What is recorded of a run of consecutive tasks of one job: which are done, which are placed
@@ -17,10 +19,16 @@
 final class Chunk {
   /**
    * Tasks in a chunk. A placement takes some 12 bytes and a machine's name some 15, so the value
-   * stays below 16 KiB even if every task is on a machine of its own.
+   * mostly stays below 16 KiB even if every task is on a machine of its own.
    */
   static final int TASKS = 512;
 
+  /** The most that a placement's numbers take as text, and a run's, and all that is around them. */
+  private static final int PLACEMENT_BYTES = 16;
+
+  private static final int RUN_BYTES = 8;
+  private static final int FRAME_BYTES = 200;
+
   static String prefix(String job) {
     return "t/" + job + "/";
   }
@@ -62,6 +70,30 @@
     return c;
   }
 
+  /** About how large the value is as text; the state service limits that. */
+  int bytes() {
+    int runs = 0;
+    for (int from = done.nextSetBit(0);
+        from >= 0;
+        from = done.nextSetBit(done.nextClearBit(from))) {
+      runs++;
+    }
+    Set<String> hosts = new HashSet<>();
+    int names = 0;
+    for (Placement p : placed.values()) {
+      names += hosts.add(p.host) ? p.host.length() + 3 : 0;
+    }
+    return FRAME_BYTES
+        + names
+        + RUN_BYTES * runs
+        + PLACEMENT_BYTES * Math.max(placed.size(), tries.size());
+  }
+
+  /** How much another placement may add. */
+  static int bytesFor(String host) {
+    return PLACEMENT_BYTES + host.length() + 3;
+  }
+
   static Chunk read(Doc d, long stamp) throws BadMessage {
     Chunk c = new Chunk(stamp);
     List<Long> done = d.counts("done");
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -296,6 +296,10 @@
         quota == null
             ? Integer.MAX_VALUE
             : (int) Math.min(Integer.MAX_VALUE, (long) c.record.granted() + quota.room(c.size));
+    // What each chunk may still grow: with long names fewer than all its tasks may be placed at
+    // once.
+    Map<Integer, Integer> growth = new HashMap<>();
+    int most = (int) (desk.settings().stateLimits().valueKb() * 1024);
     int number = 0;
     int allowed = c.suspect() ? Math.max(0, 1 - c.live.size()) : Integer.MAX_VALUE;
     List<String> startHosts = new ArrayList<>();
@@ -321,6 +325,8 @@
               && placed + starts.size() < limit
               && desk.now() >= c.notBefore
               && (next.containsKey(index) || next.size() < maxChunks)
+              && growth.computeIfAbsent(index, i -> most - size(c, next, i))
+                  >= Chunk.bytesFor(o.host())
               && zones.allowed(c, o.host(), startHosts)
               && agrees(stamps, o.host(), o.holdStamp());
       if (!take) {
@@ -328,6 +334,7 @@
         continue;
       }
       kept.add(h);
+      growth.merge(index, -Chunk.bytesFor(o.host()), Integer::sum);
       Chunk old = c.chunks.get(index);
       Chunk chunk = next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
       int n = number % Chunk.TASKS;
@@ -343,6 +350,11 @@
     return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), starts, ends));
   }
 
+  private static int size(Claim c, Map<Integer, Chunk> next, int index) {
+    Chunk chunk = next.getOrDefault(index, c.chunks.get(index));
+    return chunk == null ? 0 : chunk.bytes();
+  }
+
   /** How many tasks are to be granted when so many are placed. */
   private int grant(
       Claim c, Quotas.Quota quota, int placed, List<Starting> starts, List<Ended> ends) {
--- a/src/test/java/dev/dunefront/story/ScaleTest.java
+++ b/src/test/java/dev/dunefront/story/ScaleTest.java
@@ -83,6 +83,24 @@
     assertEquals(List.of(), w.overlaps);
   }
 
+  @Test
+  void longNamesOfMachinesDoNotOutgrowAValue() {
+    World w = new World(2);
+    w.start().pass(2);
+    String name = "a-machine-with-a-name-that-goes-on-and-on-and-on-for-ever-and-a-day-";
+    for (int i = 0; i < 250; i++) {
+      w.machine(name + i, "small", "a", "node-" + i % 2);
+    }
+    w.pass(5);
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 250, 3)).status());
+    w.pass(6);
+    assertTrue(running(w) > 100, running(w) + " run");
+    for (String key : w.state.keys("t/wk-1/")) {
+      int bytes = w.state.value(key).encode().length;
+      assertTrue(bytes < 16 * 1024, bytes + " bytes in " + key);
+    }
+  }
+
   private static int running(World w) {
     return w.workers.values().stream().mapToInt(m -> m.running().size()).sum();
   }
