--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -41,13 +41,6 @@
   private static final System.Logger LOG = System.getLogger(Books.class.getName());
   private static final double ORDER_S = 3.0;
   private static final double REPEAT_S = 2.0;
-  private static final double ASK_S = 0.5;
-
-  /** The part of a lease for which a silent holder is waited for. */
-  private static final double PATIENCE = 0.25;
-
-  /** A machine that was sent to another controller and comes back this soon is taken. */
-  private static final double SENT_S = 20;
 
   /** A controller that is behind keeps at least so many machines. */
   private static final int KEEP = 5;
@@ -89,35 +82,16 @@
   private final Ward ward;
   private final Map<String, Machine> held = new HashMap<>();
 
-  private record Waiter(Report report, Answer answer) {}
-
-  /** Reports that wait for a hold to be taken. */
-  private final Map<String, List<Waiter>> taking = new HashMap<>();
-
-  /** Reports that wait for another controller to say whether it still hears the machine. */
-  private final Map<String, List<Waiter>> asking = new HashMap<>();
-
   private final Map<String, Double> lookedUp = new HashMap<>();
   private final List<Machine> toTell = new ArrayList<>();
 
   /** All controllers, this one included. */
   private final List<String> nodes = new ArrayList<>();
 
-  /** Since when a holder has left questions unanswered. */
-  private final Map<String, Silence> unanswered = new HashMap<>();
-
-  private record Silence(String incarnation, double since) {}
-
   private final Neighbours neighbours;
-
-  /** When a machine was last sent to another controller. */
-  private final Map<String, Double> sentOn = new HashMap<>();
-
-  /** Machines that were let go of, and by whom. */
-  private final Map<String, String> released = new HashMap<>();
+  private final Reception reception;
 
   private double spreadAt;
-  private double begun;
   private double strangersAt;
 
   /** No earlier incarnation's offers have these numbers. */
@@ -146,11 +120,13 @@
     this.peers = peers;
     this.timers = timers;
     this.ward = ward;
-    this.begun = timers.now();
     this.offers = timers.timeOfDayMs() << 16;
     nodes.add(settings.node());
     settings.peers().forEach(p -> nodes.add(p.node()));
     this.neighbours = new Neighbours(settings, membership);
+    this.reception =
+        new Reception(
+            settings, membership, holds, catalog, store, peers, timers, ward, neighbours, this);
   }
 
   // ---- reports ----
@@ -159,71 +135,11 @@
     Machine m = held.get(r.host());
     if (m != null) {
       reportOfHeld(m, r, answer);
-      return;
-    }
-    if (taking.containsKey(r.host())) {
-      taking.get(r.host()).add(new Waiter(r, answer));
-      return;
-    }
-    if (asking.containsKey(r.host())) {
-      asking.get(r.host()).add(new Waiter(r, answer));
-      return;
-    }
-    Holds.Hold hold = holds.of(r.host(), r.zone());
-    boolean ours = holds.heldBy(settings.node(), hold);
-    if (ours && r.baton() <= hold.baton()) {
-      resume(hold, r, answer);
-    } else if (membership.self() == null || !catalog.known() || hold == null) {
-      answer.send(503, null, 1);
-    } else if (hold.dead()) {
-      answer.send(503, null, 5);
-    } else if (ours) {
-      take(r, answer);
     } else {
-      reportOfOthers(hold, r, answer);
+      reception.report(r, answer);
     }
   }
 
-  /** The machine has another holder; yet its worker has come here. */
-  private void reportOfOthers(Holds.Hold hold, Report r, Answer answer) {
-    String holder = Membership.nodeOf(hold.holder());
-    boolean live = membership.liveNodes().contains(holder);
-    if (holder.equals(released.get(r.host()))) {
-      take(r, answer);
-    } else if (live && hold.stamp() == 0 && !sentLately(r.host())) {
-      // It has yet to learn who its natural holder is.
-      sentOn.put(r.host(), timers.now());
-      redirect(answer, holder);
-    } else if (live) {
-      ask(holder, r, answer);
-    } else if (patient(holder)) {
-      answer.send(503, null, 1);
-    } else {
-      takeNear(r, answer);
-    }
-  }
-
-  private boolean sentLately(String host) {
-    Double sent = sentOn.get(host);
-    return sent != null && timers.now() - sent < SENT_S;
-  }
-
-  /**
-   * Takes a machine, or sends it to a controller of its own zone, which goes on hearing it when the
-   * zone is cut off. Once sent, a machine that comes back is taken: it cannot get there.
-   */
-  private void takeNear(Report r, Answer answer) {
-    if (!r.zone().equals(settings.zone())) {
-      String near = neighbours.of(r.zone());
-      if (near != null && !sentLately(r.host())) {
-        sentOn.put(r.host(), timers.now());
-        redirect(answer, near);
-        return;
-      }
-    }
-    take(r, answer);
-  }
-
   /** A controller tells how many machines it holds, and how late its timers are. */
   public void load(String node, int machines, double lateS) {
     neighbours.tells(node, machines, lateS);
@@ -254,116 +170,18 @@
     }
   }
 
-  /**
-   * A machine that is this controller's by nature, or that an earlier incarnation held and nobody
-   * has taken since: it is held without a write. So the arrival of many machines, and a return of
-   * many controllers at once costs no write for each machine, and no lease runs out behind the
-   * budget. What the earlier incarnation may have sent is in doubt only for tasks that the worker
-   * does not show, see {@link #probed}.
-   */
-  private void resume(Holds.Hold hold, Report r, Answer answer) {
-    Machine m = new Machine(r, hold.baton(), hold.stamp(), timers.now());
-    m.resumed = true;
-    held.put(r.host(), m);
-    LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", r.host(), r.type(), m.baton);
-    reportOfHeld(m, r, answer);
-  }
-
-  /**
-   * Whether a holder that does not answer is still waited for. A controller that crashes is back
-   * within seconds and holds on to its machines; were they taken at once, a few survivors would
-   * write a hold for each and sit on them all.
-   */
-  private boolean patient(String holder) {
-    String incarnation = membership.incarnation(holder);
-    Silence s = unanswered.get(holder);
-    if (s == null || incarnation != null && !incarnation.equals(s.incarnation)) {
-      s = new Silence(incarnation, timers.now());
-      unanswered.put(holder, s);
-    }
-    return timers.now() - s.since < settings.workers().leaseS() * PATIENCE;
-  }
-
-  /** Asks a live holder whether it hears the machine: its worker may have come for lack of that. */
-  private void ask(String holder, Report r, Answer answer) {
-    asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
-    peers.send(holder, new Message.HoldAsk(r.host()));
-    timers.after(ASK_S, () -> ward.run(() -> settleAsk(r.host(), null)));
-  }
-
-  private void holdAsked(String from, String host) {
-    Machine m = held.get(host);
-    // A machine that this controller held before it crashed is waited for from its start on.
-    Holds.Hold record = holds.get(host);
-    boolean ours = m != null || record == null || holds.heldBy(settings.node(), record);
-    double heard = m != null ? m.heard : begun;
-    peers.send(from, new Message.HoldSay(host, ours, timers.now() - heard));
-  }
-
-  private void settleAsk(String host, Message.HoldSay say) {
-    List<Waiter> waiting = asking.remove(host);
-    if (waiting == null) {
-      return;
-    }
-    Holds.Hold hold = holds.of(host, waiting.get(0).report.zone());
-    boolean heard =
-        say != null && say.held() && say.heardAgoS() < settings.workers().reportS() * 1.5;
-    if (say == null && hold != null && !hold.dead() && !held.containsKey(host)) {
-      if (patient(Membership.nodeOf(hold.holder()))) {
-        waiting.forEach(w -> w.answer.send(503, null, 1));
-        return;
-      }
-    }
-    for (Waiter w : waiting) {
-      if (heard && hold != null && !hold.holder().isEmpty()) {
-        redirect(w.answer, Membership.nodeOf(hold.holder()));
-      } else if (held.containsKey(host) || taking.containsKey(host)) {
-        report(w.report, w.answer);
-      } else {
-        take(w.report, w.answer);
-      }
-    }
-  }
-
-  private static void redirect(Answer answer, String node) {
-    answer.send(421, Doc.of().put("overseer", node).encode());
+  /** The machine, if this controller holds it, or null. */
+  Machine held(String host) {
+    return held.get(host);
   }
 
-  /** Takes the hold of a machine, raising its baton above all that its worker has seen. */
-  private void take(Report r, Answer answer) {
-    Holds.Hold hold = holds.of(r.host(), r.zone());
-    if (store.down() || hold == null) {
-      answer.send(503, null, 1);
-      return;
-    }
-    long baton = Math.max(r.baton(), hold.baton()) + 1;
-    String self = membership.self();
-    String mark = store.newMark();
-    Doc value = Holds.write(self, baton, mark);
-    taking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
-    store.tryTxn(
-        new Txn().when(Holds.key(r.host()), hold.stamp()).put(Holds.key(r.host()), value),
-        Store.Urgency.LEASE,
-        done -> {
-          List<Waiter> waiting = taking.remove(r.host());
-          if (waiting == null || !self.equals(membership.self())) {
-            return;
-          }
-          if (!done.ok()) {
-            // An unclear write may show later; the worker's next report finds it in the replica.
-            waiting.forEach(w -> w.answer.send(503, null, 1));
-            return;
-          }
-          holds.wrote(r.host(), value, done.revision());
-          released.remove(r.host());
-          LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", r.host(), r.type(), baton);
-          Machine m = new Machine(r, baton, done.revision(), timers.now());
-          held.put(r.host(), m);
-          waiting.forEach(w -> reportOfHeld(m, w.report, w.answer));
-        });
+  /** From now on this controller holds the machine. */
+  void hold(Machine m) {
+    held.put(m.host, m);
+    LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", m.host, m.typeName, m.baton);
   }
 
-  private void reportOfHeld(Machine m, Report r, Answer answer) {
+  void reportOfHeld(Machine m, Report r, Answer answer) {
     if (r.baton() > m.baton) {
       // Somebody with a higher baton commands this machine.
       dropHold(m, "a higher baton is out");
@@ -387,8 +205,7 @@
       m.sendTo = null;
       if (neighbours.reachable(to) && !m.busy() && !m.doubt && !m.raising) {
         dropHold(m, "it is better held by " + to);
-        sentOn.put(m.host, timers.now());
-        redirect(answer, to);
+        reception.send(m.host, to, answer);
         return;
       }
     }
@@ -538,15 +355,13 @@
    * held on: their records still name this controller.
    */
   public void reborn() {
-    begun = timers.now();
     for (Machine m : List.copyOf(held.values())) {
       Holds.Hold hold = holds.of(m.host, m.zone);
       if (hold == null || hold.stamp() != m.holdStamp && !m.raising) {
         dropHold(m, "another controller has taken it");
       }
     }
-    taking.values().forEach(ws -> ws.forEach(w -> w.answer.send(503, null, 1)));
-    taking.clear();
+    reception.reborn();
   }
 
   /** The replica shows a changed hold record. */
@@ -649,13 +464,12 @@
       blamed(b);
     } else if (message instanceof Message.Unheld u) {
       if (!from.equals(settings.node())) {
-        released.put(u.host(), from);
+        reception.released(u.host(), from);
       }
     } else if (message instanceof Message.HoldAsk a) {
-      holdAsked(from, a.host());
+      reception.asked(from, a.host());
     } else if (message instanceof Message.HoldSay s) {
-      unanswered.remove(from);
-      settleAsk(s.host(), s);
+      reception.answered(from, s);
     } else if (message instanceof Message.Cancelled c) {
       for (Machine m : held.values()) {
         stopJob(m, c.job());
