--- a/src/main/java/dev/dunefront/claim/Urgencies.java
+++ b/src/main/java/dev/dunefront/claim/Urgencies.java
@@ -59,13 +59,11 @@
     tasks.merge(spec.jobClass(), (double) spec.tasks(), (old, now) -> old + LEARN * (now - old));
   }
 
-  int rank(JobSpec spec, int unstarted, double ageS, double typicalS, double fetchS) {
+  int rank(JobSpec spec, int unstarted, double ageS, double fetchS) {
     boolean large = unstarted > MUCH * tasks.getOrDefault(spec.jobClass(), 1e9);
 
     List<Double> aims = aims(spec);
-    double runs =
-        typicalS > 0 ? typicalS : spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0);
-    double needs = runs + fetchS;
+    double needs = spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0) + fetchS;
     for (int i = 0; i < aims.size(); i++) {
       double slack = aims.get(i) - ageS - needs;
       if (slack >= 0) {
--- a/src/test/java/dev/dunefront/claim/UrgenciesTest.java
+++ b/src/test/java/dev/dunefront/claim/UrgenciesTest.java
@@ -71,23 +71,23 @@
     for (int i = 0; i < 20; i++) {
       u.seen(job(40));
     }
-    int fresh = u.rank(job(40), 40, 0, 0, 0);
-    int pressing = u.rank(job(40), 40, 65, 0, 0);
-    int late = u.rank(job(40), 40, 90, 0, 0);
-    int lost = u.rank(job(40), 40, 170, 0, 0);
+    int fresh = u.rank(job(40), 40, 0, 0);
+    int pressing = u.rank(job(40), 40, 65, 0);
+    int late = u.rank(job(40), 40, 90, 0);
+    int lost = u.rank(job(40), 40, 170, 0);
     assertTrue(pressing < fresh && fresh < late && late < lost);
-    int large = u.rank(job(200), 200, 0, 0, 0);
+    int large = u.rank(job(200), 200, 0, 0);
     assertTrue(large > fresh && large < late, "a large job makes many small ones late");
-    assertEquals(fresh, u.rank(job(200), 30, 0, 0, 0), "what is left of it is small in the end");
+    assertEquals(fresh, u.rank(job(200), 30, 0, 0), "what is left of it is small in the end");
   }
 
   @Test
   void howLongTasksRunIsLearned() throws Exception {
     Urgencies u = new Urgencies(settings());
-    assertEquals(Urgencies.IN_TIME, u.rank(job(40), 1, 40, 0, 0));
+    assertEquals(Urgencies.IN_TIME, u.rank(job(40), 1, 40, 0));
     for (int i = 0; i < 60; i++) {
       u.ran(job(40), 75);
     }
-    assertEquals(Urgencies.LATE, u.rank(job(40), 1, 40, 0, 0));
+    assertEquals(Urgencies.LATE, u.rank(job(40), 1, 40, 0));
   }
 }
