--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -79,7 +79,6 @@
   /** Wants parked, by machine. */
   final Map<String, Integer> parked = new HashMap<>();
 
-  final Pace.Runs runs = new Pace.Runs();
   final Map<String, Double> avoid = new HashMap<>();
   final Set<String> failedOn = new HashSet<>();
 
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -41,7 +41,6 @@
   private final Parking parking;
   private final Recorder recorder;
   private final Settling settling;
-  private final Pace pace = new Pace();
   private final Urgencies urgencies;
   private final Map<String, Claim> claims = new HashMap<>();
   private final Set<String> claiming = new HashSet<>();
@@ -62,9 +61,9 @@
     urgencies = new Urgencies(desk.settings());
     Zones zones = new Zones(room);
     quotas = new Quotas(desk.settings(), desk.replica(), this::reviewSoon);
-    parking = new Parking(desk, room, quotas, urgencies, pace, zones);
+    parking = new Parking(desk, room, quotas, urgencies, zones);
     recorder = new Recorder(desk, quotas, zones, parking, room, this);
-    settling = new Settling(desk, room, urgencies, pace, recorder);
+    settling = new Settling(desk, room, urgencies, recorder);
   }
 
   public Room room() {
@@ -352,8 +351,6 @@
         settling.end(c, a.number(), l, End.GONE, a.holdStamp());
         recorder.flush(c);
       }
-    } else if (message instanceof Message.Ran r) {
-      pace.heard(r.host(), r.ratio(), desk.now());
     } else if (message instanceof Message.Progress p) {
       for (Message.Count n : p.counts()) {
         if (!claims.containsKey(n.job()) && desk.jobs().get(n.job()) != null) {
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -40,9 +40,6 @@
   /** What using a machine many times too large costs, in seconds of an earlier start. */
   private static final double OVERSIZE_S = 3;
 
-  /** What using a machine costs that runs tasks far slower, in seconds of an earlier start. */
-  private static final double SLOW_S = 20;
-
   /** From this many tasks on, a machine is larger than a task needs. */
   private static final int OVERSIZE = 8;
 
@@ -65,15 +62,13 @@
   private final Room room;
   private final Quotas quotas;
   private final Urgencies urgencies;
-  private final Pace pace;
   private final Zones zones;
 
-  Parking(Desk desk, Room room, Quotas quotas, Urgencies urgencies, Pace pace, Zones zones) {
+  Parking(Desk desk, Room room, Quotas quotas, Urgencies urgencies, Zones zones) {
     this.desk = desk;
     this.room = room;
     this.quotas = quotas;
     this.urgencies = urgencies;
-    this.pace = pace;
     this.zones = zones;
   }
 
@@ -186,8 +181,7 @@
         fit.large
             && !urgent
             && now - c.unservedSince < desk.tunables().gatherTicks() * desk.tunables().tickS();
-    boolean slow = pace.slow(v.host(), now);
-    int tier = fits == 0 ? 1 : spare || slow ? 2 : 0;
+    int tier = fits == 0 ? 1 : spare ? 2 : 0;
     return new Choice(s, fit.ever, fits, tier, costS(c, s, fit), s.mix() ^ c.mix);
   }
 
@@ -199,8 +193,7 @@
     int others = images.size() - (warm && c.spec.image() != null ? 1 : 0);
     // A task in no hurry leaves the machines that have others' images to those others.
     double cost = c.spec.priority().urgent() ? fetch : fetch * PATIENT + others * CROWD_S;
-    boolean slow = pace.slow(s.view().host(), desk.now());
-    return cost + (fit.large ? OVERSIZE_S : 0) + (slow ? SLOW_S : 0);
+    return cost + (fit.large ? OVERSIZE_S : 0);
   }
 
   /** Puts the best of several offers first. */
--- a/src/main/java/dev/dunefront/claim/Settling.java
+++ b/src/main/java/dev/dunefront/claim/Settling.java
@@ -29,14 +29,12 @@
   private final Desk desk;
   private final Room room;
   private final Urgencies urgencies;
-  private final Pace pace;
   private final Recorder recorder;
 
-  Settling(Desk desk, Room room, Urgencies urgencies, Pace pace, Recorder recorder) {
+  Settling(Desk desk, Room room, Urgencies urgencies, Recorder recorder) {
     this.desk = desk;
     this.room = room;
     this.urgencies = urgencies;
-    this.pace = pace;
     this.recorder = recorder;
   }
 
@@ -178,7 +176,7 @@
     double now = desk.now();
     String host = l.placement.host();
     if (end == End.DONE && l.runningSince > 0) {
-      ran(c, host, now - l.runningSince, now);
+      urgencies.ran(c.spec, now - l.runningSince);
     }
     if (end == End.FAILED) {
       failed(c, number, host, now);
@@ -187,17 +185,6 @@
     }
   }
 
-  private void ran(Claim c, String host, double seconds, double now) {
-    urgencies.ran(c.spec, seconds);
-    double ratio = c.runs.ratio(seconds);
-    if (pace.tells(host, ratio)) {
-      desk.peers().broadcast(new Message.Ran(host, ratio));
-    }
-    if (ratio <= Pace.SLOW) {
-      c.runs.add(seconds);
-    }
-  }
-
   private void failed(Claim c, int number, String host, double now) {
     c.failures++;
     boolean first = c.failedOn.add(host);
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -195,9 +195,6 @@
 
   record Count(String job, int done, int running) {}
 
-  /** A task ran this many times as long as its siblings on the machine. */
-  record Ran(String host, double ratio) implements Message {}
-
   /** Asks to stop young tasks of lower priority, so that so many tasks of this size find room. */
   record Preempt(String host, int priority, Size size, int count) implements Message {}
 
@@ -277,10 +274,6 @@
       out.writeByte(7);
       out.writeLong(d.offer);
       out.writeUTF(d.host);
-    } else if (m instanceof Ran r) {
-      out.writeByte(22);
-      out.writeUTF(r.host);
-      out.writeDouble(r.ratio);
     } else if (m instanceof Taking t) {
       out.writeByte(21);
       out.writeLong(t.offer);
@@ -412,7 +405,6 @@
                   in.readLong(),
                   in.readLong());
           case 7 -> new Decline(in.readLong(), in.readUTF());
-          case 22 -> new Ran(in.readUTF(), in.readDouble());
           case 21 -> new Taking(in.readLong(), in.readUTF());
           case 8 ->
               new Start(
