Tasks on a machine that vanished while nobody held it are proven gone by its deletion

A machine that the cloud takes while its holder is down is neither listed nor ever heard by the holder's next life, so no proof of absence came. Claimants now name such machines to whoever rents, which deletes them by name after two leases and three lags. The story fails without it.

--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -528,6 +528,14 @@
         waiting.add(new Message.Waiting(c.id(), n));
       }
     }
-    return new Message.Demand(waiting);
+    Set<String> unheard = new HashSet<>();
+    for (Claim c : claims.values()) {
+      for (String host : c.hosts()) {
+        if (room.get(host) == null) {
+          unheard.add(host);
+        }
+      }
+    }
+    return new Message.Demand(waiting, List.copyOf(unheard));
   }
 }
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -96,6 +96,7 @@
   private final Map<String, Kind> expectedKind = new HashMap<>();
   private final Map<String, Double> idleSince = new HashMap<>();
   private final Map<String, Double> silentSince = new HashMap<>();
+  private final Map<String, Double> unlistedSince = new HashMap<>();
   private final ArrayDeque<Hire> unclear = new ArrayDeque<>();
   private boolean calling;
   private double nextCall;
@@ -167,6 +168,7 @@
       listed.clear();
       expected.clear();
       silentSince.clear();
+      unlistedSince.clear();
       idleSince.clear();
       leadingSince = timers.now();
       nextList = 0;
@@ -321,6 +323,7 @@
         why.put(l.host, "tasks fail on it");
       }
     }
+    doomUnlisted(now, why);
     for (Room.Seen s : room.all()) {
       String host = s.view().host();
       if (!s.view().idle() || !s.view().open()) {
@@ -345,6 +348,27 @@
     return doomed;
   }
 
+  /**
+   * Machines that nobody hears and that are no longer listed are gone, yet somebody has tasks
+   * placed on them: the holder ended together with the machine, and its next life never heard of
+   * it. Only the cloud's answer to a deletion proves those tasks gone; without it they would wait
+   * for ever.
+   */
+  private void doomUnlisted(double now, Map<String, String> why) {
+    Set<String> unheard = new HashSet<>();
+    demands.values().forEach(d -> unheard.addAll(d.unheard()));
+    unheard.removeIf(h -> listed.containsKey(h) || room.get(h) != null);
+    unlistedSince.keySet().retainAll(unheard);
+    // A new machine is listed within twice the lag, and listed until it is gone.
+    double patience = 2 * settings.workers().leaseS() + 3 * settings.cloudLimits().listLagS();
+    for (String host : unheard) {
+      double since = unlistedSince.computeIfAbsent(host, h -> now);
+      if (now - since > patience && now - leadingSince > patience) {
+        why.put(host, "it is neither heard nor listed");
+      }
+    }
+  }
+
   /**
    * How long a silent machine is waited for: about as long as another would take to come. What
    * fails the cloud itself lists as failed; what is silent mostly hangs or is cut off, and is back
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -185,8 +185,11 @@
   /** A user was told that the job is cancelled. */
   record Cancelled(String job) implements Message {}
 
-  /** What a controller has waiting, for whoever rents machines. */
-  record Demand(List<Waiting> waiting) implements Message {}
+  /**
+   * What a controller has waiting, for whoever rents machines, and machines on which it has placed
+   * tasks and of which nobody tells.
+   */
+  record Demand(List<Waiting> waiting, List<String> unheard) implements Message {}
 
   record Waiting(String job, int tasks) {}
 
@@ -347,6 +350,10 @@
         out.writeUTF(w.job);
         out.writeInt(w.tasks);
       }
+      out.writeInt(d.unheard.size());
+      for (String host : d.unheard) {
+        out.writeUTF(host);
+      }
     }
   }
 
@@ -437,7 +444,11 @@
             for (int i = 0; i < n; i++) {
               all.add(new Waiting(in.readUTF(), in.readInt()));
             }
-            yield new Demand(all);
+            List<String> unheard = new ArrayList<>();
+            for (int i = in.readInt(); i > 0; i--) {
+              unheard.add(in.readUTF());
+            }
+            yield new Demand(all, unheard);
           }
           case 19 -> new Preempt(in.readUTF(), in.readByte(), readSize(in), in.readInt());
           case 18 ->
--- a/src/main/java/dev/dunefront/standin/CloudStandIn.java
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -32,6 +32,11 @@
     machines.put(host, machine(host, type, zone, false, "running"));
   }
 
+  /** Takes a machine back without notice: from now on it is not listed. */
+  public void take(String host) {
+    machines.remove(host);
+  }
+
   public boolean deleted(String host) {
     return deleted.contains(host);
   }
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -52,7 +52,7 @@
           new Message.Cancelled("wk-1"),
           new Message.Health(true, 1.5, 2.5, 3, 0.5),
           new Message.Preempt("h", 1, new Size(1, 2, 3), 4),
-          new Message.Demand(List.of(new Message.Waiting("wk-1", 3))));
+          new Message.Demand(List.of(new Message.Waiting("wk-1", 3)), List.of("h")));
 
   @Test
   void everyRecordIsReadBackAsWritten() throws IOException {
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -457,6 +457,28 @@
     assertEquals(List.of("wk-1/0"), b.running());
   }
 
+  @Test
+  void aMachineTakenWhileNobodyHeldItStrandsNothing() {
+    World w = new World(2);
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-1", World.job("wk-1", 1, 1));
+    w.pass(1);
+    assertEquals(1, a.running().size());
+    // All controllers end, and the cloud takes the machine before any is back: it is not listed,
+    // and no holder can tell when its lease was over.
+    w.nodes.values().forEach(World.Node::crash);
+    w.silent.add("host-1");
+    w.cloud.take("host-1");
+    w.pass(2);
+    w.nodes.values().forEach(World.Node::start);
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-1");
+    w.pass(World.LEASE_S + 3);
+    assertEquals(List.of(), b.running(), "not proven yet");
+    w.pass(40);
+    assertEquals(List.of("wk-1/0"), b.running());
+  }
+
   @Test
   void serviceTasksOfAJobStayInOneZoneOrApart() {
     World w = new World(2);
