--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -1,5 +1,6 @@
 package dev.dunefront.book;
 
+import dev.dunefront.claim.Desk;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.fleet.Catalog;
@@ -97,36 +98,23 @@
   /** No earlier incarnation's offers have these numbers. */
   private long offers;
 
-  public Books(
-      Settings settings,
-      Tunables tunables,
-      Membership membership,
-      Holds holds,
-      JobTable jobs,
-      Catalog catalog,
-      Store store,
-      Caller caller,
-      Peers peers,
-      Timers timers,
-      Ward ward) {
-    this.settings = settings;
-    this.tunables = tunables;
-    this.membership = membership;
-    this.holds = holds;
-    this.jobs = jobs;
-    this.catalog = catalog;
-    this.store = store;
+  public Books(Desk desk, Caller caller) {
+    this.settings = desk.settings();
+    this.tunables = desk.tunables();
+    this.membership = desk.membership();
+    this.holds = desk.holds();
+    this.jobs = desk.jobs();
+    this.catalog = desk.catalog();
+    this.store = desk.store();
     this.caller = caller;
-    this.peers = peers;
-    this.timers = timers;
-    this.ward = ward;
+    this.peers = desk.peers();
+    this.timers = desk.timers();
+    this.ward = desk.ward();
     this.offers = timers.timeOfDayMs() << 16;
     nodes.add(settings.node());
     settings.peers().forEach(p -> nodes.add(p.node()));
     this.neighbours = new Neighbours(settings, membership);
-    this.reception =
-        new Reception(
-            settings, membership, holds, catalog, store, peers, timers, ward, neighbours, this);
+    this.reception = new Reception(desk, neighbours, this);
   }
 
   // ---- reports ----
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -116,23 +116,12 @@
       return Size.NONE;
     }
     Size free = type.size();
-    for (Report.Task t : tasks.values()) {
-      if (!t.exited()) {
-        Size s = sizes.apply(t.id().job());
-        if (s == null) {
-          return Size.NONE;
-        }
-        free = free.minus(s);
-      }
-    }
-    for (TaskId id : pending.keySet()) {
-      if (!tasks.containsKey(id) || tasks.get(id).exited()) {
-        Size s = sizes.apply(id.job());
-        if (s == null) {
-          return Size.NONE;
-        }
-        free = free.minus(s);
+    for (TaskId id : unfinished()) {
+      Size s = sizes.apply(id.job());
+      if (s == null) {
+        return Size.NONE;
       }
+      free = free.minus(s);
     }
     for (Offered o : offers.values()) {
       free = free.minus(o.size());
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -1,5 +1,6 @@
 package dev.dunefront.book;
 
+import dev.dunefront.claim.Desk;
 import dev.dunefront.config.Settings;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.net.HttpServer.Answer;
@@ -62,25 +63,15 @@
 
   private double begun;
 
-  Reception(
-      Settings settings,
-      Membership membership,
-      Holds holds,
-      Catalog catalog,
-      Store store,
-      Peers peers,
-      Timers timers,
-      Ward ward,
-      Neighbours neighbours,
-      Books books) {
-    this.settings = settings;
-    this.membership = membership;
-    this.holds = holds;
-    this.catalog = catalog;
-    this.store = store;
-    this.peers = peers;
-    this.timers = timers;
-    this.ward = ward;
+  Reception(Desk desk, Neighbours neighbours, Books books) {
+    this.settings = desk.settings();
+    this.membership = desk.membership();
+    this.holds = desk.holds();
+    this.catalog = desk.catalog();
+    this.store = desk.store();
+    this.peers = desk.peers();
+    this.timers = desk.timers();
+    this.ward = desk.ward();
     this.neighbours = neighbours;
     this.books = books;
     this.begun = timers.now();
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -95,7 +95,7 @@
   int parkedFor;
 
   double lookAgain;
-  double lookPause = 0.25;
+  double lookPause = Parking.LOOK_AGAIN_S;
 
   /** The openings of room that have been looked at, and when. */
   long openings;
--- a/src/main/java/dev/dunefront/claim/Desk.java
+++ b/src/main/java/dev/dunefront/claim/Desk.java
@@ -12,7 +12,7 @@
 import dev.dunefront.store.Replica;
 import dev.dunefront.store.Store;
 
-/** What the parts of a claimant share. */
+/** What the parts of a controller share. */
 public record Desk(
     Settings settings,
     Tunables tunables,
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -1,5 +1,6 @@
 package dev.dunefront.claim;
 
+import dev.dunefront.fleet.Catalog;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Message.View;
 import dev.dunefront.wire.JobSpec;
@@ -26,7 +27,7 @@
   private static final double YOUNG_S = 15;
 
   /** How soon an unserved job looks over all machines again; doubled up to the tick. */
-  private static final double LOOK_AGAIN_S = 0.25;
+  static final double LOOK_AGAIN_S = 0.25;
 
   /** At most this often a job looks at the machines where room has opened. */
   private static final double OPENINGS_S = 0.1;
@@ -40,9 +41,6 @@
   /** What using a machine many times too large costs, in seconds of an earlier start. */
   private static final double OVERSIZE_S = 3;
 
-  /** From this many tasks on, a machine is larger than a task needs. */
-  private static final int OVERSIZE = 8;
-
   /** Wants parked where there is room now, as a multiple of what is wanted: others want it too. */
   private static final double SURPLUS = 1.5;
 
@@ -75,7 +73,7 @@
   /** Brings a job's parked wants up to date. */
   void review(Claim c) {
     double now = desk.now();
-    int wanted = wanted(c, now);
+    int wanted = wanted(c);
     if (wanted <= 0 || now < c.notBefore) {
       withdraw(c);
       if (wanted <= 0) {
@@ -110,7 +108,7 @@
   }
 
   /** Tasks for which room is wanted. */
-  private int wanted(Claim c, double now) {
+  private int wanted(Claim c) {
     int wanted = c.unstarted() - c.offers.size() - c.starting;
     Quotas.Quota quota = quotas.of(c.spec.team());
     if (quota != null) {
@@ -127,19 +125,6 @@
     c.parkedFor = Math.min(c.parkedFor, Math.max(0, c.unstarted()));
   }
 
-  /** Whether there is a type on which the job's tasks would not be lost in space. */
-  private boolean smallerServes(Claim c) {
-    for (MachineType t : desk.catalog().types()) {
-      int times = c.size.timesIn(t.size());
-      if (times > 0
-          && times < OVERSIZE
-          && (c.spec.types() == null || c.spec.types().contains(t.name()))) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** What a kind of machine is to a job; worked out once for each job and kind. */
   record Fit(int ever, boolean large, double fetchS) {}
 
@@ -159,7 +144,7 @@
     int ever = spec.allows(kind.type(), kind.zone(), kind.spot()) ? c.size.timesIn(type.size()) : 0;
     double fetch =
         spec.image() == null || type.fetchGbPerS() <= 0 ? 0 : spec.imageGb() / type.fetchGbPerS();
-    Fit fit = new Fit(ever, ever >= OVERSIZE && smallerServes(c), fetch);
+    Fit fit = new Fit(ever, ever >= Catalog.OVERSIZE && desk.catalog().smallerServes(spec), fetch);
     c.fits.set(kind.index(), fit);
     return fit;
   }
@@ -227,20 +212,20 @@
     long surplus = (long) Math.ceil(wanted * SURPLUS);
     // Where there is room enough right now, nothing need wait for room elsewhere.
     long left = fitting >= surplus ? surplus : (long) wanted * c.reach;
-    long now0 = surplus;
+    long here = surplus;
     int machines = 0;
     Map<String, Integer> target = new HashMap<>();
     for (Choice ch : choices) {
       if (left <= 0 && (machines >= c.reach || ch.tier != 0)) {
         break;
       }
-      if (ch.fits > 0 && now0 <= 0 && machines >= c.reach) {
+      if (ch.fits > 0 && here <= 0 && machines >= c.reach) {
         continue;
       }
       int n = Math.min(wanted, ch.fits > 0 ? ch.fits : ch.ever);
       target.put(ch.seen.view().host(), n);
       left -= n;
-      now0 -= ch.fits > 0 ? n : 0;
+      here -= ch.fits > 0 ? n : 0;
       machines++;
     }
     for (String host : Set.copyOf(c.parked.keySet())) {
@@ -301,8 +286,10 @@
       return;
     }
     // What was asked for just now is still on its way here.
-    int need = now - c.preemptedAt < PREEMPT_ASKED_S ? wanted - c.preempted : wanted;
-    c.preempted = now - c.preemptedAt < PREEMPT_ASKED_S ? c.preempted : 0;
+    if (now - c.preemptedAt >= PREEMPT_ASKED_S) {
+      c.preempted = 0;
+    }
+    int need = wanted - c.preempted;
     for (Choice ch : choices) {
       need -= ch.fits;
     }
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -229,9 +229,6 @@
     }
     c.flying = true;
     c.starting = f.starts.size();
-    Set<Long> taken = new HashSet<>();
-    f.starts.forEach(s -> taken.add(s.held.offer().offer()));
-    c.offers.removeIf(h -> taken.contains(h.offer().offer()));
     Status finalStatus = last;
     JobRecord record = rewritten;
     desk.store()
@@ -333,7 +330,6 @@
         decline(h);
         continue;
       }
-      kept.add(h);
       growth.merge(index, -Chunk.bytesFor(o.host()), Integer::sum);
       Chunk old = c.chunks.get(index);
       Chunk chunk = next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
@@ -347,7 +343,7 @@
     }
     c.offers.clear();
     c.offers.addAll(kept);
-    return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), starts, ends));
+    return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), ends));
   }
 
   private static int size(Claim c, Map<Integer, Chunk> next, int index) {
@@ -356,8 +352,7 @@
   }
 
   /** How many tasks are to be granted when so many are placed. */
-  private int grant(
-      Claim c, Quotas.Quota quota, int placed, List<Starting> starts, List<Ended> ends) {
+  private int grant(Claim c, Quotas.Quota quota, int placed, List<Ended> ends) {
     if (quota == null) {
       return 0;
     }
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -81,47 +81,22 @@
     catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica);
-    books =
-        new Books(
-            settings,
-            tunables,
-            membership,
-            holds,
-            jobs,
-            catalog,
-            store,
-            caller,
-            peers,
-            timers,
-            ward);
-    claims =
-        new Claims(
-            new Desk(
-                settings,
-                tunables,
-                membership,
-                replica,
-                holds,
-                jobs,
-                catalog,
-                store,
-                peers,
-                timers,
-                ward));
-    fleet =
-        new Fleet(
+    Desk desk =
+        new Desk(
             settings,
             tunables,
             membership,
             replica,
             holds,
             jobs,
-            claims.room(),
             catalog,
             store,
-            caller,
+            peers,
             timers,
             ward);
+    books = new Books(desk, caller);
+    claims = new Claims(desk);
+    fleet = new Fleet(desk, claims.room(), caller);
     api = new JobApi(settings, membership, jobs, claims, catalog, store, peers, timers);
     holds.listen(
         host -> {
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -7,6 +7,7 @@
 import dev.dunefront.store.Txn;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -47,6 +48,22 @@
     return types.values();
   }
 
+  /** From this many tasks on, a machine is larger than a task needs. */
+  public static final int OVERSIZE = 8;
+
+  /** Whether there is an allowed type on which the job's tasks would not be lost in space. */
+  public boolean smallerServes(JobSpec spec) {
+    for (MachineType t : types()) {
+      int times = spec.size().timesIn(t.size());
+      if (times > 0
+          && times < OVERSIZE
+          && (spec.types() == null || spec.types().contains(t.name()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   public void start() {
     store.get(
         KEY,
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package dev.dunefront.fleet;
 
 import dev.dunefront.book.Holds;
+import dev.dunefront.claim.Desk;
 import dev.dunefront.claim.Room;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
@@ -57,9 +58,7 @@
   /** Of a single job no more tasks than these count for spare room. */
   private static final int MAX_SPARE = 1000;
 
-  /** From this many tasks on, a machine is larger than a task needs. */
-  private static final int OVERSIZE = 8;
-
+  /** What machines many times too large count as, in multiples of their price. */
   private static final double OVERSIZE_COST = 2;
 
   /** A machine as the cloud lists it, with the steady time at which it was first listed. */
@@ -105,41 +104,30 @@
   private double nextList;
   private double leadingSince;
 
-  public Fleet(
-      Settings settings,
-      Tunables tunables,
-      Membership membership,
-      Replica replica,
-      Holds holds,
-      JobTable jobs,
-      Room room,
-      Catalog catalog,
-      Store store,
-      Caller caller,
-      Timers timers,
-      Ward ward) {
-    this.settings = settings;
-    this.tunables = tunables;
-    this.membership = membership;
-    this.holds = holds;
-    this.jobs = jobs;
+  public Fleet(Desk desk, Room room, Caller caller) {
+    this.settings = desk.settings();
+    this.tunables = desk.tunables();
+    this.membership = desk.membership();
+    this.holds = desk.holds();
+    this.jobs = desk.jobs();
     this.room = room;
-    this.catalog = catalog;
-    this.store = store;
+    this.catalog = desk.catalog();
+    this.store = desk.store();
     this.caller = caller;
-    this.timers = timers;
-    this.ward = ward;
+    this.timers = desk.timers();
+    this.ward = desk.ward();
     this.callsAt = timers.now();
-    replica.listen(
-        KEY,
-        (rest, value, stamp) -> {
-          try {
-            leader = value == null ? null : value.text("inc");
-          } catch (BadMessage e) {
-            leader = null;
-          }
-          keyStamp = value == null ? 0 : stamp;
-        });
+    desk.replica()
+        .listen(
+            KEY,
+            (rest, value, stamp) -> {
+              try {
+                leader = value == null ? null : value.text("inc");
+              } catch (BadMessage e) {
+                leader = null;
+              }
+              keyStamp = value == null ? 0 : stamp;
+            });
   }
 
   /** The controller that rents, or null. */
@@ -298,7 +286,8 @@
   /** Machines that are to be deleted, each for a reason of its own. */
   private List<String> doomed(double now) {
     double lease = settings.workers().leaseS();
-    Set<String> cut = cutZones();
+    Set<String> silent = silentHosts();
+    Set<String> cut = cutZones(silent);
     Map<String, String> why = new HashMap<>();
     for (Listed l : listed.values()) {
       Room.Seen seen = room.get(l.host);
@@ -310,7 +299,7 @@
         if (seen == null && now - l.since > patience) {
           why.put(l.host, "it does not boot");
         }
-      } else if (silent(l, seen)) {
+      } else if (silent.contains(l.host)) {
         double since = silentSince.computeIfAbsent(l.host, h -> now);
         double patience = cut.contains(l.zone) ? CUT_LEASES * lease : patience(type, lease);
         if (now - since > patience && now - leadingSince > patience) {
@@ -381,17 +370,16 @@
 
   /**
    * Zones of which so much is silent at once that the zone must be cut off, not its machines
-   * broken. Inside, they may well be heard and run their tasks.
+   * broken. Inside, they may well be heard and run their tasks. Puts the silent machines into the
+   * set.
    */
-  private Set<String> cutZones() {
+  private Set<String> cutZones(Set<String> silent) {
     Map<String, int[]> zones = new HashMap<>();
     for (Listed l : listed.values()) {
       if (l.status.equals("running")) {
         int[] counts = zones.computeIfAbsent(l.zone, z -> new int[2]);
         counts[0]++;
-        if (silent(l, room.get(l.host))) {
-          counts[1]++;
-        }
+        counts[1] += silent.contains(l.host) ? 1 : 0;
       }
     }
     Set<String> cut = new HashSet<>();
@@ -404,6 +392,19 @@
     return cut;
   }
 
+  /** Listed machines that should be heard and are not. */
+  private Set<String> silentHosts() {
+    Set<String> silent = new HashSet<>();
+    for (Listed l : listed.values()) {
+      if (!l.status.equals("failed")
+          && !l.status.equals("booting")
+          && silent(l, room.get(l.host))) {
+        silent.add(l.host);
+      }
+    }
+    return silent;
+  }
+
   /** Nobody hears the machine, as far as can be told here. */
   private boolean silent(Listed l, Room.Seen seen) {
     if (seen != null) {
@@ -573,11 +574,7 @@
   private Kind choose(JobSpec spec, Map<Kind, Double> planned) {
     Kind best = null;
     double bestCost = Double.MAX_VALUE;
-    boolean smallerServes = false;
-    for (MachineType t : catalog.types()) {
-      int times = spec.size().timesIn(t.size());
-      smallerServes |= times > 0 && times < OVERSIZE;
-    }
+    boolean smallerServes = catalog.smallerServes(spec);
     for (MachineType t : catalog.types()) {
       for (String zone : t.zones()) {
         for (boolean spot : new boolean[] {false, true}) {
@@ -590,7 +587,7 @@
           }
           double cost = (spot ? t.spotPrice() : t.price()) / fit;
           // Machines many times too large are left to tasks that fit nowhere else.
-          if (fit >= OVERSIZE && smallerServes) {
+          if (fit >= Catalog.OVERSIZE && smallerServes) {
             cost *= OVERSIZE_COST;
           }
           if (cost < bestCost) {
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -22,6 +22,9 @@
   private static final double QUEUE_S = 3.0;
   private static final double PROBE_S = 0.3;
 
+  /** How many seconds' worth may be saved up. */
+  private static final double BURST = 0.8;
+
   private record Waiting(double until, int writes, Runnable start, Runnable refuse) {}
 
   private final String address;
@@ -56,8 +59,8 @@
     this.writeRps = writeShare.equalPart();
     this.markPrefix = markPrefix;
     // The burst is a part of the common one: all controllers may start at once.
-    this.requests = rps * 0.8;
-    this.writes = writeRps * 0.8;
+    this.requests = rps * BURST;
+    this.writes = writeRps * BURST;
     this.refilled = timers.now();
     this.askedSince = timers.now();
     for (Urgency u : Urgency.values()) {
@@ -72,28 +75,39 @@
 
   @Override
   public double writeDelayS() {
-    int queued = 1;
-    for (Urgency u : List.of(Urgency.USER, Urgency.LEASE, Urgency.CORE)) {
-      for (Waiting w : queues.get(u)) {
-        queued += w.writes;
+    refill();
+    return Math.max(0, (queuedWrites(Urgency.CORE) + 1 - writes) / writeRps);
+  }
+
+  /** Changes that wait, of this and all greater urgencies. */
+  private int queuedWrites(Urgency least) {
+    int queued = 0;
+    for (var e : queues.entrySet()) {
+      if (e.getKey().compareTo(least) <= 0) {
+        for (Waiting w : e.getValue()) {
+          queued += w.writes;
+        }
       }
     }
-    double saved = Math.min(writeRps * 0.8, writes + (timers.now() - refilled) * writeRps);
-    return Math.max(0, (queued - saved) / writeRps);
+    return queued;
+  }
+
+  private void refill() {
+    double now = timers.now();
+    requests = Math.min(rps * BURST, requests + (now - refilled) * rps);
+    writes = Math.min(writeRps * BURST, writes + (now - refilled) * writeRps);
+    refilled = now;
   }
 
   @Override
   public Use use() {
-    int queuedWrites = 0;
     int queued = 0;
     for (ArrayDeque<Waiting> queue : queues.values()) {
-      for (Waiting w : queue) {
-        queuedWrites += w.writes;
-        queued++;
-      }
+      queued += queue.size();
     }
     double spanS = Math.max(0.1, timers.now() - askedSince);
-    Use use = new Use(asked / spanS + queued, askedWrites / spanS + queuedWrites);
+    Use use =
+        new Use(asked / spanS + queued, askedWrites / spanS + queuedWrites(Urgency.BACKGROUND));
     asked = 0;
     askedWrites = 0;
     askedSince = timers.now();
@@ -388,9 +402,7 @@
 
   private void pump() {
     double now = timers.now();
-    requests = Math.min(rps * 0.8, requests + (now - refilled) * rps);
-    writes = Math.min(writeRps * 0.8, writes + (now - refilled) * writeRps);
-    refilled = now;
+    refill();
     boolean left = false;
     for (ArrayDeque<Waiting> queue : queues.values()) {
       while (!queue.isEmpty()) {
