--- /dev/null
+++ b/src/main/java/dev/dunefront/fleet/Cloud.java
@@ -0,0 +1,180 @@
+package dev.dunefront.fleet;
+
+import dev.dunefront.config.Settings;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The cloud's interface for machines, asked one call at a time and no faster than its rate. */
+final class Cloud {
+  private static final System.Logger LOG = System.getLogger(Cloud.class.getName());
+  private static final double CALL_S = 4;
+  private static final int PAGE = 500;
+
+  /** The part of the cloud's rate that is used, for a former leader's calls may still count. */
+  private static final double RATE_PART = 0.9;
+
+  /** A machine as the cloud lists it, with the steady time at which it was first listed. */
+  record Listed(String host, Kind kind, String status, double since) {
+    boolean failed() {
+      return status.equals("failed");
+    }
+
+    boolean booting() {
+      return status.equals("booting");
+    }
+
+    boolean running() {
+      return status.equals("running");
+    }
+  }
+
+  /** A request for machines; its name is never used again. */
+  record Hire(String name, Kind kind, int count) {}
+
+  /** What came of a request; TOO_FAST and UNCLEAR leave it open to be made again. */
+  enum Outcome {
+    RENTED,
+    REFUSED,
+    TOO_FAST,
+    UNCLEAR
+  }
+
+  /** The machines rented, perhaps fewer than asked for. */
+  record Rented(Outcome outcome, List<String> hosts) {}
+
+  private final Settings settings;
+  private final Caller caller;
+  private final Timers timers;
+  private final Ward ward;
+  private final Runnable ready;
+  private boolean calling;
+  private double nextCall;
+  private double calls = 1;
+  private double callsAt;
+
+  /** {@code ready} runs whenever a call is over, so that the next need not wait for a tick. */
+  Cloud(Settings settings, Caller caller, Timers timers, Ward ward, Runnable ready) {
+    this.settings = settings;
+    this.caller = caller;
+    this.timers = timers;
+    this.ward = ward;
+    this.ready = ready;
+    this.callsAt = timers.now();
+  }
+
+  /** Whether a call may be made now: none is under way, and short bursts keep to the rate. */
+  boolean free() {
+    double now = timers.now();
+    if (calling || now < nextCall) {
+      return false;
+    }
+    double rps = settings.cloudLimits().rps();
+    calls = Math.min(Math.max(1, rps), calls + (now - callsAt) * rps * RATE_PART);
+    callsAt = now;
+    return calls >= 1;
+  }
+
+  private void call(String method, String path, Doc body, Consumer<Caller.Reply> then) {
+    calling = true;
+    calls -= 1;
+    ward.then(
+        () ->
+            caller.call(
+                settings.cloud(),
+                method,
+                path,
+                body == null ? null : body.encode(),
+                CALL_S,
+                reply ->
+                    ward.run(
+                        () -> {
+                          calling = false;
+                          if (reply.status() == 503 || reply.status() == 429) {
+                            nextCall = Math.max(nextCall, timers.now() + 1);
+                          }
+                          then.accept(reply);
+                          ready.run();
+                        })));
+  }
+
+  /** Lists all machines; nothing is heard of a list that does not come whole. */
+  void list(Consumer<List<Listed>> then) {
+    list("", new ArrayList<>(), then);
+  }
+
+  private void list(String from, List<Listed> all, Consumer<List<Listed>> then) {
+    call(
+        "GET",
+        "/machines?" + (from.isEmpty() ? "" : "from=" + from + "&") + "page=" + PAGE,
+        null,
+        reply -> {
+          if (!reply.ok()) {
+            return;
+          }
+          try {
+            Doc d = Doc.decode(reply.body());
+            String last = from;
+            for (Doc m : d.docs("hosts")) {
+              last = m.text("id");
+              Kind kind =
+                  new Kind(m.text("flavor"), m.textOr("site", ""), m.flagOr("loaners", false));
+              all.add(new Listed(last, kind, m.text("status"), timers.now()));
+            }
+            if (d.flagOr("more", false) && !last.equals(from)) {
+              list(last, all, then);
+            } else {
+              then.accept(all);
+            }
+          } catch (BadMessage e) {
+            LOG.log(Level.INFO, "the machine list cannot be read: {0}", e.getMessage());
+          }
+        });
+  }
+
+  /** Deletes machines; hears whether the cloud has confirmed it. */
+  void delete(List<String> hosts, Consumer<Boolean> then) {
+    call(
+        "POST", "/machines/delete", Doc.of().put("hosts", hosts), reply -> then.accept(reply.ok()));
+  }
+
+  void hire(Hire h, Consumer<Rented> then) {
+    call(
+        "POST",
+        "/machines",
+        Doc.of()
+            .put("hire", h.name)
+            .put("flavor", h.kind.type())
+            .put("site", h.kind.zone())
+            .put("loaners", h.kind.spot())
+            .put("how_many", h.count),
+        reply -> {
+          List<String> hosts = List.of();
+          if (reply.ok()) {
+            try {
+              hosts = Doc.decode(reply.body()).texts("hosts");
+            } catch (BadMessage e) {
+              LOG.log(Level.INFO, "the answer to a hire cannot be read: {0}", e.getMessage());
+            }
+          }
+          then.accept(new Rented(outcome(reply), hosts));
+        });
+  }
+
+  private static Outcome outcome(Caller.Reply reply) {
+    if (reply.ok()) {
+      return Outcome.RENTED;
+    }
+    return switch (reply.status()) {
+      case 503, 400 -> Outcome.REFUSED;
+      case 429 -> Outcome.TOO_FAST;
+      default -> Outcome.UNCLEAR;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/fleet/Health.java
@@ -0,0 +1,172 @@
+package dev.dunefront.fleet;
+
+import dev.dunefront.book.Holds;
+import dev.dunefront.claim.Room;
+import dev.dunefront.config.Settings;
+import dev.dunefront.fleet.Cloud.Listed;
+import dev.dunefront.store.Membership;
+import dev.dunefront.wire.MachineType;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** Which machines are to be deleted because they are of no use any more, and why. */
+final class Health {
+  /** A zone with at least so many silent machines, and this part of all, is cut off. */
+  private static final int CUT_LEAST = 4;
+
+  private static final double CUT_PART = 0.3;
+
+  /** How many leases long machines in a cut zone are waited for. */
+  private static final double CUT_LEASES = 10;
+
+  private final Settings settings;
+  private final Membership membership;
+  private final Holds holds;
+  private final Room room;
+  private final Catalog catalog;
+  private final Inventory inventory;
+  private final Map<String, Double> silentSince = new HashMap<>();
+  private final Map<String, Double> unlistedSince = new HashMap<>();
+
+  Health(
+      Settings settings,
+      Membership membership,
+      Holds holds,
+      Room room,
+      Catalog catalog,
+      Inventory inventory) {
+    this.settings = settings;
+    this.membership = membership;
+    this.holds = holds;
+    this.room = room;
+    this.catalog = catalog;
+    this.inventory = inventory;
+  }
+
+  void clear() {
+    silentSince.clear();
+    unlistedSince.clear();
+  }
+
+  /**
+   * Puts machines and reasons into the map.
+   *
+   * @param watchedS for how long this controller has watched
+   * @param heardFrom controllers that tell what they have
+   * @param unheard machines with tasks of which nobody tells
+   */
+  void check(
+      double now,
+      double watchedS,
+      Set<String> heardFrom,
+      Set<String> unheard,
+      Map<String, String> why) {
+    double lease = settings.workers().leaseS();
+    Set<String> silent = silentHosts(heardFrom);
+    Set<String> cut = cutZones(silent);
+    for (Listed l : inventory.listed()) {
+      Room.Seen seen = room.get(l.host());
+      MachineType type = catalog.type(l.kind().type());
+      if (l.failed()) {
+        why.put(l.host(), "it failed");
+      } else if (l.booting()) {
+        double patience = 30 + 4 * (type == null ? 30 : type.bootS());
+        if (seen == null && now - l.since() > patience) {
+          why.put(l.host(), "it does not boot");
+        }
+      } else if (silent.contains(l.host())) {
+        double since = silentSince.computeIfAbsent(l.host(), h -> now);
+        double patience =
+            cut.contains(l.kind().zone()) ? CUT_LEASES * lease : patience(type, lease);
+        if (now - since > patience && watchedS > patience) {
+          why.put(l.host(), "it is silent");
+        }
+      } else {
+        silentSince.remove(l.host());
+      }
+      if (seen != null && seen.view().quarantined()) {
+        why.put(l.host(), "tasks fail on it");
+      }
+    }
+    unlisted(now, watchedS, unheard, why);
+  }
+
+  /**
+   * Machines that nobody hears and that are no longer listed are gone, yet somebody has tasks
+   * placed on them: the holder ended together with the machine, and its next life never heard of
+   * it. Only the cloud's answer to a deletion proves those tasks gone; without it they would wait
+   * for ever.
+   */
+  private void unlisted(double now, double watchedS, Set<String> unheard, Map<String, String> why) {
+    unheard.removeIf(h -> inventory.isListed(h) || room.get(h) != null);
+    unlistedSince.keySet().retainAll(unheard);
+    // A new machine is listed within twice the lag, and listed until it is gone.
+    double patience = 2 * settings.workers().leaseS() + 3 * settings.cloudLimits().listLagS();
+    for (String host : unheard) {
+      double since = unlistedSince.computeIfAbsent(host, h -> now);
+      if (now - since > patience && watchedS > patience) {
+        why.put(host, "it is neither heard nor listed");
+      }
+    }
+  }
+
+  /**
+   * How long a silent machine is waited for: about as long as another would take to come. What
+   * fails the cloud itself lists as failed; what is silent mostly hangs or is cut off, and is back
+   * with its images before another has them.
+   */
+  private double patience(MachineType type, double lease) {
+    double boot = type == null ? 30 : type.bootS();
+    return 2 * lease + 1.5 * boot + settings.cloudLimits().listLagS();
+  }
+
+  /**
+   * Zones of which so much is silent at once that the zone must be cut off, not its machines
+   * broken. Inside, they may well be heard and run their tasks.
+   */
+  private Set<String> cutZones(Set<String> silent) {
+    Map<String, int[]> zones = new HashMap<>();
+    for (Listed l : inventory.listed()) {
+      if (l.running()) {
+        int[] counts = zones.computeIfAbsent(l.kind().zone(), z -> new int[2]);
+        counts[0]++;
+        counts[1] += silent.contains(l.host()) ? 1 : 0;
+      }
+    }
+    Set<String> cut = new HashSet<>();
+    zones.forEach(
+        (zone, counts) -> {
+          if (counts[1] >= CUT_LEAST && counts[1] > counts[0] * CUT_PART) {
+            cut.add(zone);
+          }
+        });
+    return cut;
+  }
+
+  /** Listed machines that should be heard and are not. */
+  private Set<String> silentHosts(Set<String> heardFrom) {
+    Set<String> silent = new HashSet<>();
+    for (Listed l : inventory.listed()) {
+      if (!l.failed() && !l.booting() && silent(l, room.get(l.host()), heardFrom)) {
+        silent.add(l.host());
+      }
+    }
+    return silent;
+  }
+
+  /** Nobody hears the machine, as far as can be told here. */
+  private boolean silent(Listed l, Room.Seen seen, Set<String> heardFrom) {
+    if (seen != null) {
+      return seen.view().lost();
+    }
+    Holds.Hold hold = holds.of(l.host(), l.kind().zone());
+    if (hold == null || hold.dead()) {
+      return hold != null;
+    }
+    // A live holder that can be heard would have told of the machine if it heard it itself.
+    String holder = Membership.nodeOf(hold.holder());
+    return !membership.liveNodes().contains(holder) || heardFrom.contains(holder);
+  }
+}
