--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -67,6 +67,9 @@
   /** And only such as are at most this many times as large as what they give way to. */
   private static final int MUCH_LARGER = 2;
 
+  /** How long a machine that is to be returned stays closed without being told so again. */
+  private static final double RETIRE_S = 8;
+
   private static final int MAX_ORDERS = 200;
   private static final int MAX_IMAGES = 12;
 
@@ -191,7 +194,11 @@
     if (m.sendTo != null) {
       String to = m.sendTo;
       m.sendTo = null;
-      if (neighbours.reachable(to) && !m.busy() && !m.doubt && !m.raising) {
+      if (neighbours.reachable(to)
+          && !m.busy()
+          && !m.doubt
+          && !m.raising
+          && !m.retiring(timers.now())) {
         dropHold(m, "it is better held by " + to);
         reception.send(m.host, to, answer);
         return;
@@ -458,6 +465,8 @@
       reception.asked(from, a.host());
     } else if (message instanceof Message.HoldSay s) {
       reception.answered(from, s);
+    } else if (message instanceof Message.Retire r) {
+      retire(r.host());
     } else if (message instanceof Message.Cancelled c) {
       for (Machine m : held.values()) {
         stopJob(m, c.job());
@@ -567,6 +576,19 @@
     act(m);
   }
 
+  /**
+   * Closes an empty machine that is to be returned, so that no placement meets its deletion. If it
+   * is not returned after all, it opens again by itself.
+   */
+  private void retire(String host) {
+    Machine m = held.get(host);
+    if (m != null && !m.busy() && m.unfinished().isEmpty()) {
+      m.dirty |= !m.retiring(timers.now());
+      m.retiringUntil = timers.now() + RETIRE_S;
+      act(m);
+    }
+  }
+
   private void blamed(Message.Blame b) {
     Machine m = held.get(b.host());
     if (m == null || m.quarantined) {
@@ -622,6 +644,7 @@
         m.lost,
         m.open(),
         m.quarantined,
+        m.retiring(timers.now()),
         m.free(catalog.type(m.typeName), this::sizeOf),
         List.copyOf(m.images),
         unfinished(m, 0),
@@ -819,6 +842,10 @@
         }
       }
       m.dirty |= expired;
+      if (m.retiringUntil > 0 && !m.retiring(now)) {
+        m.retiringUntil = 0;
+        m.dirty = true;
+      }
       if (!m.lost && m.settled && now - m.heard > lease * (1 + DRIFT) + 0.3) {
         // No report of this session has been answered for longer than its lease lasts.
         m.lost = true;
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -66,6 +66,9 @@
   boolean raising;
   boolean ordering;
 
+  /** Until when it is closed because it is to be returned; 0 if it is not. */
+  double retiringUntil;
+
   /** The controller to which its next report is sent, or null. */
   String sendTo;
 
@@ -107,7 +110,18 @@
   }
 
   boolean open() {
-    return settled && !lost && !quarantined && !doubt && !raising && noticeS == null;
+    return settled
+        && !lost
+        && !quarantined
+        && !doubt
+        && !raising
+        && noticeS == null
+        && retiringUntil == 0;
+  }
+
+  /** Whether it is closed because it is to be returned. */
+  boolean retiring(double now) {
+    return now < retiringUntil;
   }
 
   /** Room left on a machine of the type, or none while any task's size is unknown. */
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -42,6 +42,7 @@
   private final Recorder recorder;
   private final Settling settling;
   private final Urgencies urgencies;
+  private final Zones zones;
   private final Map<String, Claim> claims = new HashMap<>();
   private final Set<String> claiming = new HashSet<>();
 
@@ -59,7 +60,7 @@
   public Claims(Desk desk) {
     this.desk = desk;
     urgencies = new Urgencies(desk.settings());
-    Zones zones = new Zones(room);
+    zones = new Zones(room);
     quotas = new Quotas(desk.settings(), desk.replica(), this::reviewSoon);
     parking = new Parking(desk, room, quotas, urgencies, zones);
     recorder = new Recorder(desk, quotas, zones, parking, room, this);
@@ -70,6 +71,10 @@
     return room;
   }
 
+  public Urgencies urgencies() {
+    return urgencies;
+  }
+
   // ---- claiming ----
 
   /**
@@ -525,7 +530,7 @@
         n = Math.min(n, c.allowed(q));
       }
       if (n > 0 && !c.suspect() && now >= c.notBefore) {
-        waiting.add(new Message.Waiting(c.id(), n));
+        waiting.add(new Message.Waiting(c.id(), n, zones.left(c, desk.catalog().zones())));
       }
     }
     Set<String> unheard = new HashSet<>();
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -144,7 +144,7 @@
     int ever = spec.allows(kind.type(), kind.zone(), kind.spot()) ? c.size.timesIn(type.size()) : 0;
     double fetch =
         spec.image() == null || type.fetchGbPerS() <= 0 ? 0 : spec.imageGb() / type.fetchGbPerS();
-    Fit fit = new Fit(ever, ever >= Catalog.OVERSIZE && desk.catalog().smallerServes(spec), fetch);
+    Fit fit = new Fit(ever, ever >= Catalog.OVERSIZE && desk.catalog().leavesLarge(spec), fetch);
     c.fits.set(kind.index(), fit);
     return fit;
   }
@@ -166,7 +166,14 @@
         fit.large
             && !urgent
             && now - c.unservedSince < desk.tunables().gatherTicks() * desk.tunables().tickS();
-    int tier = fits == 0 ? 1 : spare ? 2 : 0;
+    // And ordinary ones to urgent tasks that may run on no others, as long as there is time.
+    boolean costly =
+        c.spec.spot()
+            && !v.spot()
+            && !urgent
+            && c.rank != Urgencies.PRESSING
+            && desk.catalog().urgentOrdinary();
+    int tier = fits == 0 ? 1 : spare || costly ? 2 : 0;
     return new Choice(s, fit.ever, fits, tier, costS(c, s, fit), s.mix() ^ c.mix);
   }
 
--- a/src/main/java/dev/dunefront/claim/Urgencies.java
+++ b/src/main/java/dev/dunefront/claim/Urgencies.java
@@ -14,7 +14,7 @@
  * little: a few large ones would make many late. How long tasks run, and how many a job of a class
  * has, is learned, for owners' estimates are biased.
  */
-final class Urgencies {
+public final class Urgencies {
   static final int PRESSING = 0;
   static final int IN_TIME = 1;
 
@@ -63,7 +63,7 @@
     boolean large = unstarted > MUCH * tasks.getOrDefault(spec.jobClass(), 1e9);
 
     List<Double> aims = aims(spec);
-    double needs = spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0) + fetchS;
+    double needs = runS(spec) + fetchS;
     for (int i = 0; i < aims.size(); i++) {
       double slack = aims.get(i) - ageS - needs;
       if (slack >= 0) {
@@ -76,6 +76,24 @@
     return aims.isEmpty() ? IN_TIME + (large ? LARGE : 0) : LOST;
   }
 
+  /** How long the job's tasks are expected to run. */
+  public double runS(JobSpec spec) {
+    return spec.estimateS() * bias.getOrDefault(spec.jobClass(), 1.0);
+  }
+
+  /**
+   * How long a job of this age may still wait if its tasks then need so long: by the first aim that
+   * can still be met; null if there is none.
+   */
+  public Double slackS(JobSpec spec, double ageS, double needsS) {
+    for (double aim : aims(spec)) {
+      if (aim - ageS - needsS >= 0) {
+        return aim - ageS - needsS;
+      }
+    }
+    return null;
+  }
+
   /** The ages at which a job should be done, soonest first. */
   private List<Double> aims(JobSpec spec) {
     List<Double> aims = new ArrayList<>();
--- a/src/main/java/dev/dunefront/claim/Zones.java
+++ b/src/main/java/dev/dunefront/claim/Zones.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Whether a task may be placed in a zone, given the job's other tasks. */
 final class Zones {
@@ -49,7 +50,28 @@
     if (c.spec.oneZone()) {
       return other == 0;
     }
-    return same + 1 <= (c.spec.tasks() + 1) / 2 && !unknown;
+    return same + 1 <= c.spec.mostInOneZone() && !unknown;
+  }
+
+  /** How many tasks more each zone may take, if the job's tasks must be together or apart. */
+  Map<String, Integer> left(Claim c, Set<String> all) {
+    if (!c.spec.oneZone() && !c.spec.spread()) {
+      return Map.of();
+    }
+    Map<String, Integer> placed = new HashMap<>();
+    for (Live l : c.live.values()) {
+      String zone = zoneOf(l.placement.host());
+      if (zone != null) {
+        placed.merge(zone, 1, Integer::sum);
+      }
+    }
+    int most = c.spec.oneZone() ? c.spec.tasks() : c.spec.mostInOneZone();
+    Map<String, Integer> left = new HashMap<>();
+    for (String zone : all) {
+      boolean elsewhere = c.spec.oneZone() && !placed.isEmpty() && !placed.containsKey(zone);
+      left.put(zone, elsewhere ? 0 : Math.max(0, most - placed.getOrDefault(zone, 0)));
+    }
+    return left;
   }
 
   private String zoneOf(String host) {
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -96,7 +96,7 @@
             ward);
     books = new Books(desk, caller);
     claims = new Claims(desk);
-    fleet = new Fleet(desk, claims.room(), caller);
+    fleet = new Fleet(desk, claims.room(), claims.urgencies(), caller);
     api = new JobApi(settings, membership, jobs, claims, catalog, store, peers, timers, ward);
     holds.listen(
         host -> {
@@ -107,6 +107,12 @@
     meters.gauge("dunefront.jobs.claimed", claims::claimed);
     meters.gauge("dunefront.tasks.unstarted", claims::unstarted);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
+    jobs.listen(
+        (id, entry) -> {
+          if (entry != null) {
+            catalog.seen(entry.record().spec());
+          }
+        });
     jobs.listen(claims::jobChanged);
     jobs.listen(books::jobChanged);
     membership.onReborn(
--- a/src/main/java/dev/dunefront/config/Tunables.java
+++ b/src/main/java/dev/dunefront/config/Tunables.java
@@ -16,7 +16,10 @@
  * @param waitS without room for this long, a job's wants are withdrawn
  * @param requeueDelayS and parked anew after this time
  * @param nodeLeaseS life of a controller's lease in the state service
- * @param idleReturnS a hired machine that idles this long is returned
+ * @param idleBoots a machine that idles this many times as long as one like it takes to boot, and
+ *     for which nothing is expected, is returned
+ * @param patience the part of a job's slack that it may wait for a spot machine before an ordinary
+ *     one is rented for it
  * @param spare room kept ready for urgent work, as a part of what open urgent jobs take
  */
 public record Tunables(
@@ -29,7 +32,8 @@
     double waitS,
     double requeueDelayS,
     double nodeLeaseS,
-    double idleReturnS,
+    double idleBoots,
+    double patience,
     double spare) {
 
   /** A setting as operators name it: its default and what it may be. */
@@ -51,7 +55,8 @@
     all.put("wait_s", new Setting(60, 1, 86_400, false));
     all.put("requeue_delay_s", new Setting(10, 0, 3_600, false));
     all.put("node_lease_s", new Setting(4, 1, 600, false));
-    all.put("idle_return_s", new Setting(300, 10, 1_000_000, false));
+    all.put("idle_boots", new Setting(1.5, 0, 100_000, false));
+    all.put("patience", new Setting(0.5, 0, 1, false));
     all.put("spare", new Setting(0.5, 0, 10, false));
     return all;
   }
@@ -68,7 +73,8 @@
         value(changed, "wait_s"),
         value(changed, "requeue_delay_s"),
         value(changed, "node_lease_s"),
-        value(changed, "idle_return_s"),
+        value(changed, "idle_boots"),
+        value(changed, "patience"),
         value(changed, "spare"));
   }
 
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -9,9 +9,14 @@
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
+import dev.dunefront.wire.Size;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The machine types. The first controller ever asks the cloud and leaves a copy in the state
@@ -20,6 +25,7 @@
 public final class Catalog {
   private static final String KEY = "c/catalog";
   private static final double ASK_AGAIN_S = 2;
+  private static final int MAX_SIZES = 100;
 
   private final String cloud;
   private final Caller caller;
@@ -27,6 +33,19 @@
   private final Timers timers;
   private final Ward ward;
   private Map<String, MachineType> types = Map.of();
+  private Set<String> zones = Set.of();
+
+  /** The sizes of tasks that have been seen; users have few of them. */
+  private final Set<Size> sizes =
+      Collections.newSetFromMap(
+          new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Size, Boolean> eldest) {
+              return size() > MAX_SIZES;
+            }
+          });
+
+  private boolean urgentOrdinary;
 
   public Catalog(String cloud, Caller caller, Store store, Timers timers, Ward ward) {
     this.cloud = cloud;
@@ -51,17 +70,37 @@
   /** From this many tasks on, a machine is larger than a task needs. */
   public static final int OVERSIZE = 8;
 
-  /** Whether there is an allowed type on which the job's tasks would not be lost in space. */
-  public boolean smallerServes(JobSpec spec) {
+  /** All zones in which there are machines. */
+  public Set<String> zones() {
+    return zones;
+  }
+
+  /** A job has been seen: what it needs is remembered, for others leave room to it. */
+  public void seen(JobSpec spec) {
+    sizes.add(spec.size());
+    urgentOrdinary |= spec.priority().urgent() && !spec.spot();
+  }
+
+  /** Whether there is urgent work that may not run on spot machines. */
+  public boolean urgentOrdinary() {
+    return urgentOrdinary;
+  }
+
+  /**
+   * Whether machines on which the job's tasks would be lost in space should be left to others:
+   * there is an allowed type that is not too large for it, and work that fits on no such type.
+   */
+  public boolean leavesLarge(JobSpec spec) {
+    boolean smallerServes = false;
+    Set<Size> needLarge = new HashSet<>(sizes);
     for (MachineType t : types()) {
       int times = spec.size().timesIn(t.size());
-      if (times > 0
-          && times < OVERSIZE
-          && (spec.types() == null || spec.types().contains(t.name()))) {
-        return true;
+      if (times > 0 && times < OVERSIZE) {
+        smallerServes |= spec.types() == null || spec.types().contains(t.name());
+        needLarge.removeIf(s -> s.fits(t.size()));
       }
     }
-    return false;
+    return smallerServes && !needLarge.isEmpty();
   }
 
   public void start() {
@@ -105,7 +144,8 @@
                         })));
   }
 
-  private boolean take(Doc doc) {
+  /** Takes a catalog as the cloud gives it; false if it cannot be read. */
+  boolean take(Doc doc) {
     Map<String, MachineType> read = new LinkedHashMap<>();
     try {
       for (Doc d : doc.docs("flavors")) {
@@ -119,6 +159,9 @@
       return false;
     }
     types = read;
+    Set<String> all = new TreeSet<>();
+    read.values().forEach(t -> all.addAll(t.zones()));
+    zones = all;
     return true;
   }
 }
--- a/src/main/java/dev/dunefront/fleet/Cloud.java
+++ b/src/main/java/dev/dunefront/fleet/Cloud.java
@@ -138,6 +138,23 @@
         });
   }
 
+  /** Asks for the catalog with its current prices; nothing is heard of one that does not come. */
+  void catalog(Consumer<Doc> then) {
+    call(
+        "GET",
+        "/catalog",
+        null,
+        reply -> {
+          if (reply.ok()) {
+            try {
+              then.accept(Doc.decode(reply.body()));
+            } catch (BadMessage e) {
+              LOG.log(Level.INFO, "the catalog cannot be read: {0}", e.getMessage());
+            }
+          }
+        });
+  }
+
   /** Deletes machines; hears whether the cloud has confirmed it. */
   void delete(List<String> hosts, Consumer<Boolean> then) {
     call(
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import dev.dunefront.book.Holds;
 import dev.dunefront.claim.Desk;
 import dev.dunefront.claim.Room;
+import dev.dunefront.claim.Urgencies;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.fleet.Cloud.Hire;
 import dev.dunefront.job.JobRecord;
@@ -11,6 +12,7 @@
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
 import dev.dunefront.store.Store;
@@ -40,8 +42,14 @@
   private static final double REFUSED_S = 12;
   private static final int MAX_DELETE = 100;
 
-  /** Of a single job no more tasks than these count for spare room. */
-  private static final int MAX_SPARE = 1000;
+  /** How often current prices are asked for. */
+  private static final double PRICES_S = 60;
+
+  /** What besides its boot passes until a rented machine takes tasks. */
+  private static final double ARRIVAL_S = 10;
+
+  /** How often a machine that is to be returned is told so. */
+  private static final double RETIRE_S = 2;
 
   private final double lagS;
   private final Tunables tunables;
@@ -56,6 +64,8 @@
   private final Cloud cloud;
   private final Inventory inventory;
   private final Health health;
+  private final Urgencies urgencies;
+  private final Peers peers;
 
   private boolean leading;
   private boolean asking;
@@ -66,10 +76,14 @@
   private final Map<Kind, Double> refused = new HashMap<>();
   private final Map<String, Double> idleSince = new HashMap<>();
   private final ArrayDeque<Hire> unclear = new ArrayDeque<>();
+  private final Map<String, Double> retiredAt = new HashMap<>();
   private double nextList;
+  private double nextPrices;
   private double leadingSince;
 
-  public Fleet(Desk desk, Room room, Caller caller) {
+  public Fleet(Desk desk, Room room, Urgencies urgencies, Caller caller) {
+    this.urgencies = urgencies;
+    this.peers = desk.peers();
     this.lagS = desk.settings().cloudLimits().listLagS();
     this.tunables = desk.tunables();
     this.membership = desk.membership();
@@ -122,7 +136,9 @@
       inventory.clear();
       health.clear();
       idleSince.clear();
+      retiredAt.clear();
       leadingSince = timers.now();
+      nextPrices = leadingSince + PRICES_S;
       nextList = 0;
     }
     leading = mine;
@@ -141,14 +157,22 @@
       cloud.list(all -> inventory.took(all, timers.now()));
       return;
     }
-    List<String> doomed = doomed(now);
+    if (now >= nextPrices) {
+      nextPrices = now + PRICES_S;
+      cloud.catalog(catalog::take);
+      return;
+    }
+    refused.values().removeIf(until -> until < now);
+    Plan plan = plan(now);
+    List<String> doomed = doomed(plan, now);
     if (!doomed.isEmpty()) {
       delete(doomed);
       return;
     }
     Hire hire = unclear.poll();
-    if (hire == null) {
-      hire = needed(now);
+    if (hire == null && plan.most != null) {
+      String name = "hire-" + membership.self().replace('#', '-') + "-" + ++hires;
+      hire = new Hire(name, plan.most, plan.count);
     }
     if (hire != null) {
       hire(hire);
@@ -167,22 +191,22 @@
   // ---- returning ----
 
   /** Machines that are to be deleted, each for a reason of its own. */
-  private List<String> doomed(double now) {
+  private List<String> doomed(Plan plan, double now) {
     Map<String, String> why = new HashMap<>();
     Set<String> unheard = new HashSet<>();
     demands.values().forEach(d -> unheard.addAll(d.unheard()));
     health.check(now, now - leadingSince, demands.keySet(), unheard, why);
-    for (Room.Seen s : room.all()) {
-      String host = s.view().host();
-      if (!s.view().idle() || !s.view().open()) {
-        idleSince.remove(host);
-      } else if (now - idleSince.computeIfAbsent(host, h -> now) > tunables.idleReturnS()
-          && demands.values().stream().allMatch(d -> d.waiting().isEmpty())
-          && s.view().spot()) {
+    for (String host : idlers(plan, now)) {
+      Room.Seen seen = room.get(host);
+      if (seen.view().retiring()) {
         why.put(host, "it idles");
+      } else if (now - retiredAt.getOrDefault(host, Double.NEGATIVE_INFINITY) > RETIRE_S) {
+        // Its holder closes it first; only then can nothing be placed on it any more.
+        retiredAt.put(host, now);
+        peers.send(seen.holder(), new Message.Retire(host));
       }
     }
-    idleSince.keySet().removeIf(h -> room.get(h) == null);
+    retiredAt.values().removeIf(at -> now - at > 10 * RETIRE_S);
     List<String> doomed = new ArrayList<>();
     why.forEach(
         (host, reason) -> {
@@ -196,6 +220,27 @@
     return doomed;
   }
 
+  /** Machines that idle and are to be returned. */
+  private List<String> idlers(Plan plan, double now) {
+    List<Idle.Machine> idle = new ArrayList<>();
+    for (Room.Seen s : room.all()) {
+      String host = s.view().host();
+      if (!s.view().idle() || !s.view().open() && !s.view().retiring()) {
+        idleSince.remove(host);
+      } else if (!inventory.isDeleted(host)) {
+        double since = idleSince.computeIfAbsent(host, h -> now);
+        idle.add(new Idle.Machine(host, kind(s), now - since));
+      }
+    }
+    idleSince.keySet().removeIf(h -> room.get(h) == null);
+    return Idle.toReturn(idle, plan.spare, plan.wanted, this::holdS);
+  }
+
+  private double holdS(Kind kind) {
+    MachineType t = catalog.type(kind.type());
+    return t == null ? Double.POSITIVE_INFINITY : tunables.idleBoots() * t.bootS();
+  }
+
   private void delete(List<String> hosts) {
     inventory.deleting(hosts);
     cloud.delete(
@@ -229,59 +274,122 @@
   // ---- renting ----
 
   /**
-   * What to rent next, if anything. All that waits is put together first: the cloud takes few calls
-   * a second but many machines a call, so a wave of work is answered with few large hires.
+   * What to rent next, if anything, which kinds something waiting could use, and what room there is
+   * beyond that kept ready.
    */
-  private Hire needed(double now) {
-    refused.values().removeIf(until -> until < now);
+  private record Plan(Kind most, int count, Set<Kind> wanted, Map<Kind, Double> spare) {}
+
+  /**
+   * All that waits is put together first: the cloud takes few calls a second but many machines a
+   * call, so a wave of work is answered with few large hires.
+   */
+  private Plan plan(double now) {
     Map<Kind, Double> coming = inventory.coming(room);
-    Market market = new Market(catalog, refused);
-    for (Message.Waiting w : waiting()) {
-      JobSpec spec = jobs.get(w.job()).record().spec();
-      market.plan(spec, market.fill(spec, w.tasks(), coming));
+    Map<Kind, Double> free = free();
+    Map<Kind, Double> counts = counts(coming);
+    Market market = new Market(catalog, refused.keySet());
+    Set<Kind> wanted = new HashSet<>();
+    double ahead = 0;
+    boolean urgentWaits = false;
+    for (Waiter w : waiting()) {
+      JobSpec spec = w.need.spec;
+      urgentWaits |= spec.priority().urgent();
+      market.fill(w.need, coming);
+      Need left = w.need;
+      if (spec.spot() && w.slackS < Double.POSITIVE_INFINITY) {
+        ahead += left.missing();
+        market.plan(left, true);
+        boolean more = market.spotToBeHad(spec);
+        // What spot machines get done in time waits for them; ordinary ones are for the rest.
+        double inTime = more ? ahead : slots(market, spec, counts) * w.slackS / w.needsS;
+        left = left.split(Math.max(0, ahead - inTime));
+        counts.keySet().stream()
+            .filter(k -> k.spot() && market.fit(spec, k) > 0)
+            .forEach(wanted::add);
+      }
+      if (left.missing() > 0) {
+        JobSpec its = spec;
+        counts.keySet().stream().filter(k -> market.fit(its, k) > 0).forEach(wanted::add);
+        market.plan(left, false);
+      }
+    }
+    if (tunables.spare() > 0 && !urgentWaits) {
+      double window = ARRIVAL_S;
+      for (MachineType t : catalog.types()) {
+        window = Math.max(window, t.bootS() + ARRIVAL_S);
+      }
+      for (Need need :
+          Forecast.urgent(
+              jobs.all(), catalog.zones(), tunables.spare(), window, timers.timeOfDayMs())) {
+        market.fill(need, free);
+        market.fill(need, coming);
+        market.plan(need, false);
+      }
     }
-    planSpare(market, coming);
     Kind most = market.most();
-    return most == null
-        ? null
-        : new Hire(
-            "hire-" + membership.self().replace('#', '-') + "-" + ++hires,
-            most,
-            market.count(most));
+    return new Plan(most, most == null ? 0 : market.count(most), wanted, free);
   }
 
+  /** A need with the part of its slack that it may wait, and how long its tasks take. */
+  private record Waiter(Need need, double slackS, double needsS) {}
+
   /** All that waits for room, most urgent first. */
-  private List<Message.Waiting> waiting() {
-    List<Message.Waiting> waiting = new ArrayList<>();
-    demands.values().forEach(d -> waiting.addAll(d.waiting()));
-    waiting.removeIf(w -> jobs.get(w.job()) == null);
+  private List<Waiter> waiting() {
+    List<Waiter> all = new ArrayList<>();
+    for (Message.Demand d : demands.values()) {
+      for (Message.Waiting w : d.waiting()) {
+        JobTable.Entry e = jobs.get(w.job());
+        if (e != null) {
+          all.add(waiter(e.record(), w.tasks(), w.zones()));
+        }
+      }
+    }
     // What nobody has claimed yet, for want of room, needs room no less.
     for (JobTable.Entry e : jobs.all()) {
       if (e.record().claim() == null && e.record().status() == JobRecord.Status.OPEN) {
-        waiting.add(new Message.Waiting(e.record().spec().id(), e.record().spec().tasks()));
+        JobSpec spec = e.record().spec();
+        Map<String, Integer> zones = new HashMap<>();
+        if (spec.spread()) {
+          catalog.zones().forEach(zone -> zones.put(zone, spec.mostInOneZone()));
+        }
+        all.add(waiter(e.record(), spec.tasks(), zones));
       }
     }
-    waiting.sort(Comparator.comparing(w -> jobs.get(w.job()).record().spec().priority()));
-    return waiting;
+    all.sort(
+        Comparator.comparing((Waiter w) -> w.need.spec.priority()).thenComparing(w -> w.slackS));
+    return all;
   }
 
-  /**
-   * Room for a part as much again as open urgent jobs take is kept ready: a burst of them has no
-   * time to wait for machines to boot.
-   */
-  private void planSpare(Market market, Map<Kind, Double> coming) {
-    if (tunables.spare() <= 0) {
-      return;
+  private Waiter waiter(JobRecord record, int tasks, Map<String, Integer> zones) {
+    JobSpec spec = record.spec();
+    double fetch = 0;
+    double boot = 0;
+    for (MachineType t : catalog.types()) {
+      if (spec.size().fits(t.size()) && t.fetchGbPerS() > 0) {
+        fetch = Math.max(fetch, spec.imageGb() / t.fetchGbPerS());
+        boot = Math.max(boot, t.bootS());
+      }
     }
-    Map<Kind, Double> free = free();
-    for (JobTable.Entry e : jobs.all()) {
-      JobSpec spec = e.record().spec();
-      if (e.record().status() == JobRecord.Status.OPEN && spec.priority().urgent()) {
-        double missing = Math.min(spec.tasks(), MAX_SPARE) * tunables.spare();
-        missing = market.fill(spec, missing, free);
-        market.plan(spec, market.fill(spec, missing, coming));
+    double run = urgencies.runS(spec) + fetch;
+    double age = (timers.timeOfDayMs() - record.acceptedMs()) / 1000.0;
+    Double slack = spec.priority().urgent() ? null : urgencies.slackS(spec, age, run);
+    // An ordinary machine must have the time to boot, and what runs now has half its run to go.
+    double patience =
+        slack == null
+            ? Double.POSITIVE_INFINITY
+            : tunables.patience() * Math.max(0, slack - boot - run / 2);
+    return new Waiter(new Need(spec, tasks, zones), patience, Math.max(1, run));
+  }
+
+  /** How many of the job's tasks run at once on the spot machines that there are. */
+  private static double slots(Market market, JobSpec spec, Map<Kind, Double> counts) {
+    double slots = 0;
+    for (var e : counts.entrySet()) {
+      if (e.getKey().spot()) {
+        slots += e.getValue() * market.fit(spec, e.getKey());
       }
     }
+    return slots;
   }
 
   /** Room that nothing takes, in machines. */
@@ -289,14 +397,25 @@
     Map<Kind, Double> free = new HashMap<>();
     for (Room.Seen s : room.all()) {
       MachineType t = catalog.type(s.view().type());
-      if (t != null && s.view().open() && t.size().cpu() > 0) {
+      if (t != null && t.size().cpu() > 0 && (s.view().open() || s.view().retiring())) {
         double part = Math.max(0, (double) s.view().free().cpu() / t.size().cpu());
-        free.merge(new Kind(s.view().type(), s.view().zone(), s.view().spot()), part, Double::sum);
+        free.merge(kind(s), part, Double::sum);
       }
     }
     return free;
   }
 
+  /** All machines by kind, those that come included. */
+  private Map<Kind, Double> counts(Map<Kind, Double> coming) {
+    Map<Kind, Double> counts = new HashMap<>(coming);
+    room.all().forEach(s -> counts.merge(kind(s), 1.0, Double::sum));
+    return counts;
+  }
+
+  private static Kind kind(Room.Seen s) {
+    return new Kind(s.view().type(), s.view().zone(), s.view().spot());
+  }
+
   private void hire(Hire h) {
     cloud.hire(
         h,
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -4,6 +4,7 @@
 import dev.dunefront.wire.MachineType;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Chooses what to rent. It is given what there is and what can be had, and decides without a look
@@ -11,42 +12,63 @@
  */
 final class Market {
   static final int MAX_HIRE = 50;
+  private static final double NONE = 1e-6;
 
   /** What machines many times too large count as, in multiples of their price. */
   private static final double OVERSIZE_COST = 2;
 
   private final Catalog catalog;
-  private final Map<Kind, Double> refused;
+  private final Set<Kind> refused;
   private final Map<Kind, Double> planned = new LinkedHashMap<>();
 
-  Market(Catalog catalog, Map<Kind, Double> refused) {
+  Market(Catalog catalog, Set<Kind> refused) {
     this.catalog = catalog;
     this.refused = refused;
   }
 
-  /** Takes room for the tasks from machines that there are; returns how many find none. */
-  double fill(JobSpec spec, double missing, Map<Kind, Double> machines) {
+  /** Takes room for the tasks from machines that there are. */
+  void fill(Need need, Map<Kind, Double> machines) {
     for (var e : machines.entrySet()) {
-      int fit = fit(spec, e.getKey());
-      if (fit > 0 && missing > 0) {
-        double used = Math.min(e.getValue(), missing / fit);
-        missing -= used * fit;
+      int fit = fit(need.spec, e.getKey());
+      double wanted = need.wantedIn(e.getKey().zone());
+      if (fit > 0 && wanted > NONE) {
+        double used = Math.min(e.getValue(), wanted / fit);
+        need.found(e.getKey().zone(), used * fit);
         e.setValue(e.getValue() - used);
       }
     }
-    return missing;
   }
 
-  /** Adds machines for the tasks to the plan, the cheapest first, as far as they can be had. */
-  void plan(JobSpec spec, double missing) {
+  /**
+   * Adds machines for the tasks to the plan, the cheapest first, as far as they can be had. Of a
+   * kind that has been planned as often as one call rents, the rest is left to the next call: what
+   * is dearer is not taken for it.
+   */
+  void plan(Need need, boolean spotOnly) {
     Kind kind;
-    while (missing > 1e-6 && (kind = choose(spec)) != null) {
-      int fit = fit(spec, kind);
+    while (need.missing() > NONE && (kind = choose(need, spotOnly)) != null) {
+      int fit = fit(need.spec, kind);
       double had = planned.getOrDefault(kind, 0.0);
-      double more = Math.min(MAX_HIRE - had, missing / fit);
+      double more = Math.min(MAX_HIRE - had, need.wantedIn(kind.zone()) / fit);
+      if (more <= NONE) {
+        return;
+      }
       planned.put(kind, had + more);
-      missing -= more * fit;
+      need.found(kind.zone(), more * fit);
+    }
+  }
+
+  /** Whether spot machines that the job may use might still be had. */
+  boolean spotToBeHad(JobSpec spec) {
+    for (MachineType t : catalog.types()) {
+      for (String zone : t.zones()) {
+        Kind kind = new Kind(t.name(), zone, true);
+        if (fit(spec, kind) > 0 && !refused.contains(kind)) {
+          return true;
+        }
+      }
     }
+    return false;
   }
 
   /** The kind of which most is planned, or null. */
@@ -60,39 +82,42 @@
     return most;
   }
 
+  /** How many machines of the kind are planned. */
   int count(Kind kind) {
-    return (int) Math.ceil(planned.get(kind) - 1e-6);
+    return (int) Math.ceil(planned.getOrDefault(kind, 0.0) - NONE);
   }
 
   /** How many tasks of the job a machine of the kind takes. */
-  private int fit(JobSpec spec, Kind kind) {
+  int fit(JobSpec spec, Kind kind) {
     MachineType t = catalog.type(kind.type());
     return t != null && spec.allows(kind.type(), kind.zone(), kind.spot())
         ? spec.size().timesIn(t.size())
         : 0;
   }
 
-  /** The cheapest kind for the job's tasks of which more can be had, or null. */
-  private Kind choose(JobSpec spec) {
+  /** The cheapest kind for the job's tasks, or null. */
+  private Kind choose(Need need, boolean spotOnly) {
     Kind best = null;
     double bestCost = Double.MAX_VALUE;
-    boolean smallerServes = catalog.smallerServes(spec);
+    boolean leavesLarge = catalog.leavesLarge(need.spec);
     for (MachineType t : catalog.types()) {
       for (String zone : t.zones()) {
         for (boolean spot : new boolean[] {false, true}) {
           Kind kind = new Kind(t.name(), zone, spot);
-          int fit = fit(spec, kind);
+          int fit = fit(need.spec, kind);
           if (fit == 0
-              || refused.containsKey(kind)
-              || planned.getOrDefault(kind, 0.0) >= MAX_HIRE) {
+              || spotOnly && !spot
+              || refused.contains(kind)
+              || need.wantedIn(zone) <= NONE) {
             continue;
           }
           double cost = (spot ? t.spotPrice() : t.price()) / fit;
-          // Machines many times too large are left to tasks that fit nowhere else.
-          if (fit >= Catalog.OVERSIZE && smallerServes) {
+          if (fit >= Catalog.OVERSIZE && leavesLarge) {
             cost *= OVERSIZE_COST;
           }
-          if (cost < bestCost) {
+          boolean full = planned.getOrDefault(kind, 0.0) >= MAX_HIRE;
+          boolean bestFull = best != null && planned.getOrDefault(best, 0.0) >= MAX_HIRE;
+          if (cost < bestCost || cost == bestCost && bestFull && !full) {
             bestCost = cost;
             best = kind;
           }
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -8,7 +8,9 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * What controllers tell each other. A task is named by job and number; a hold by its baton, which
@@ -79,6 +81,8 @@
       boolean open,
       /** Several jobs fail on it that run elsewhere. */
       boolean quarantined,
+      /** Nothing runs on it and no room is dealt, for it is about to be returned. */
+      boolean retiring,
       Size free,
       List<String> images,
       /** Unfinished tasks on it, by priority. */
@@ -97,6 +101,7 @@
           && lost == o.lost
           && open == o.open
           && quarantined == o.quarantined
+          && retiring == o.retiring
           && free.equals(o.free)
           && images.equals(o.images)
           && unfinished.equals(o.unfinished)
@@ -130,6 +135,7 @@
           lost,
           open,
           quarantined,
+          retiring,
           free,
           images,
           unfinished,
@@ -191,7 +197,14 @@
    */
   record Demand(List<Waiting> waiting, List<String> unheard) implements Message {}
 
-  record Waiting(String job, int tasks) {}
+  /**
+   * So many tasks wait for room. Where a job's tasks must be together or apart, {@code zones} says
+   * how many of them each zone may still take.
+   */
+  record Waiting(String job, int tasks, Map<String, Integer> zones) {}
+
+  /** A machine that is to be returned: if nothing is on it, it is closed for some seconds. */
+  record Retire(String host) implements Message {}
 
   /** What has changed in the task counts of the sender's jobs, for users who ask elsewhere. */
   record Progress(List<Count> counts) implements Message {}
@@ -239,6 +252,7 @@
       out.writeBoolean(v.lost);
       out.writeBoolean(v.open);
       out.writeBoolean(v.quarantined);
+      out.writeBoolean(v.retiring);
       writeSize(out, v.free);
       out.writeShort(v.images.size());
       for (String image : v.images) {
@@ -319,6 +333,9 @@
       out.writeUTF(s.host);
       out.writeBoolean(s.held);
       out.writeDouble(s.heardAgoS);
+    } else if (m instanceof Retire r) {
+      out.writeByte(22);
+      out.writeUTF(r.host);
     } else if (m instanceof Cancelled c) {
       out.writeByte(16);
       out.writeUTF(c.job);
@@ -349,6 +366,11 @@
       for (Waiting w : d.waiting) {
         out.writeUTF(w.job);
         out.writeInt(w.tasks);
+        out.writeByte(w.zones.size());
+        for (var zone : w.zones.entrySet()) {
+          out.writeUTF(zone.getKey());
+          out.writeInt(zone.getValue());
+        }
       }
       out.writeInt(d.unheard.size());
       for (String host : d.unheard) {
@@ -438,11 +460,12 @@
           case 14 -> new HoldAsk(in.readUTF());
           case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
           case 16 -> new Cancelled(in.readUTF());
+          case 22 -> new Retire(in.readUTF());
           case 17 -> {
             int n = in.readInt();
             List<Waiting> all = new ArrayList<>();
             for (int i = 0; i < n; i++) {
-              all.add(new Waiting(in.readUTF(), in.readInt()));
+              all.add(new Waiting(in.readUTF(), in.readInt(), readZones(in)));
             }
             List<String> unheard = new ArrayList<>();
             for (int i = in.readInt(); i > 0; i--) {
@@ -486,6 +509,7 @@
     boolean lost = in.readBoolean();
     boolean open = in.readBoolean();
     boolean quarantined = in.readBoolean();
+    boolean retiring = in.readBoolean();
     Size free = readSize(in);
     List<String> images = new ArrayList<>();
     for (int n = in.readShort(); n > 0; n--) {
@@ -515,6 +539,7 @@
         lost,
         open,
         quarantined,
+        retiring,
         free,
         images,
         unfinished,
@@ -522,6 +547,14 @@
         tasks);
   }
 
+  private static Map<String, Integer> readZones(DataInputStream in) throws IOException {
+    Map<String, Integer> zones = new LinkedHashMap<>();
+    for (int n = in.readByte(); n > 0; n--) {
+      zones.put(in.readUTF(), in.readInt());
+    }
+    return zones;
+  }
+
   private static <T> T pick(T[] all, int index) throws IOException {
     if (index < 0 || index >= all.length) {
       throw new IOException("unknown code " + index);
--- a/src/main/java/dev/dunefront/wire/JobSpec.java
+++ b/src/main/java/dev/dunefront/wire/JobSpec.java
@@ -121,6 +121,11 @@
     return d;
   }
 
+  /** How many tasks of a job whose tasks are to be apart one zone may have. */
+  public int mostInOneZone() {
+    return (tasks + 1) / 2;
+  }
+
   public Size size() {
     return Size.demand(cpus, gpus, ramGb);
   }
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Records between controllers. */
@@ -30,6 +31,7 @@
               false,
               true,
               false,
+              true,
               new Size(1, 2, 3),
               List.of("img"),
               List.of(0, 1, 0, 2),
@@ -52,7 +54,9 @@
           new Message.Cancelled("wk-1"),
           new Message.Health(true, 1.5, 2.5, 3, 0.5),
           new Message.Preempt("h", 1, new Size(1, 2, 3), 4),
-          new Message.Demand(List.of(new Message.Waiting("wk-1", 3)), List.of("h")));
+          new Message.Retire("h"),
+          new Message.Demand(
+              List.of(new Message.Waiting("wk-1", 3, Map.of("z", 2))), List.of("h")));
 
   @Test
   void everyRecordIsReadBackAsWritten() throws IOException {
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/ReturnTest.java
@@ -0,0 +1,78 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.config.Tunables;
+import dev.dunefront.standin.WorkerStandIn;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Idle machines are returned, and nothing that is placed meets a deletion. */
+class ReturnTest {
+  private static World world() {
+    World w = new World(2);
+    // Machines of the stand-in's cloud boot in 5 s.
+    w.tunables = Tunables.of(Map.of("idle_boots", 2.0));
+    return w;
+  }
+
+  @Test
+  void anIdleMachineIsReturnedAndOneAtWorkIsNot() {
+    World w = world();
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(1);
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-1");
+    w.pass(8);
+    assertFalse(w.cloud.deleted("host-2"), "another may come at any moment");
+    w.pass(10);
+    assertTrue(w.cloud.deleted("host-2"));
+    assertEquals(List.of("wk-1/0"), a.running());
+    assertEquals(List.of(), b.starts());
+    a.exit("wk-1/0", "done");
+    w.pass(20);
+    assertTrue(w.cloud.deleted("host-1"));
+    assertEquals("done", w.poll("node-1", "wk-1").state());
+  }
+
+  /** The deletion takes its time; the machine takes nothing from before it is sent. */
+  @Test
+  void workThatComesWhileAMachineIsReturnedIsNotPlacedThere() {
+    World w = world();
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.heldPath = "/machines/delete";
+    for (int i = 0; i < 100 && w.heldCount() == 0; i++) {
+      w.pass(0.25);
+    }
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(3);
+    assertEquals(List.of(), a.starts(), "closed before the cloud was asked");
+    w.heldPath = null;
+    w.deliverHeld();
+    assertTrue(w.cloud.deleted("host-1"));
+    w.machine("host-2", "small", "a", "node-1");
+    w.pass(10);
+    assertEquals("running", w.poll("node-0", "wk-1").state());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  @Test
+  void aMachineThatIsNotReturnedAfterAllOpensAgain() {
+    World w = world();
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.lost = (from, to) -> to.equals("10.2.0.2:1");
+    w.pass(14);
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(12);
+    assertEquals(List.of("wk-1/0"), a.running());
+    w.lost = (from, to) -> false;
+    w.pass(20);
+    assertFalse(w.cloud.deleted("host-1"));
+  }
+}
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -76,6 +76,9 @@
   /** Calls that are held back, delivered by {@link #deliverHeld}. */
   BiPredicate<String, String> heldBack = (from, to) -> false;
 
+  /** Calls of this path are held back as well. */
+  String heldPath;
+
   private final List<Runnable> held = new ArrayList<>();
 
   /** Every task's machines over time must never overlap; this is what was found. */
@@ -83,6 +86,9 @@
 
   final String teams;
 
+  /** Idle machines stay, unless a story is about their return. */
+  Tunables tunables = Tunables.of(Map.of("idle_boots", 1000.0));
+
   World(int controllers, String teams) {
     this.teams = teams;
     for (int i = 0; i < controllers; i++) {
@@ -188,8 +194,7 @@
       Settings settings = settings(name, controllers);
       HttpStore store = new HttpStore(settings, caller, own, ward, name + "-" + mine);
       daemon =
-          new Daemon(
-              settings, Tunables.DEFAULTS, store, caller, own, ward, (w, l) -> new Links(this, w));
+          new Daemon(settings, tunables, store, caller, own, ward, (w, l) -> new Links(this, w));
       daemon.start();
       for (Node other : nodes.values()) {
         if (other != this && other.up) {
@@ -324,7 +329,7 @@
     if (lost.test(from, address)) {
       return;
     }
-    if (heldBack.test(from, address)) {
+    if (heldBack.test(from, address) || path.equals(heldPath)) {
       held.add(deliver);
       return;
     }
