A job whose machines are lost in great number at once no longer hangs; overflow after urgent work

Cause: every proof of absence is a condition of the transaction that records it. With more than 4 * txn_ops machines lost at once the state service refused the transaction as malformed, it was tried again for ever, and the job never ended. Story aZoneThatIsLostAtOnceIsWrittenInParts fails without the fix. Renting: ordinary machines for a peak of spot work only once urgent work has its machines, and by boot time; replicas fill the fullest machines.

--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -44,6 +44,12 @@
   /** Wants parked where there is room now, as a multiple of what is wanted: others want it too. */
   private static final double SURPLUS = 1.5;
 
+  /**
+   * What a wholly free machine costs an urgent task against a nearly full one, in seconds of an
+   * earlier start: full machines stay anyway, and empty ones can be returned.
+   */
+  private static final double SPREAD_OUT_S = 0.2;
+
   /** A machine on which a job could park; the lower the tier, the sooner it is chosen. */
   private record Choice(Room.Seen seen, int ever, int fits, int tier, double costS, int mix) {
     static final Comparator<Choice> ORDER =
@@ -172,7 +178,7 @@
             && !v.spot()
             && !urgent
             && c.rank != Urgencies.PRESSING
-            && desk.catalog().urgentOrdinary();
+            && desk.catalog().urgentHome(v.type());
     int tier = fits == 0 ? 1 : spare || costly ? 2 : 0;
     return new Choice(s, fit.ever, fits, tier, costS(c, s, fit), s.mix() ^ c.mix);
   }
@@ -185,6 +191,9 @@
     int others = images.size() - (warm && c.spec.image() != null ? 1 : 0);
     // A task in no hurry leaves the machines that have others' images to those others.
     double cost = c.spec.priority().urgent() ? fetch : fetch * PATIENT + others * CROWD_S;
+    if (c.spec.service()) {
+      cost += SPREAD_OUT_S * c.size.timesIn(s.view().free()) / Math.max(1, fit.ever);
+    }
     return cost + (fit.large ? OVERSIZE_S : 0);
   }
 
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -274,8 +274,12 @@
       if (now == null || !e.placement().equals(now.placed.get(n))) {
         continue;
       }
+      String host = e.placement().host();
+      // More proofs than one transaction can name are written with the next: a whole zone's worth
+      // of machines may be lost at once, and a transaction that is too large is refused for ever.
       if (!next.containsKey(index) && next.size() >= maxChunks
-          || e.conditional() && !agrees(stamps, e.placement().host(), e.holdStamp())) {
+          || e.conditional() && stamps.size() >= maxHosts && !stamps.containsKey(host)
+          || e.conditional() && !agrees(stamps, host, e.holdStamp())) {
         c.ends.add(e);
         continue;
       }
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -45,7 +45,7 @@
             }
           });
 
-  private boolean urgentOrdinary;
+  private final Set<String> urgentHomes = new HashSet<>();
 
   public Catalog(String cloud, Caller caller, Store store, Timers timers, Ward ward) {
     this.cloud = cloud;
@@ -78,12 +78,29 @@
   /** A job has been seen: what it needs is remembered, for others leave room to it. */
   public void seen(JobSpec spec) {
     sizes.add(spec.size());
-    urgentOrdinary |= spec.priority().urgent() && !spec.spot();
+    if (spec.priority().urgent() && !spec.spot()) {
+      MachineType home = null;
+      for (MachineType t : types()) {
+        boolean allowed = spec.types() == null || spec.types().contains(t.name());
+        if (allowed
+            && spec.size().fits(t.size())
+            && (home == null || taskPrice(spec, t) < taskPrice(spec, home))) {
+          home = t;
+        }
+      }
+      if (home != null) {
+        urgentHomes.add(home.name());
+      }
+    }
+  }
+
+  private static double taskPrice(JobSpec spec, MachineType t) {
+    return t.price() / spec.size().timesIn(t.size());
   }
 
-  /** Whether there is urgent work that may not run on spot machines. */
-  public boolean urgentOrdinary() {
-    return urgentOrdinary;
+  /** Whether ordinary machines of the type serve urgent work that may not run on spot machines. */
+  public boolean urgentHome(String type) {
+    return urgentHomes.contains(type);
   }
 
   /**
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -291,9 +291,11 @@
     Set<Kind> wanted = new HashSet<>();
     double ahead = 0;
     boolean urgentWaits = false;
+    boolean ordinaryWaits = false;
     for (Waiter w : waiting()) {
       JobSpec spec = w.need.spec;
       urgentWaits |= spec.priority().urgent();
+      ordinaryWaits |= spec.priority().urgent() && !spec.spot();
       market.fill(w.need, coming);
       Need left = w.need;
       if (spec.spot() && w.slackS < Double.POSITIVE_INFINITY) {
@@ -301,8 +303,10 @@
         market.plan(left, true);
         boolean more = market.spotToBeHad(spec);
         // What spot machines get done in time waits for them; ordinary ones are for the rest.
-        double inTime = more ? ahead : slots(market, spec, counts) * w.slackS / w.needsS;
-        left = left.split(Math.max(0, ahead - inTime));
+        double inTime = more ? ahead : slots(market, spec, counts) * w.slackS / left.runS;
+        // While urgent tasks wait for ordinary machines, those that come are for them: what booted
+        // faster for a peak would be taken by tasks that stay.
+        left = left.split(ordinaryWaits ? 0 : Math.max(0, ahead - inTime));
         counts.keySet().stream()
             .filter(k -> k.spot() && market.fit(spec, k) > 0)
             .forEach(wanted::add);
@@ -330,8 +334,8 @@
     return new Plan(most, most == null ? 0 : market.count(most), wanted, free);
   }
 
-  /** A need with the part of its slack that it may wait, and how long its tasks take. */
-  private record Waiter(Need need, double slackS, double needsS) {}
+  /** A need with the part of its slack that it may wait. */
+  private record Waiter(Need need, double slackS) {}
 
   /** All that waits for room, most urgent first. */
   private List<Waiter> waiting() {
@@ -378,7 +382,7 @@
         slack == null
             ? Double.POSITIVE_INFINITY
             : tunables.patience() * Math.max(0, slack - boot - run / 2);
-    return new Waiter(new Need(spec, tasks, zones), patience, Math.max(1, run));
+    return new Waiter(new Need(spec, tasks, zones, Math.max(1, run)), patience);
   }
 
   /** How many of the job's tasks run at once on the spot machines that there are. */
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -111,7 +111,7 @@
               || need.wantedIn(zone) <= NONE) {
             continue;
           }
-          double cost = (spot ? t.spotPrice() : t.price()) / fit;
+          double cost = (spot ? t.spotPrice() : t.price()) / fit * bootPart(need, t, spot);
           if (fit >= Catalog.OVERSIZE && leavesLarge) {
             cost *= OVERSIZE_COST;
           }
@@ -126,4 +126,13 @@
     }
     return best;
   }
+
+  /**
+   * What a machine's boot adds to the price of a task, as a factor. An ordinary machine that is
+   * taken where spot machines would do is taken for a peak, so its boot is paid for a single run.
+   */
+  private static double bootPart(Need need, MachineType type, boolean spot) {
+    boolean peak = need.spec.spot() && !spot;
+    return peak && need.runS > 0 ? 1 + type.bootS() / need.runS : 1;
+  }
 }
--- a/src/main/java/dev/dunefront/fleet/Need.java
+++ b/src/main/java/dev/dunefront/fleet/Need.java
@@ -7,13 +7,22 @@
 /** Tasks of a job that want machines; goes down as machines are found or planned for them. */
 final class Need {
   final JobSpec spec;
+
+  /** How long a task takes, or 0 if that is not known. */
+  final double runS;
+
   private double missing;
 
   /** How many each zone may take; empty if that does not matter. */
   private final Map<String, Double> zones = new HashMap<>();
 
   Need(JobSpec spec, double tasks, Map<String, Integer> zones) {
+    this(spec, tasks, zones, 0);
+  }
+
+  Need(JobSpec spec, double tasks, Map<String, Integer> zones, double runS) {
     this.spec = spec;
+    this.runS = runS;
     this.missing = tasks;
     zones.forEach((zone, n) -> this.zones.put(zone, (double) n));
   }
@@ -34,7 +43,7 @@
 
   /** Leaves out so many tasks; returns them as a need of their own. */
   Need split(double tasks) {
-    Need part = new Need(spec, Math.min(tasks, missing), Map.of());
+    Need part = new Need(spec, Math.min(tasks, missing), Map.of(), runS);
     part.zones.putAll(zones);
     missing -= part.missing;
     return part;
--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -14,6 +14,9 @@
 
 /** The state service: keys with stamps, transactions, leases, watches. */
 public final class StateStandIn {
+  /** Changes that a transaction may hold; conditions may be four times as many. */
+  public static final int TXN_OPS = 24;
+
   private static final int KEPT = 10_000;
 
   private record Value(Doc data, long stamp, long tenancy) {}
@@ -145,6 +148,10 @@
   }
 
   private void txn(Doc txn, Consumer<Reply> then) throws BadMessage {
+    if (txn.docs("then").size() > TXN_OPS || txn.docs("when").size() > 4 * TXN_OPS) {
+      then.accept(reply(400, Doc.of().put("error", "too much")));
+      return;
+    }
     List<String> failed = new ArrayList<>();
     for (Doc w : txn.docs("when")) {
       Value v = keys.get(w.text("k"));
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -7,6 +7,7 @@
 import dev.dunefront.net.Ward;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
+import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -17,6 +18,7 @@
 
 /** The state service over HTTP, within this controller's part of the common budget. */
 public final class HttpStore implements Store {
+  private static final System.Logger LOG = System.getLogger(HttpStore.class.getName());
   private static final double CALL_S = 1.2;
   private static final double USER_QUEUE_S = 1.0;
   private static final double QUEUE_S = 3.0;
@@ -217,6 +219,9 @@
           switch (done.outcome()) {
             case OK -> then.accept(done);
             case REFUSED, UNCLEAR, MISSING -> {
+              if (done.outcome() == Outcome.MISSING) {
+                LOG.log(Level.ERROR, "the state service calls a transaction malformed: {0}", mark);
+              }
               boolean nowUnclear = unclear || done.outcome() == Outcome.UNCLEAR;
               timers.after(
                   pauseS, () -> attempt(txn, mark, nowUnclear, Math.min(1.0, pauseS * 2), then));
--- a/src/test/java/dev/dunefront/story/ScaleTest.java
+++ b/src/test/java/dev/dunefront/story/ScaleTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.dunefront.standin.StateStandIn;
 import dev.dunefront.standin.WorkerStandIn;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -101,6 +102,30 @@
     }
   }
 
+  /**
+   * Each proof that a task is gone is a condition on its machine's hold; a transaction with too
+   * many conditions is refused however often it is tried, and its job would never end.
+   */
+  @Test
+  void aZoneThatIsLostAtOnceIsWrittenInParts() {
+    World w = new World(2);
+    w.start().pass(2);
+    int machines = 4 * StateStandIn.TXN_OPS + 40;
+    for (int i = 0; i < machines; i++) {
+      w.machine("host-" + i, "small", "a", "node-" + i % 2);
+    }
+    w.pass(5);
+    assertEquals(201, w.submit("node-0", World.job("wk-1", machines, 3)).status());
+    w.pass(6);
+    assertEquals(machines, running(w));
+    w.workers.values().forEach(m -> w.silent.add(m.host()));
+    w.pass(World.LEASE_S + 3);
+    w.silent.clear();
+    w.pass(20);
+    assertEquals(machines, running(w));
+    assertEquals(List.of(), w.overlaps);
+  }
+
   private static int running(World w) {
     return w.workers.values().stream().mapToInt(m -> m.running().size()).sum();
   }
