A machine that ends just after its baton was raised is called lost, and its jobs end

A machine was called lost only while settled, and deleted by name only while nobody spoke of it. The lease can be renewed by nobody else once the worker has seen any baton of this hold, so the clock now counts from the last answered report; holders that never had one are passed by: the machine is deleted by name. Ruled out: lost ends, refused transactions (none in the log). Story aMachineThatEndsJustAfterItsBatonWasRaisedStrandsNothing fails without it.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -257,6 +257,7 @@
     }
     if (r.baton() == m.baton) {
       m.settled = true;
+      m.ours = true;
       // Orders sent under an earlier baton can no longer be carried out.
       m.pending.values().removeIf(p -> p.sentUnder != 0 && p.sentUnder < m.baton);
     }
@@ -846,8 +847,10 @@
         m.retiringUntil = 0;
         m.dirty = true;
       }
-      if (!m.lost && m.settled && now - m.heard > lease * (1 + DRIFT) + 0.3) {
-        // No report of this session has been answered for longer than its lease lasts.
+      if (!m.lost && m.ours && now - m.heard > lease * (1 + DRIFT) + 0.3) {
+        // No report of this session has been answered for longer than its lease lasts. A baton
+        // raised since, which the worker may never see, changes nothing in that: a machine that
+        // ended just after would otherwise never be called lost, and its jobs never end.
         m.lost = true;
         m.pending.clear();
         m.offers.clear();
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -61,6 +61,10 @@
   double noticeAt;
   double looked;
   boolean settled;
+
+  /** The worker has reported under a baton of this hold: nobody else can renew its lease. */
+  boolean ours;
+
   boolean lost;
   boolean doubt;
   boolean raising;
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -536,7 +536,9 @@
     Set<String> unheard = new HashSet<>();
     for (Claim c : claims.values()) {
       for (String host : c.hosts()) {
-        if (room.get(host) == null) {
+        Room.Seen seen = room.get(host);
+        // A holder that has never had a report under its baton cannot prove anything by its clock.
+        if (seen == null || !seen.view().settled() && !seen.view().lost()) {
           unheard.add(host);
         }
       }
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -32,6 +32,12 @@
   /** At most this often a job looks at the machines where room has opened. */
   private static final double OPENINGS_S = 0.1;
 
+  /** What besides its boot passes until a machine of the cheapest type takes replicas. */
+  private static final double HOME_S = 10;
+
+  /** A type is dear to a replica if it costs this many times as much there as on the cheapest. */
+  private static final double DEAR = 1.2;
+
   /** How much of its fetch a task counts that is in no hurry. */
   private static final double PATIENT = 0.25;
 
@@ -132,7 +138,7 @@
   }
 
   /** What a kind of machine is to a job; worked out once for each job and kind. */
-  record Fit(int ever, boolean large, double fetchS) {}
+  record Fit(int ever, boolean large, double fetchS, double dearS) {}
 
   private Fit fit(Claim c, Room.Kind kind) {
     while (c.fits.size() <= kind.index()) {
@@ -144,13 +150,19 @@
     }
     MachineType type = desk.catalog().type(kind.type());
     if (type == null) {
-      return new Fit(0, false, 0);
+      return new Fit(0, false, 0, 0);
     }
     JobSpec spec = c.spec;
     int ever = spec.allows(kind.type(), kind.zone(), kind.spot()) ? c.size.timesIn(type.size()) : 0;
     double fetch =
         spec.image() == null || type.fetchGbPerS() <= 0 ? 0 : spec.imageGb() / type.fetchGbPerS();
-    Fit fit = new Fit(ever, ever >= Catalog.OVERSIZE && desk.catalog().leavesLarge(spec), fetch);
+    boolean large = ever >= Catalog.OVERSIZE && desk.catalog().leavesLarge(spec);
+    // A replica stays where it starts, so it waits for the type on which it costs least for as long
+    // as such a machine takes to come.
+    MachineType home = spec.service() && !large ? desk.catalog().home(spec) : null;
+    boolean dear =
+        home != null && Catalog.taskPrice(spec, type) > DEAR * Catalog.taskPrice(spec, home);
+    Fit fit = new Fit(ever, large, fetch, dear ? home.bootS() + HOME_S : 0);
     c.fits.set(kind.index(), fit);
     return fit;
   }
@@ -161,6 +173,7 @@
     View v = s.view();
     if (fit.ever == 0
         || !v.open()
+        || now - c.unservedSince < fit.dearS
         || !c.avoid.isEmpty() && c.avoid.getOrDefault(v.host(), 0.0) > now
         || (c.spec.oneZone() || c.spec.spread()) && !zones.allowed(c, v.host(), List.of())) {
       return null;
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -78,24 +78,33 @@
   /** A job has been seen: what it needs is remembered, for others leave room to it. */
   public void seen(JobSpec spec) {
     sizes.add(spec.size());
-    if (spec.priority().urgent() && !spec.spot()) {
-      MachineType home = null;
-      for (MachineType t : types()) {
-        boolean allowed = spec.types() == null || spec.types().contains(t.name());
-        if (allowed
-            && spec.size().fits(t.size())
-            && (home == null || taskPrice(spec, t) < taskPrice(spec, home))) {
-          home = t;
-        }
-      }
-      if (home != null) {
-        urgentHomes.add(home.name());
+    MachineType home = home(spec);
+    if (home != null && spec.priority().urgent()) {
+      urgentHomes.add(home.name());
+    }
+  }
+
+  /**
+   * The type on which a task costs least, for work that may not run on spot machines; null for work
+   * that may.
+   */
+  public MachineType home(JobSpec spec) {
+    MachineType home = null;
+    for (MachineType t : types()) {
+      boolean allowed = spec.types() == null || spec.types().contains(t.name());
+      if (!spec.spot()
+          && allowed
+          && spec.size().fits(t.size())
+          && (home == null || taskPrice(spec, t) < taskPrice(spec, home))) {
+        home = t;
       }
     }
+    return home;
   }
 
-  private static double taskPrice(JobSpec spec, MachineType t) {
-    return t.price() / spec.size().timesIn(t.size());
+  /** What a task costs on an ordinary machine of a type, if the machine is full. */
+  public static double taskPrice(JobSpec spec, MachineType t) {
+    return t.price() / Math.max(1, spec.size().timesIn(t.size()));
   }
 
   /** Whether ordinary machines of the type serve urgent work that may not run on spot machines. */
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -291,11 +291,9 @@
     Set<Kind> wanted = new HashSet<>();
     double ahead = 0;
     boolean urgentWaits = false;
-    boolean ordinaryWaits = false;
     for (Waiter w : waiting()) {
       JobSpec spec = w.need.spec;
       urgentWaits |= spec.priority().urgent();
-      ordinaryWaits |= spec.priority().urgent() && !spec.spot();
       market.fill(w.need, coming);
       Need left = w.need;
       if (spec.spot() && w.slackS < Double.POSITIVE_INFINITY) {
@@ -304,9 +302,7 @@
         boolean more = market.spotToBeHad(spec);
         // What spot machines get done in time waits for them; ordinary ones are for the rest.
         double inTime = more ? ahead : slots(market, spec, counts) * w.slackS / left.runS;
-        // While urgent tasks wait for ordinary machines, those that come are for them: what booted
-        // faster for a peak would be taken by tasks that stay.
-        left = left.split(ordinaryWaits ? 0 : Math.max(0, ahead - inTime));
+        left = left.split(Math.max(0, ahead - inTime));
         counts.keySet().stream()
             .filter(k -> k.spot() && market.fit(spec, k) > 0)
             .forEach(wanted::add);
@@ -367,11 +363,11 @@
   private Waiter waiter(JobRecord record, int tasks, Map<String, Integer> zones) {
     JobSpec spec = record.spec();
     double fetch = 0;
-    double boot = 0;
+    double boot = Double.POSITIVE_INFINITY;
     for (MachineType t : catalog.types()) {
       if (spec.size().fits(t.size()) && t.fetchGbPerS() > 0) {
         fetch = Math.max(fetch, spec.imageGb() / t.fetchGbPerS());
-        boot = Math.max(boot, t.bootS());
+        boot = Math.min(boot, t.bootS());
       }
     }
     double run = urgencies.runS(spec) + fetch;
--- a/src/main/java/dev/dunefront/fleet/Health.java
+++ b/src/main/java/dev/dunefront/fleet/Health.java
@@ -100,7 +100,8 @@
    * for ever.
    */
   private void unlisted(double now, double watchedS, Set<String> unheard, Map<String, String> why) {
-    unheard.removeIf(h -> inventory.isListed(h) || room.get(h) != null);
+    unheard.removeIf(
+        h -> inventory.isListed(h) || room.get(h) != null && room.get(h).view().settled());
     unlistedSince.keySet().retainAll(unheard);
     // A new machine is listed within twice the lag, and listed until it is gone.
     double patience = 2 * settings.workers().leaseS() + 3 * settings.cloudLimits().listLagS();
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -2,6 +2,7 @@
 
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +22,9 @@
   private final Set<Kind> refused;
   private final Map<Kind, Double> planned = new LinkedHashMap<>();
 
+  /** Kinds of which urgent work needs some. */
+  private final Set<Kind> urgent = new HashSet<>();
+
   Market(Catalog catalog, Set<Kind> refused) {
     this.catalog = catalog;
     this.refused = refused;
@@ -54,6 +58,9 @@
         return;
       }
       planned.put(kind, had + more);
+      if (need.spec.priority().urgent()) {
+        urgent.add(kind);
+      }
       need.found(kind.zone(), more * fit);
     }
   }
@@ -71,11 +78,13 @@
     return false;
   }
 
-  /** The kind of which most is planned, or null. */
+  /** The kind of which most is planned, among those for urgent work if there are any; or null. */
   Kind most() {
     Kind most = null;
     for (Kind k : planned.keySet()) {
-      if (most == null || planned.get(k) > planned.get(most)) {
+      boolean first = most == null || urgent.contains(k) && !urgent.contains(most);
+      boolean alike = most != null && urgent.contains(k) == urgent.contains(most);
+      if (first || alike && planned.get(k) > planned.get(most)) {
         most = k;
       }
     }
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -493,6 +493,24 @@
     assertEquals(List.of("wk-1/0"), b.running());
   }
 
+  /** Found on bordverkauf-wien's day `apart`: two jobs never ended. */
+  @Test
+  void aMachineThatEndsJustAfterItsBatonWasRaisedStrandsNothing() {
+    World w = new World(1);
+    w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.unanswered = (from, to) -> to.equals("host-1:9");
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 1, 1)).status());
+    for (int i = 0; i < 200 && w.state.value("w/h/host-1") == null; i++) {
+      w.pass(0.05);
+    }
+    w.silent.add("host-1");
+    w.cloud.take("host-1");
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-0");
+    w.pass(World.LEASE_S + 4);
+    assertEquals(List.of("wk-1/0"), b.running());
+  }
+
   @Test
   void aMachineTakenWhileNobodyHeldItStrandsNothing() {
     World w = new World(2);
