--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -56,6 +56,12 @@
    */
   private static final double SPREAD_OUT_S = 0.2;
 
+  /**
+   * What an ordinary machine costs a task that may run on a spot machine, in seconds of an earlier
+   * start, where there is work that may not: what stays empty can be returned.
+   */
+  private static final double ORDINARY_S = 10;
+
   /** A machine on which a job could park; the lower the tier, the sooner it is chosen. */
   private record Choice(Room.Seen seen, int ever, int fits, int tier, double costS, int mix) {
     static final Comparator<Choice> ORDER =
@@ -207,6 +213,9 @@
     if (c.spec.service()) {
       cost += SPREAD_OUT_S * c.size.timesIn(s.view().free()) / Math.max(1, fit.ever);
     }
+    if (c.spec.spot() && !s.view().spot() && !c.spec.priority().urgent()) {
+      cost += desk.catalog().ordinaryNeeded() ? ORDINARY_S : 0;
+    }
     return cost + (fit.large ? OVERSIZE_S : 0);
   }
 
--- a/src/main/java/dev/dunefront/config/Tunables.java
+++ b/src/main/java/dev/dunefront/config/Tunables.java
@@ -18,6 +18,7 @@
  * @param nodeLeaseS life of a controller's lease in the state service
  * @param idleBoots a machine that idles this many times as long as one like it takes to boot, and
  *     for which nothing is expected, is returned
+ * @param idleWarmS but one that urgent arrays may use only after so long, for its images' sake
  * @param patience the part of a job's slack that it may wait for a spot machine before an ordinary
  *     one is rented for it
  * @param spare room kept ready for urgent work, as a part of what open urgent jobs take
@@ -33,6 +34,7 @@
     double requeueDelayS,
     double nodeLeaseS,
     double idleBoots,
+    double idleWarmS,
     double patience,
     double spare) {
 
@@ -55,7 +57,8 @@
     all.put("wait_s", new Setting(60, 1, 86_400, false));
     all.put("requeue_delay_s", new Setting(10, 0, 3_600, false));
     all.put("node_lease_s", new Setting(4, 1, 600, false));
-    all.put("idle_boots", new Setting(1.5, 0, 100_000, false));
+    all.put("idle_boots", new Setting(1, 0, 100_000, false));
+    all.put("idle_warm_s", new Setting(300, 0, 1_000_000, false));
     all.put("patience", new Setting(0.5, 0, 1, false));
     all.put("spare", new Setting(0.5, 0, 10, false));
     return all;
@@ -74,6 +77,7 @@
         value(changed, "requeue_delay_s"),
         value(changed, "node_lease_s"),
         value(changed, "idle_boots"),
+        value(changed, "idle_warm_s"),
         value(changed, "patience"),
         value(changed, "spare"));
   }
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -45,6 +45,9 @@
             }
           });
 
+  /** A job of each class of urgent arrays that has been seen. */
+  private final Map<String, JobSpec> urgentArrays = new LinkedHashMap<>();
+
   private final Set<String> urgentHomes = new HashSet<>();
 
   public Catalog(String cloud, Caller caller, Store store, Timers timers, Ward ward) {
@@ -78,12 +81,31 @@
   /** A job has been seen: what it needs is remembered, for others leave room to it. */
   public void seen(JobSpec spec) {
     sizes.add(spec.size());
+    if (spec.priority().urgent() && !spec.service() && urgentArrays.size() < MAX_SIZES) {
+      urgentArrays.putIfAbsent(spec.jobClass(), spec);
+    }
     MachineType home = home(spec);
     if (home != null && spec.priority().urgent()) {
       urgentHomes.add(home.name());
     }
   }
 
+  /**
+   * Whether urgent arrays may use machines of the kind. They come and go in bursts, and whether
+   * they start in time is a matter of images that a machine has or has not.
+   */
+  boolean servesUrgentArrays(Kind kind) {
+    MachineType t = types.get(kind.type());
+    for (JobSpec spec : urgentArrays.values()) {
+      if (t != null
+          && spec.allows(kind.type(), kind.zone(), kind.spot())
+          && spec.size().fits(t.size())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * The type on which a task costs least, for work that may not run on spot machines; null for work
    * that may.
@@ -107,6 +129,11 @@
     return t.price() / Math.max(1, spec.size().timesIn(t.size()));
   }
 
+  /** Whether there is urgent work that may not run on spot machines. */
+  public boolean ordinaryNeeded() {
+    return !urgentHomes.isEmpty();
+  }
+
   /** Whether ordinary machines of the type serve urgent work that may not run on spot machines. */
   public boolean urgentHome(String type) {
     return urgentHomes.contains(type);
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -236,9 +236,15 @@
     return Idle.toReturn(idle, plan.spare, plan.wanted, this::holdS);
   }
 
+  /** How long an idle machine is kept. */
   private double holdS(Kind kind) {
     MachineType t = catalog.type(kind.type());
-    return t == null ? Double.POSITIVE_INFINITY : tunables.idleBoots() * t.bootS();
+    if (t == null) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return Math.max(
+        tunables.idleBoots() * t.bootS(),
+        catalog.servesUrgentArrays(kind) ? tunables.idleWarmS() : 0);
   }
 
   private void delete(List<String> hosts) {
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -14,6 +14,7 @@
 final class Market {
   static final int MAX_HIRE = 50;
   private static final double NONE = 1e-6;
+  private static final double URGENT_WEIGHT = 4;
 
   /** What machines many times too large count as, in multiples of their price. */
   private static final double OVERSIZE_COST = 2;
@@ -78,19 +79,25 @@
     return false;
   }
 
-  /** The kind of which most is planned, among those for urgent work if there are any; or null. */
+  /**
+   * The kind of which most is planned, or null. Machines for urgent work count several times, but
+   * do not go first: its jobs come one by one, and each call for a few machines would keep hundreds
+   * waiting for theirs.
+   */
   Kind most() {
     Kind most = null;
     for (Kind k : planned.keySet()) {
-      boolean first = most == null || urgent.contains(k) && !urgent.contains(most);
-      boolean alike = most != null && urgent.contains(k) == urgent.contains(most);
-      if (first || alike && planned.get(k) > planned.get(most)) {
+      if (most == null || weight(k) > weight(most)) {
         most = k;
       }
     }
     return most;
   }
 
+  private double weight(Kind kind) {
+    return planned.get(kind) * (urgent.contains(kind) ? URGENT_WEIGHT : 1);
+  }
+
   /** How many machines of the kind are planned. */
   int count(Kind kind) {
     return (int) Math.ceil(planned.getOrDefault(kind, 0.0) - NONE);
