--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -9,39 +9,29 @@
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Store;
-import dev.dunefront.store.Txn;
-import dev.dunefront.wire.BadMessage;
-import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
 import dev.dunefront.wire.Order;
-import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Report;
 import dev.dunefront.wire.Size;
 import dev.dunefront.wire.TaskId;
 import java.lang.System.Logger.Level;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
 /**
- * The machines that this controller holds: takes reports, keeps a book for each, deals freed room,
- * sends orders. A machine's baton is raised whenever it changes hands and whenever the fate of an
- * order is unknown, so that whatever is still on its way to the worker is refused there.
+ * The machines that this controller holds: takes reports, keeps a book for each and deals freed
+ * room. {@link Reception} takes the reports of others, {@link Orders} talks to workers, {@link
+ * Views} to the controllers.
  */
 public final class Books {
   private static final System.Logger LOG = System.getLogger(Books.class.getName());
-  private static final double ORDER_S = 3.0;
-  private static final double REPEAT_S = 2.0;
 
   /** A controller that is behind keeps at least so many machines. */
   private static final int KEEP = 5;
@@ -52,25 +42,15 @@
   /** How long room is kept for an offer that is being taken. */
   private static final double TAKING_S = 15;
 
-  /** Changes of a machine gather this long before the other controllers hear of them. */
-  private static final double TELL_S = 0.04;
-
   /** How often a machine is looked at on which nothing is known to wait. */
   private static final double IDLE_LOOK_S = 1;
 
   /** Steady clocks differ by this part at most. */
   private static final double DRIFT = 0.001;
 
-  /** Only tasks that have run for less than this give way: what they lose is small. */
-  private static final double YOUNG_S = 20;
-
-  /** And only such as are at most this many times as large as what they give way to. */
-  private static final int MUCH_LARGER = 2;
-
   /** How long a machine that is to be returned stays closed without being told so again. */
   private static final double RETIRE_S = 8;
 
-  private static final int MAX_ORDERS = 200;
   private static final int MAX_IMAGES = 12;
 
   private final Settings settings;
@@ -80,17 +60,14 @@
   private final JobTable jobs;
   private final Catalog catalog;
   private final Store store;
-  private final Caller caller;
   private final Peers peers;
   private final Timers timers;
-  private final Ward ward;
   private final Map<String, Machine> held = new HashMap<>();
 
   private final Map<String, Double> lookedUp = new HashMap<>();
-  private final List<Machine> toTell = new ArrayList<>();
-
-  /** All controllers, this one included. */
-  private final List<String> nodes = new ArrayList<>();
+  private final Views views;
+  private final Preemption preemption;
+  private final Orders orders;
 
   private final Neighbours neighbours;
   private final Reception reception;
@@ -109,13 +86,12 @@
     this.jobs = desk.jobs();
     this.catalog = desk.catalog();
     this.store = desk.store();
-    this.caller = caller;
     this.peers = desk.peers();
     this.timers = desk.timers();
-    this.ward = desk.ward();
     this.offers = timers.timeOfDayMs() << 16;
-    nodes.add(settings.node());
-    settings.peers().forEach(p -> nodes.add(p.node()));
+    this.views = new Views(desk, held);
+    this.preemption = new Preemption(desk, views);
+    this.orders = new Orders(desk, caller, this);
     this.neighbours = new Neighbours(settings, membership);
     this.reception = new Reception(desk, neighbours, this);
   }
@@ -205,13 +181,13 @@
       }
     }
     if (m.doubt) {
-      raise(m);
+      orders.raise(m);
     }
     answer.send(200, Order.answer(m.baton, List.of()));
     act(m);
   }
 
-  private void apply(Machine m, Report r) {
+  void apply(Machine m, Report r) {
     if (r.tenure() > m.tenure) {
       // The earlier session's tasks are gone, and orders for it are refused.
       m.pending.clear();
@@ -299,47 +275,7 @@
             });
   }
 
-  /** Raises the baton, so that orders of unknown fate are refused by the worker from now on. */
-  private void raise(Machine m) {
-    if (m.raising || store.down()) {
-      return;
-    }
-    m.raising = true;
-    m.offers.clear();
-    long baton = m.baton + 1;
-    String mark = store.newMark();
-    Doc value = Holds.write(membership.self(), baton, mark);
-    store.commit(
-        new Txn().when(Holds.key(m.host), m.holdStamp).put(Holds.key(m.host), value),
-        mark,
-        done -> {
-          m.raising = false;
-          if (held.get(m.host) != m) {
-            return;
-          }
-          if (!done.ok()) {
-            dropHold(m, "another controller has taken it");
-            return;
-          }
-          m.baton = baton;
-          m.holdStamp = done.revision();
-          m.settled = false;
-          m.doubt = false;
-          m.resumed = false;
-          m.fence.clear();
-          m.dirty = true;
-          holds.wrote(m.host, value, done.revision());
-          LOG.log(Level.DEBUG, "baton of {0} raised to {1}", m.host, baton);
-          show(m);
-        });
-  }
-
-  /** Lets the worker see the new baton at once. */
-  private void show(Machine m) {
-    send(m, List.of());
-  }
-
-  private void dropHold(Machine m, String why) {
+  void dropHold(Machine m, String why) {
     if (held.remove(m.host, m)) {
       LOG.log(Level.INFO, "no longer holding {0}: {1}", m.host, why);
       peers.broadcast(new Message.Unheld(m.host));
@@ -391,7 +327,7 @@
   private void stopJob(Machine m, String job) {
     for (Report.Task t : m.tasks.values()) {
       if (t.id().job().equals(job) && !t.exited()) {
-        stop(m, t.id(), t.attempt(), 0);
+        m.stop(t.id(), t.attempt(), 0);
       }
     }
     for (var e : Map.copyOf(m.pending).entrySet()) {
@@ -401,19 +337,12 @@
           m.fence.merge(e.getKey(), e.getValue().attempt, Math::max);
           m.dirty = true;
         } else {
-          stop(m, e.getKey(), e.getValue().attempt, 0);
+          m.stop(e.getKey(), e.getValue().attempt, 0);
         }
       }
     }
   }
 
-  private static void stop(Machine m, TaskId id, long attempt, double graceS) {
-    Machine.Wish old = m.stops.get(id);
-    if (old == null || old.attempt != attempt || old.graceS > graceS) {
-      m.stops.put(id, new Machine.Wish(attempt, graceS));
-    }
-  }
-
   // ---- messages ----
 
   public void received(String from, Message message) {
@@ -445,7 +374,7 @@
     } else if (message instanceof Message.Stop s) {
       Machine m = held.get(s.host());
       if (m != null) {
-        stop(m, new TaskId(s.job(), s.number()), s.attempt(), s.graceS());
+        m.stop(new TaskId(s.job(), s.number()), s.attempt(), s.graceS());
         act(m);
       }
     } else if (message instanceof Message.Clear c) {
@@ -455,7 +384,11 @@
         act(m);
       }
     } else if (message instanceof Message.Preempt p) {
-      preempt(p);
+      Machine m = held.get(p.host());
+      if (m != null) {
+        preemption.stopYoung(m, p);
+        act(m);
+      }
     } else if (message instanceof Message.Blame b) {
       blamed(b);
     } else if (message instanceof Message.Unheld u) {
@@ -513,8 +446,8 @@
    */
   private boolean stillFits(Machine m, Message.Start s) {
     MachineType type = catalog.type(m.typeName);
-    Size size = sizeOf(s.job());
-    return type != null && size != null && m.open() && size.fits(m.free(type, this::sizeOf));
+    Size size = views.sizeOf(s.job());
+    return type != null && size != null && m.open() && size.fits(m.free(type, views::sizeOf));
   }
 
   private void probed(String from, Message.Probe p) {
@@ -531,7 +464,7 @@
     }
     if (m.resumed) {
       // Its start may have been sent before the crash: only a higher baton shuts it out.
-      raise(m);
+      orders.raise(m);
       return;
     }
     // From now on this attempt is refused, should its start still be on the way here.
@@ -540,43 +473,6 @@
         from, new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
   }
 
-  /** Stops the youngest tasks of lower priority, for they lose least. */
-  private void preempt(Message.Preempt p) {
-    Machine m = held.get(p.host());
-    MachineType type = m == null ? null : catalog.type(m.typeName);
-    if (type == null || !m.open()) {
-      return;
-    }
-    double now = timers.now();
-    Size room = m.free(type, this::sizeOf);
-    List<Report.Task> victims = new ArrayList<>();
-    for (Report.Task t : m.tasks.values()) {
-      JobTable.Entry e = jobs.get(t.id().job());
-      if (e == null || t.exited()) {
-        continue;
-      }
-      JobSpec spec = e.record().spec();
-      if (m.stops.containsKey(t.id())) {
-        room = room.plus(spec.size());
-      } else if (spec.priority().ordinal() > p.priority()
-          && !spec.service()
-          && spec.size().cpu() <= MUCH_LARGER * p.size().cpu()
-          && now - m.startedAt.getOrDefault(t.id(), Double.NEGATIVE_INFINITY) < YOUNG_S) {
-        victims.add(t);
-      }
-    }
-    victims.sort(Comparator.comparingDouble(t -> -m.startedAt.get(t.id())));
-    for (Report.Task t : victims) {
-      if (p.size().timesIn(room) >= p.count()) {
-        break;
-      }
-      room = room.plus(sizeOf(t.id().job()));
-      LOG.log(Level.DEBUG, "{0} on {1} gives way to a higher priority", t.id(), m.host);
-      stop(m, t.id(), t.attempt(), 0);
-    }
-    act(m);
-  }
-
   /**
    * Closes an empty machine that is to be returned, so that no placement meets its deletion. If it
    * is not returned after all, it opens again by itself.
@@ -618,111 +514,21 @@
 
   /** A controller can be reached again: it hears of every held machine. */
   public void reached(String node) {
-    for (Machine m : held.values()) {
-      List<Message.TaskState> tasks = tasksFor(m).getOrDefault(node, List.of());
-      m.toldTasks.put(node, tasks);
-      peers.send(node, view(m).withTasks(tasks));
-    }
-  }
-
-  // ---- dealing and orders ----
-
-  private Size sizeOf(String job) {
-    JobTable.Entry e = jobs.get(job);
-    return e == null ? null : e.record().spec().size();
-  }
-
-  private Message.View view(Machine m) {
-    return new Message.View(
-        m.host,
-        m.typeName,
-        m.zone,
-        m.spot,
-        m.baton,
-        m.holdStamp,
-        m.tenure,
-        m.settled && !m.doubt && !m.raising,
-        m.lost,
-        m.open(),
-        m.quarantined,
-        m.retiring(timers.now()),
-        m.free(catalog.type(m.typeName), this::sizeOf),
-        List.copyOf(m.images),
-        unfinished(m, 0),
-        unfinished(m, timers.now() - YOUNG_S),
-        List.of());
-  }
-
-  /** Unfinished tasks that have started since then, by priority. */
-  private List<Integer> unfinished(Machine m, double since) {
-    int[] n = new int[Priority.values().length];
-    for (TaskId id : m.unfinished()) {
-      JobTable.Entry e = jobs.get(id.job());
-      if (since == 0 || m.startedAt.getOrDefault(id, 0.0) > since) {
-        n[e == null ? 0 : e.record().spec().priority().ordinal()]++;
-      }
-    }
-    return Arrays.stream(n).boxed().toList();
-  }
-
-  /** The machine's tasks by the controllers that have to know of them. */
-  private Map<String, List<Message.TaskState>> tasksFor(Machine m) {
-    Map<String, List<Message.TaskState>> byNode = new HashMap<>();
-    for (Message.TaskState t : m.states()) {
-      JobTable.Entry e = jobs.get(t.job());
-      String claim = e == null ? null : e.record().claim();
-      if (claim != null) {
-        byNode.computeIfAbsent(Membership.nodeOf(claim), n -> new ArrayList<>()).add(t);
-      }
-    }
-    return byNode;
-  }
-
-  /** Tells of changed machines shortly; changes that come together are told at once. */
-  private void tellSoon(Machine m) {
-    if (m.telling) {
-      return;
-    }
-    m.telling = true;
-    toTell.add(m);
-    if (toTell.size() == 1) {
-      timers.after(TELL_S, () -> ward.run(this::tell));
-    }
+    views.reached(node);
   }
 
-  private void tell() {
-    List<Machine> all = List.copyOf(toTell);
-    toTell.clear();
-    for (Machine m : all) {
-      m.telling = false;
-      if (held.get(m.host) != m) {
-        continue;
-      }
-      Message.View view = view(m);
-      boolean changed = !view.saysTheSame(m.told);
-      m.told = view;
-      Map<String, List<Message.TaskState>> tasks = tasksFor(m);
-      for (String node : nodes) {
-        List<Message.TaskState> its = tasks.getOrDefault(node, List.of());
-        // What runs concerns the claimants only; what room there is concerns everybody.
-        if (changed || !its.equals(m.toldTasks.getOrDefault(node, List.of()))) {
-          m.toldTasks.put(node, its);
-          peers.send(node, view.withTasks(its));
-        }
-      }
-    }
-  }
+  // ---- dealing ----
 
   /** Deals what room there is, sends what orders there are, tells what has changed. */
-  private void act(Machine m) {
+  void act(Machine m) {
     if (held.get(m.host) != m) {
       return;
     }
     deal(m);
-    order(m);
+    orders.give(m);
     if (m.dirty) {
       m.dirty = false;
-      tellSoon(m);
+      views.tellSoon(m);
     }
   }
 
@@ -734,7 +540,7 @@
     if (type == null) {
       return;
     }
-    Size free = m.free(type, this::sizeOf);
+    Size free = m.free(type, views::sizeOf);
     double gatherBefore = timers.now() - tunables.gatherTicks() * tunables.tickS();
     WantBook.Want w;
     while ((w = m.book.take(free, type.size(), gatherBefore)) != null) {
@@ -747,82 +553,6 @@
     }
   }
 
-  private void order(Machine m) {
-    if (m.ordering || m.doubt || m.raising || !m.settled || m.lost || m.endpoint.isEmpty()) {
-      return;
-    }
-    double now = timers.now();
-    List<Order> orders = new ArrayList<>();
-    for (var e : m.pending.entrySet()) {
-      if (e.getValue().sentUnder == 0 && orders.size() < MAX_ORDERS) {
-        e.getValue().sentUnder = m.baton;
-        orders.add(new Order.Run(e.getKey(), e.getValue().attempt));
-      }
-    }
-    for (var e : m.stops.entrySet()) {
-      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
-        e.getValue().sentAt = now;
-        orders.add(new Order.Stop(e.getKey(), e.getValue().attempt, e.getValue().graceS));
-      }
-    }
-    for (var e : m.clears.entrySet()) {
-      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
-        e.getValue().sentAt = now;
-        orders.add(new Order.Clear(e.getKey(), e.getValue().attempt));
-      }
-    }
-    if (!orders.isEmpty()) {
-      send(m, orders);
-    }
-  }
-
-  private void send(Machine m, List<Order> orders) {
-    m.ordering = true;
-    byte[] body = Order.direct(m.baton, m.tenure, orders);
-    boolean runs = orders.stream().anyMatch(o -> o instanceof Order.Run);
-    String endpoint = m.endpoint;
-    ward.then(
-        () ->
-            caller.call(
-                endpoint,
-                "POST",
-                "/orders",
-                body,
-                ORDER_S,
-                reply -> ward.run(() -> ordered(m, runs, reply))));
-  }
-
-  private void ordered(Machine m, boolean runs, Caller.Reply reply) {
-    m.ordering = false;
-    if (held.get(m.host) != m) {
-      return;
-    }
-    if (reply.status() == 200 || reply.status() == 409) {
-      try {
-        Report r = Report.read(Doc.decode(reply.body()));
-        if (r.baton() > m.baton) {
-          dropHold(m, "a higher baton is out");
-          return;
-        }
-        if (r.newerThan(m.tenure, m.serial)) {
-          apply(m, r);
-        }
-        if (reply.status() == 409) {
-          // Nothing was carried out: what was sent may be sent again, if it still makes sense.
-          m.pending.values().forEach(p -> p.sentUnder = 0);
-        }
-      } catch (BadMessage e) {
-        LOG.log(Level.INFO, "{0} answers orders with nonsense: {1}", m.host, e.getMessage());
-        m.doubt |= runs;
-      }
-    } else if (runs) {
-      // The start may be carried out now, minutes later, or never.
-      m.doubt = true;
-      m.dirty = true;
-    }
-    act(m);
-  }
-
   // ---- time ----
 
   public int heldMachines() {
@@ -883,7 +613,7 @@
       }
       JobSpec spec = e.record().spec();
       if (spec.checkpointS() > 0 && leftS < spec.saveS() + settings.workers().reportS() + 1) {
-        stop(m, t.id(), t.attempt(), Math.max(spec.saveS() + 1, leftS));
+        m.stop(t.id(), t.attempt(), Math.max(spec.saveS() + 1, leftS));
       }
     }
   }
@@ -901,7 +631,7 @@
           if (t.exited()) {
             m.clears.putIfAbsent(t.id(), new Machine.Wish(t.attempt(), 0));
           } else {
-            stop(m, t.id(), t.attempt(), 0);
+            m.stop(t.id(), t.attempt(), 0);
           }
         } else if (lookedUp.putIfAbsent(job, now) == null) {
           jobs.read(job, Store.Urgency.BACKGROUND, found -> {});
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -147,6 +147,14 @@
     return free;
   }
 
+  /** An attempt is to be stopped, with so much time to save; a shorter time replaces a longer. */
+  void stop(TaskId id, long attempt, double graceS) {
+    Wish old = stops.get(id);
+    if (old == null || old.attempt != attempt || old.graceS > graceS) {
+      stops.put(id, new Wish(attempt, graceS));
+    }
+  }
+
   /** Whether starts are under way that a change of hands would disturb. */
   boolean busy() {
     return ordering || !pending.isEmpty() || !offers.isEmpty();
--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -0,0 +1,161 @@
+package dev.dunefront.book;
+
+import dev.dunefront.claim.Desk;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.store.Membership;
+import dev.dunefront.store.Store;
+import dev.dunefront.store.Txn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.Order;
+import dev.dunefront.wire.Report;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Sends orders to workers. When the fate of a start is unknown the machine's baton is raised, so
+ * that whatever is still on its way is refused there.
+ */
+final class Orders {
+  private static final System.Logger LOG = System.getLogger(Orders.class.getName());
+  private static final double ORDER_S = 3.0;
+  private static final double REPEAT_S = 2.0;
+  private static final int MAX_ORDERS = 200;
+
+  private final Membership membership;
+  private final Holds holds;
+  private final Store store;
+  private final Caller caller;
+  private final Timers timers;
+  private final Ward ward;
+  private final Books books;
+
+  Orders(Desk desk, Caller caller, Books books) {
+    this.membership = desk.membership();
+    this.holds = desk.holds();
+    this.store = desk.store();
+    this.caller = caller;
+    this.timers = desk.timers();
+    this.ward = desk.ward();
+    this.books = books;
+  }
+
+  /** Raises the baton, so that orders of unknown fate are refused by the worker from now on. */
+  void raise(Machine m) {
+    if (m.raising || store.down()) {
+      return;
+    }
+    m.raising = true;
+    m.offers.clear();
+    long baton = m.baton + 1;
+    String mark = store.newMark();
+    Doc value = Holds.write(membership.self(), baton, mark);
+    store.commit(
+        new Txn().when(Holds.key(m.host), m.holdStamp).put(Holds.key(m.host), value),
+        mark,
+        done -> {
+          m.raising = false;
+          if (books.held(m.host) != m) {
+            return;
+          }
+          if (!done.ok()) {
+            books.dropHold(m, "another controller has taken it");
+            return;
+          }
+          m.baton = baton;
+          m.holdStamp = done.revision();
+          m.settled = false;
+          m.doubt = false;
+          m.resumed = false;
+          m.fence.clear();
+          m.dirty = true;
+          holds.wrote(m.host, value, done.revision());
+          LOG.log(Level.DEBUG, "baton of {0} raised to {1}", m.host, baton);
+          show(m);
+        });
+  }
+
+  /** Lets the worker see the new baton at once. */
+  private void show(Machine m) {
+    send(m, List.of());
+  }
+
+  void give(Machine m) {
+    if (m.ordering || m.doubt || m.raising || !m.settled || m.lost || m.endpoint.isEmpty()) {
+      return;
+    }
+    double now = timers.now();
+    List<Order> orders = new ArrayList<>();
+    for (var e : m.pending.entrySet()) {
+      if (e.getValue().sentUnder == 0 && orders.size() < MAX_ORDERS) {
+        e.getValue().sentUnder = m.baton;
+        orders.add(new Order.Run(e.getKey(), e.getValue().attempt));
+      }
+    }
+    for (var e : m.stops.entrySet()) {
+      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
+        e.getValue().sentAt = now;
+        orders.add(new Order.Stop(e.getKey(), e.getValue().attempt, e.getValue().graceS));
+      }
+    }
+    for (var e : m.clears.entrySet()) {
+      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
+        e.getValue().sentAt = now;
+        orders.add(new Order.Clear(e.getKey(), e.getValue().attempt));
+      }
+    }
+    if (!orders.isEmpty()) {
+      send(m, orders);
+    }
+  }
+
+  private void send(Machine m, List<Order> orders) {
+    m.ordering = true;
+    byte[] body = Order.direct(m.baton, m.tenure, orders);
+    boolean runs = orders.stream().anyMatch(o -> o instanceof Order.Run);
+    String endpoint = m.endpoint;
+    ward.then(
+        () ->
+            caller.call(
+                endpoint,
+                "POST",
+                "/orders",
+                body,
+                ORDER_S,
+                reply -> ward.run(() -> ordered(m, runs, reply))));
+  }
+
+  private void ordered(Machine m, boolean runs, Caller.Reply reply) {
+    m.ordering = false;
+    if (books.held(m.host) != m) {
+      return;
+    }
+    if (reply.status() == 200 || reply.status() == 409) {
+      try {
+        Report r = Report.read(Doc.decode(reply.body()));
+        if (r.baton() > m.baton) {
+          books.dropHold(m, "a higher baton is out");
+          return;
+        }
+        if (r.newerThan(m.tenure, m.serial)) {
+          books.apply(m, r);
+        }
+        if (reply.status() == 409) {
+          // Nothing was carried out: what was sent may be sent again, if it still makes sense.
+          m.pending.values().forEach(p -> p.sentUnder = 0);
+        }
+      } catch (BadMessage e) {
+        LOG.log(Level.INFO, "{0} answers orders with nonsense: {1}", m.host, e.getMessage());
+        m.doubt |= runs;
+      }
+    } else if (runs) {
+      // The start may be carried out now, minutes later, or never.
+      m.doubt = true;
+      m.dirty = true;
+    }
+    books.act(m);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Views.java
@@ -0,0 +1,142 @@
+package dev.dunefront.book;
+
+import dev.dunefront.claim.Desk;
+import dev.dunefront.fleet.Catalog;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Peers;
+import dev.dunefront.store.Membership;
+import dev.dunefront.wire.Priority;
+import dev.dunefront.wire.Size;
+import dev.dunefront.wire.TaskId;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Tells the controllers of held machines: what room there is, and what has become of tasks. */
+final class Views {
+  /** Changes of a machine gather this long before the other controllers hear of them. */
+  private static final double TELL_S = 0.04;
+
+  private final JobTable jobs;
+  private final Catalog catalog;
+  private final Peers peers;
+  private final Timers timers;
+  private final Ward ward;
+  private final Map<String, Machine> held;
+  private final List<Machine> toTell = new ArrayList<>();
+
+  /** All controllers, this one included. */
+  private final List<String> nodes = new ArrayList<>();
+
+  Views(Desk desk, Map<String, Machine> held) {
+    this.jobs = desk.jobs();
+    this.catalog = desk.catalog();
+    this.peers = desk.peers();
+    this.timers = desk.timers();
+    this.ward = desk.ward();
+    this.held = held;
+    nodes.add(desk.settings().node());
+    desk.settings().peers().forEach(p -> nodes.add(p.node()));
+  }
+
+  /** What a task of the job takes, or null if the job is not known. */
+  Size sizeOf(String job) {
+    JobTable.Entry e = jobs.get(job);
+    return e == null ? null : e.record().spec().size();
+  }
+
+  /** A controller can be reached again: it hears of every held machine. */
+  void reached(String node) {
+    for (Machine m : held.values()) {
+      List<Message.TaskState> tasks = tasksFor(m).getOrDefault(node, List.of());
+      m.toldTasks.put(node, tasks);
+      peers.send(node, view(m).withTasks(tasks));
+    }
+  }
+
+  private Message.View view(Machine m) {
+    return new Message.View(
+        m.host,
+        m.typeName,
+        m.zone,
+        m.spot,
+        m.baton,
+        m.holdStamp,
+        m.tenure,
+        m.settled && !m.doubt && !m.raising,
+        m.lost,
+        m.open(),
+        m.quarantined,
+        m.retiring(timers.now()),
+        m.free(catalog.type(m.typeName), this::sizeOf),
+        List.copyOf(m.images),
+        unfinished(m, 0),
+        unfinished(m, timers.now() - Preemption.YOUNG_S),
+        List.of());
+  }
+
+  /** Unfinished tasks that have started since then, by priority. */
+  private List<Integer> unfinished(Machine m, double since) {
+    int[] n = new int[Priority.values().length];
+    for (TaskId id : m.unfinished()) {
+      JobTable.Entry e = jobs.get(id.job());
+      if (since == 0 || m.startedAt.getOrDefault(id, 0.0) > since) {
+        n[e == null ? 0 : e.record().spec().priority().ordinal()]++;
+      }
+    }
+    return Arrays.stream(n).boxed().toList();
+  }
+
+  /** The machine's tasks by the controllers that have to know of them. */
+  private Map<String, List<Message.TaskState>> tasksFor(Machine m) {
+    Map<String, List<Message.TaskState>> byNode = new HashMap<>();
+    for (Message.TaskState t : m.states()) {
+      JobTable.Entry e = jobs.get(t.job());
+      String claim = e == null ? null : e.record().claim();
+      if (claim != null) {
+        byNode.computeIfAbsent(Membership.nodeOf(claim), n -> new ArrayList<>()).add(t);
+      }
+    }
+    return byNode;
+  }
+
+  /** Tells of changed machines shortly; changes that come together are told at once. */
+  void tellSoon(Machine m) {
+    if (m.telling) {
+      return;
+    }
+    m.telling = true;
+    toTell.add(m);
+    if (toTell.size() == 1) {
+      timers.after(TELL_S, () -> ward.run(this::tell));
+    }
+  }
+
+  private void tell() {
+    List<Machine> all = List.copyOf(toTell);
+    toTell.clear();
+    for (Machine m : all) {
+      m.telling = false;
+      if (held.get(m.host) != m) {
+        continue;
+      }
+      Message.View view = view(m);
+      boolean changed = !view.saysTheSame(m.told);
+      m.told = view;
+      Map<String, List<Message.TaskState>> tasks = tasksFor(m);
+      for (String node : nodes) {
+        List<Message.TaskState> its = tasks.getOrDefault(node, List.of());
+        // What runs concerns the claimants only; what room there is concerns everybody.
+        if (changed || !its.equals(m.toldTasks.getOrDefault(node, List.of()))) {
+          m.toldTasks.put(node, its);
+          peers.send(node, view.withTasks(its));
+        }
+      }
+    }
+  }
+}
