--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -236,14 +236,18 @@
     return Idle.toReturn(idle, plan.spare, plan.wanted, this::holdS);
   }
 
-  /** How long an idle machine is kept. */
+  /**
+   * How long an idle machine is kept: the less it costs, the longer, for what comes next starts as
+   * much sooner on a cheap machine as on a dear one.
+   */
   private double holdS(Kind kind) {
     MachineType t = catalog.type(kind.type());
     if (t == null) {
       return Double.POSITIVE_INFINITY;
     }
+    double cheapness = kind.spot() && t.spotPrice() > 0 ? t.price() / t.spotPrice() : 1;
     return Math.max(
-        tunables.idleBoots() * t.bootS(),
+        tunables.idleBoots() * t.bootS() * Math.max(1, cheapness),
         catalog.servesUrgentArrays(kind) ? tunables.idleWarmS() : 0);
   }
 
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -123,6 +123,7 @@
           int fit = fit(need.spec, kind);
           if (fit == 0
               || spotOnly && !spot
+              || peak(need, spot) && catalog.urgentHome(t.name())
               || refused.contains(kind)
               || need.wantedIn(zone) <= NONE) {
             continue;
@@ -144,11 +145,16 @@
   }
 
   /**
-   * What a machine's boot adds to the price of a task, as a factor. An ordinary machine that is
-   * taken where spot machines would do is taken for a peak, so its boot is paid for a single run.
+   * Whether an ordinary machine is taken for a peak, where spot machines would do. Not of the type
+   * on which urgent work is at home: it would settle there, and the machine could not be returned
+   * after the peak.
    */
+  private static boolean peak(Need need, boolean spot) {
+    return need.spec.spot() && !need.spec.priority().urgent() && !spot;
+  }
+
+  /** A machine for a peak boots for a single run; that adds to the price of a task, as a factor. */
   private static double bootPart(Need need, MachineType type, boolean spot) {
-    boolean peak = need.spec.spot() && !spot;
-    return peak && need.runS > 0 ? 1 + type.bootS() / need.runS : 1;
+    return peak(need, spot) && need.runS > 0 ? 1 + type.bootS() / need.runS : 1;
   }
 }
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -549,6 +549,46 @@
     assertTrue(inA == 4 || inA == 0);
   }
 
+  @Test
+  void tasksThatMustBeApartWaitForAnotherZoneAndKeepNobodyElseWaiting() {
+    World w = new World(2);
+    WorkerStandIn a = w.machine("host-1", "large", "a", "node-0");
+    w.machine("host-2", "large", "b", "node-1");
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 4, 1).put("shape", "daemon").put("apart", true));
+    w.pass(3);
+    assertEquals(2, a.running().size());
+    w.silent.add("host-2");
+    w.cloud.take("host-2");
+    w.pass(World.LEASE_S + 4);
+    w.submit("node-1", World.job("wk-2", 2, 1));
+    w.pass(4);
+    assertEquals(2, a.running().stream().filter(t -> t.startsWith("wk-1")).count());
+    assertEquals(2, a.running().stream().filter(t -> t.startsWith("wk-2")).count());
+    WorkerStandIn c = w.machine("host-3", "large", "b", "node-0");
+    w.pass(6);
+    assertEquals(2, c.running().stream().filter(t -> t.startsWith("wk-1")).count());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  /** What the cloud does not have now it may have soon. */
+  @Test
+  void aHireThatIsFilledInPartIsMadeUpForLater() {
+    World w = new World(2);
+    w.cloud.capacity(1);
+    w.start().pass(2);
+    w.submit("node-0", World.job("wk-1", 3, 4));
+    w.pass(8);
+    assertEquals(1, hired(w));
+    w.cloud.capacity(10);
+    w.pass(14);
+    assertEquals(3, hired(w), "as many as are needed, and no more");
+  }
+
+  private static int hired(World w) {
+    return w.cloud.hires().values().stream().mapToInt(List::size).sum();
+  }
+
   @Test
   void whatIsMalformedOrImpossibleIsRefusedForGood() {
     World w = new World(1);
