--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -35,9 +35,6 @@
   /** What besides its boot passes until a machine of the cheapest type takes replicas. */
   private static final double HOME_S = 10;
 
-  /** A type is dear to a replica if it costs this many times as much there as on the cheapest. */
-  private static final double DEAR = 1.2;
-
   /** How much of its fetch a task counts that is in no hurry. */
   private static final double PATIENT = 0.25;
 
@@ -165,10 +162,9 @@
     boolean large = ever >= Catalog.OVERSIZE && desk.catalog().leavesLarge(spec);
     // A replica stays where it starts, so it waits for the type on which it costs least for as long
     // as such a machine takes to come.
-    MachineType home = spec.service() && !large ? desk.catalog().home(spec) : null;
-    boolean dear =
-        home != null && Catalog.taskPrice(spec, type) > DEAR * Catalog.taskPrice(spec, home);
-    Fit fit = new Fit(ever, large, fetch, dear ? home.bootS() + HOME_S : 0);
+    boolean dear = !large && desk.catalog().dear(spec, type);
+    double comes = dear ? desk.catalog().home(spec).bootS() + HOME_S : 0;
+    Fit fit = new Fit(ever, large, fetch, comes);
     c.fits.set(kind.index(), fit);
     return fit;
   }
@@ -180,6 +176,7 @@
     if (fit.ever == 0
         || !v.open()
         || now - c.unservedSince < fit.dearS
+        || !v.spot() && desk.catalog().closedTo(c.spec, v.type())
         || !c.avoid.isEmpty() && c.avoid.getOrDefault(v.host(), 0.0) > now
         || (c.spec.oneZone() || c.spec.spread()) && !zones.allowed(c, v.host(), List.of())) {
       return null;
@@ -191,14 +188,7 @@
         fit.large
             && !urgent
             && now - c.unservedSince < desk.tunables().gatherTicks() * desk.tunables().tickS();
-    // And ordinary ones to urgent tasks that may run on no others, as long as there is time.
-    boolean costly =
-        c.spec.spot()
-            && !v.spot()
-            && !urgent
-            && c.rank != Urgencies.PRESSING
-            && desk.catalog().urgentHome(v.type());
-    int tier = fits == 0 ? 1 : spare || costly ? 2 : 0;
+    int tier = fits == 0 ? 1 : spare ? 2 : 0;
     return new Choice(s, fit.ever, fits, tier, costS(c, s, fit), s.mix() ^ c.mix);
   }
 
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -27,6 +27,9 @@
   private static final double ASK_AGAIN_S = 2;
   private static final int MAX_SIZES = 100;
 
+  /** A type is dear to a replica if it costs this many times as much there as on the cheapest. */
+  private static final double DEAR = 1.2;
+
   private final String cloud;
   private final Caller caller;
   private final Store store;
@@ -113,10 +116,8 @@
   public MachineType home(JobSpec spec) {
     MachineType home = null;
     for (MachineType t : types()) {
-      boolean allowed = spec.types() == null || spec.types().contains(t.name());
       if (!spec.spot()
-          && allowed
-          && spec.size().fits(t.size())
+          && allows(spec, t)
           && (home == null || taskPrice(spec, t) < taskPrice(spec, home))) {
         home = t;
       }
@@ -125,7 +126,7 @@
   }
 
   /** What a task costs on an ordinary machine of a type, if the machine is full. */
-  public static double taskPrice(JobSpec spec, MachineType t) {
+  private static double taskPrice(JobSpec spec, MachineType t) {
     return t.price() / Math.max(1, spec.size().timesIn(t.size()));
   }
 
@@ -134,9 +135,30 @@
     return !urgentHomes.isEmpty();
   }
 
-  /** Whether ordinary machines of the type serve urgent work that may not run on spot machines. */
-  public boolean urgentHome(String type) {
-    return urgentHomes.contains(type);
+  /**
+   * Whether ordinary machines of the type are closed to the job: it may run on spot machines and is
+   * not urgent, and urgent work that may not is at home there. It would take the room kept ready
+   * for that work, which would be rented again and again. A job that fits nowhere else may.
+   */
+  public boolean closedTo(JobSpec spec, String type) {
+    return spec.spot()
+        && !spec.priority().urgent()
+        && urgentHomes.contains(type)
+        && types.values().stream()
+            .anyMatch(t -> !urgentHomes.contains(t.name()) && allows(spec, t));
+  }
+
+  private static boolean allows(JobSpec spec, MachineType t) {
+    return (spec.types() == null || spec.types().contains(t.name())) && spec.size().fits(t.size());
+  }
+
+  /**
+   * Whether a replica should wait for another type: it stays where it starts, and costs clearly
+   * less there.
+   */
+  public boolean dear(JobSpec spec, MachineType type) {
+    MachineType home = spec.service() ? home(spec) : null;
+    return home != null && taskPrice(spec, type) > DEAR * taskPrice(spec, home);
   }
 
   /**
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -314,12 +314,12 @@
         double inTime = more ? ahead : slots(market, spec, counts) * w.slackS / left.runS;
         left = left.split(Math.max(0, ahead - inTime));
         counts.keySet().stream()
-            .filter(k -> k.spot() && market.fit(spec, k) > 0)
+            .filter(k -> k.spot() && market.couldUse(spec, k))
             .forEach(wanted::add);
       }
       if (left.missing() > 0) {
         JobSpec its = spec;
-        counts.keySet().stream().filter(k -> market.fit(its, k) > 0).forEach(wanted::add);
+        counts.keySet().stream().filter(k -> market.couldUse(its, k)).forEach(wanted::add);
         market.plan(left, false);
       }
     }
--- a/src/main/java/dev/dunefront/fleet/Forecast.java
+++ b/src/main/java/dev/dunefront/fleet/Forecast.java
@@ -19,9 +19,14 @@
   /** Of a single job no more tasks than these count. */
   private static final int MAX_TASKS = 1000;
 
-  /** What came in one window may be an exception, what came in two in a row is a habit. */
   private static final int WINDOWS = 2;
 
+  /**
+   * What came in one window comes again, but only up to so many times what came in the one before:
+   * a single wave, as at the start of a day, is no habit.
+   */
+  private static final double GROWTH = 2;
+
   /** Room for at least so many of the largest services that came lately is kept. */
   private static final int LARGEST = 2;
 
@@ -63,7 +68,7 @@
       }
     }
     for (Arrivals a : services.values()) {
-      double habit = Math.min(a.tasks[0], a.tasks[1]);
+      double habit = Math.min(a.tasks[0], GROWTH * a.tasks[1]);
       double largest = Math.min(a.largest.tasks(), MAX_TASKS);
       double tasks = Math.min(a.open * part, Math.max(habit, LARGEST * largest));
       needs.add(new Need(a.largest, tasks, zones(a.largest, tasks, zones)));
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -31,10 +31,10 @@
     this.refused = refused;
   }
 
-  /** Takes room for the tasks from machines that there are. */
+  /** Takes room for the tasks from machines that there are, or come, and that they would use. */
   void fill(Need need, Map<Kind, Double> machines) {
     for (var e : machines.entrySet()) {
-      int fit = fit(need.spec, e.getKey());
+      int fit = couldUse(need.spec, e.getKey()) ? fit(need.spec, e.getKey()) : 0;
       double wanted = need.wantedIn(e.getKey().zone());
       if (fit > 0 && wanted > NONE) {
         double used = Math.min(e.getValue(), wanted / fit);
@@ -44,6 +44,15 @@
     }
   }
 
+  /** Whether the job's tasks would go to a machine of the kind rather than wait for another. */
+  private boolean suits(JobSpec spec, Kind kind) {
+    MachineType type = catalog.type(kind.type());
+    if (type == null || !kind.spot() && catalog.closedTo(spec, kind.type())) {
+      return false;
+    }
+    return !catalog.dear(spec, type) || !toBeHad(spec, catalog.home(spec), false);
+  }
+
   /**
    * Adds machines for the tasks to the plan, the cheapest first, as far as they can be had. Of a
    * kind that has been planned as often as one call rents, the rest is left to the next call: what
@@ -68,12 +77,14 @@
 
   /** Whether spot machines that the job may use might still be had. */
   boolean spotToBeHad(JobSpec spec) {
-    for (MachineType t : catalog.types()) {
-      for (String zone : t.zones()) {
-        Kind kind = new Kind(t.name(), zone, true);
-        if (fit(spec, kind) > 0 && !refused.contains(kind)) {
-          return true;
-        }
+    return catalog.types().stream().anyMatch(t -> toBeHad(spec, t, true));
+  }
+
+  private boolean toBeHad(JobSpec spec, MachineType type, boolean spot) {
+    for (String zone : type.zones()) {
+      Kind kind = new Kind(type.name(), zone, spot);
+      if (fit(spec, kind) > 0 && !refused.contains(kind)) {
+        return true;
       }
     }
     return false;
@@ -103,6 +114,11 @@
     return (int) Math.ceil(planned.getOrDefault(kind, 0.0) - NONE);
   }
 
+  /** Whether the job's tasks would use a machine of the kind. */
+  boolean couldUse(JobSpec spec, Kind kind) {
+    return fit(spec, kind) > 0 && suits(spec, kind);
+  }
+
   /** How many tasks of the job a machine of the kind takes. */
   int fit(JobSpec spec, Kind kind) {
     MachineType t = catalog.type(kind.type());
@@ -123,7 +139,7 @@
           int fit = fit(need.spec, kind);
           if (fit == 0
               || spotOnly && !spot
-              || peak(need, spot) && catalog.urgentHome(t.name())
+              || !spot && catalog.closedTo(need.spec, t.name())
               || refused.contains(kind)
               || need.wantedIn(zone) <= NONE) {
             continue;
@@ -144,11 +160,7 @@
     return best;
   }
 
-  /**
-   * Whether an ordinary machine is taken for a peak, where spot machines would do. Not of the type
-   * on which urgent work is at home: it would settle there, and the machine could not be returned
-   * after the peak.
-   */
+  /** Whether an ordinary machine is taken for a peak, where spot machines would do. */
   private static boolean peak(Need need, boolean spot) {
     return need.spec.spot() && !need.spec.priority().urgent() && !spot;
   }
