Peaks may use the replicas' type again, but no machine on which replicas run

Try that failed: peaks of arrays kept off the large type altogether. Now a peak may rent the large type; arrays stay off machines on which replicas run, and what they take of the others counts as free, for they leave soon.

--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -176,7 +176,7 @@
     if (fit.ever == 0
         || !v.open()
         || now - c.unservedSince < fit.dearS
-        || !v.spot() && desk.catalog().closedTo(c.spec, v.type())
+        || keptForUrgent(c.spec, v)
         || !c.avoid.isEmpty() && c.avoid.getOrDefault(v.host(), 0.0) > now
         || (c.spec.oneZone() || c.spec.spread()) && !zones.allowed(c, v.host(), List.of())) {
       return null;
@@ -192,6 +192,18 @@
     return new Choice(s, fit.ever, fits, tier, costS(c, s, fit), s.mix() ^ c.mix);
   }
 
+  /**
+   * Whether the machine's room is kept for urgent tasks that may run on ordinary machines alone:
+   * some run there, so it has their images, and the job may run elsewhere.
+   */
+  private boolean keptForUrgent(JobSpec spec, View v) {
+    return spec.spot()
+        && !v.spot()
+        && !spec.priority().urgent()
+        && v.runsUrgent()
+        && desk.catalog().urgentHome(v.type());
+  }
+
   /** What a start there costs, in seconds. */
   private double costS(Claim c, Room.Seen s, Fit fit) {
     List<String> images = s.view().images();
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -135,17 +135,9 @@
     return !urgentHomes.isEmpty();
   }
 
-  /**
-   * Whether ordinary machines of the type are closed to the job: it may run on spot machines and is
-   * not urgent, and urgent work that may not is at home there. It would take the room kept ready
-   * for that work, which would be rented again and again. A job that fits nowhere else may.
-   */
-  public boolean closedTo(JobSpec spec, String type) {
-    return spec.spot()
-        && !spec.priority().urgent()
-        && urgentHomes.contains(type)
-        && types.values().stream()
-            .anyMatch(t -> !urgentHomes.contains(t.name()) && allows(spec, t));
+  /** Whether urgent work that may not run on spot machines is at home on the type. */
+  public boolean urgentHome(String type) {
+    return urgentHomes.contains(type);
   }
 
   private static boolean allows(JobSpec spec, MachineType t) {
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -299,11 +299,17 @@
     Map<Kind, Double> counts = counts(coming);
     Market market = new Market(catalog, refused.keySet());
     Set<Kind> wanted = new HashSet<>();
+    List<Waiter> waiting = waiting();
+    List<Need> expected = expected();
+    boolean spared = false;
     double ahead = 0;
-    boolean urgentWaits = false;
-    for (Waiter w : waiting()) {
+    for (Waiter w : waiting) {
       JobSpec spec = w.need.spec;
-      urgentWaits |= spec.priority().urgent();
+      if (!spared && !spec.priority().urgent()) {
+        // What comes for replicas is not for arrays, which would have it rented again and again.
+        planSpare(market, expected, true, free, coming);
+        spared = true;
+      }
       market.fill(w.need, coming);
       Need left = w.need;
       if (spec.spot() && w.slackS < Double.POSITIVE_INFINITY) {
@@ -318,26 +324,44 @@
             .forEach(wanted::add);
       }
       if (left.missing() > 0) {
-        JobSpec its = spec;
-        counts.keySet().stream().filter(k -> market.couldUse(its, k)).forEach(wanted::add);
+        counts.keySet().stream().filter(k -> market.couldUse(spec, k)).forEach(wanted::add);
         market.plan(left, false);
       }
     }
-    if (tunables.spare() > 0 && !urgentWaits) {
-      double window = ARRIVAL_S;
-      for (MachineType t : catalog.types()) {
-        window = Math.max(window, t.bootS() + ARRIVAL_S);
-      }
-      for (Need need :
-          Forecast.urgent(
-              jobs.all(), catalog.zones(), tunables.spare(), window, timers.timeOfDayMs())) {
+    if (!spared) {
+      planSpare(market, expected, true, free, coming);
+    }
+    planSpare(market, expected, false, free, coming);
+    Kind most = market.most();
+    return new Plan(most, most == null ? 0 : market.count(most), wanted, free);
+  }
+
+  /** Urgent work that is to be expected while a machine would come. */
+  private List<Need> expected() {
+    if (tunables.spare() <= 0) {
+      return List.of();
+    }
+    double window = ARRIVAL_S;
+    for (MachineType t : catalog.types()) {
+      window = Math.max(window, t.bootS() + ARRIVAL_S);
+    }
+    return Forecast.urgent(
+        jobs.all(), catalog.zones(), tunables.spare(), window, timers.timeOfDayMs());
+  }
+
+  private static void planSpare(
+      Market market,
+      List<Need> expected,
+      boolean services,
+      Map<Kind, Double> free,
+      Map<Kind, Double> coming) {
+    for (Need need : expected) {
+      if (need.spec.service() == services) {
         market.fill(need, free);
         market.fill(need, coming);
         market.plan(need, false);
       }
     }
-    Kind most = market.most();
-    return new Plan(most, most == null ? 0 : market.count(most), wanted, free);
   }
 
   /** A need with the part of its slack that it may wait. */
@@ -388,7 +412,7 @@
         slack == null
             ? Double.POSITIVE_INFINITY
             : tunables.patience() * Math.max(0, slack - boot - run / 2);
-    return new Waiter(new Need(spec, tasks, zones, Math.max(1, run)), patience);
+    return new Waiter(Need.waiting(spec, tasks, zones, Math.max(1, run)), patience);
   }
 
   /** How many of the job's tasks run at once on the spot machines that there are. */
@@ -402,13 +426,19 @@
     return slots;
   }
 
-  /** Room that nothing takes, in machines. */
+  /**
+   * Room that nothing takes, in machines. Ordinary machines on which replicas would be at home and
+   * arrays are count as free: these leave soon, and were they counted, whatever they take of the
+   * room kept ready would be rented anew.
+   */
   private Map<Kind, Double> free() {
     Map<Kind, Double> free = new HashMap<>();
     for (Room.Seen s : room.all()) {
       MachineType t = catalog.type(s.view().type());
       if (t != null && t.size().cpu() > 0 && (s.view().open() || s.view().retiring())) {
-        double part = Math.max(0, (double) s.view().free().cpu() / t.size().cpu());
+        boolean lent =
+            !s.view().spot() && !s.view().runsUrgent() && catalog.urgentHome(s.view().type());
+        double part = lent ? 1 : Math.max(0, (double) s.view().free().cpu() / t.size().cpu());
         free.merge(kind(s), part, Double::sum);
       }
     }
--- a/src/main/java/dev/dunefront/fleet/Forecast.java
+++ b/src/main/java/dev/dunefront/fleet/Forecast.java
@@ -54,7 +54,7 @@
       }
       int tasks = Math.min(spec.tasks(), MAX_TASKS);
       if (!spec.service()) {
-        needs.add(new Need(spec, tasks * part, zones(spec, tasks * part, zones)));
+        needs.add(Need.expected(spec, tasks * part, zones(spec, tasks * part, zones)));
         continue;
       }
       Arrivals a = services.computeIfAbsent(spec.jobClass(), c -> new Arrivals());
@@ -71,7 +71,7 @@
       double habit = Math.min(a.tasks[0], GROWTH * a.tasks[1]);
       double largest = Math.min(a.largest.tasks(), MAX_TASKS);
       double tasks = Math.min(a.open * part, Math.max(habit, LARGEST * largest));
-      needs.add(new Need(a.largest, tasks, zones(a.largest, tasks, zones)));
+      needs.add(Need.expected(a.largest, tasks, zones(a.largest, tasks, zones)));
     }
     return needs;
   }
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -47,10 +47,7 @@
   /** Whether the job's tasks would go to a machine of the kind rather than wait for another. */
   private boolean suits(JobSpec spec, Kind kind) {
     MachineType type = catalog.type(kind.type());
-    if (type == null || !kind.spot() && catalog.closedTo(spec, kind.type())) {
-      return false;
-    }
-    return !catalog.dear(spec, type) || !toBeHad(spec, catalog.home(spec), false);
+    return type != null && (!catalog.dear(spec, type) || !toBeHad(spec, catalog.home(spec), false));
   }
 
   /**
@@ -68,7 +65,7 @@
         return;
       }
       planned.put(kind, had + more);
-      if (need.spec.priority().urgent()) {
+      if (need.waits && need.spec.priority().urgent()) {
         urgent.add(kind);
       }
       need.found(kind.zone(), more * fit);
@@ -139,7 +136,6 @@
           int fit = fit(need.spec, kind);
           if (fit == 0
               || spotOnly && !spot
-              || !spot && catalog.closedTo(need.spec, t.name())
               || refused.contains(kind)
               || need.wantedIn(zone) <= NONE) {
             continue;
--- a/src/main/java/dev/dunefront/fleet/Need.java
+++ b/src/main/java/dev/dunefront/fleet/Need.java
@@ -11,22 +11,32 @@
   /** How long a task takes, or 0 if that is not known. */
   final double runS;
 
+  /** Whether somebody waits, or it is only expected that somebody will. */
+  final boolean waits;
+
   private double missing;
 
   /** How many each zone may take; empty if that does not matter. */
   private final Map<String, Double> zones = new HashMap<>();
 
-  Need(JobSpec spec, double tasks, Map<String, Integer> zones) {
-    this(spec, tasks, zones, 0);
-  }
-
-  Need(JobSpec spec, double tasks, Map<String, Integer> zones, double runS) {
+  private Need(JobSpec spec, double tasks, Map<String, Integer> zones, double runS, boolean waits) {
     this.spec = spec;
     this.runS = runS;
+    this.waits = waits;
     this.missing = tasks;
     zones.forEach((zone, n) -> this.zones.put(zone, (double) n));
   }
 
+  /** Tasks that wait, with the time that each takes. */
+  static Need waiting(JobSpec spec, double tasks, Map<String, Integer> zones, double runS) {
+    return new Need(spec, tasks, zones, runS, true);
+  }
+
+  /** Tasks that are expected. */
+  static Need expected(JobSpec spec, double tasks, Map<String, Integer> zones) {
+    return new Need(spec, tasks, zones, 0, false);
+  }
+
   double missing() {
     return missing;
   }
@@ -43,7 +53,7 @@
 
   /** Leaves out so many tasks; returns them as a need of their own. */
   Need split(double tasks) {
-    Need part = new Need(spec, Math.min(tasks, missing), Map.of(), runS);
+    Need part = new Need(spec, Math.min(tasks, missing), Map.of(), runS, waits);
     part.zones.putAll(zones);
     missing -= part.missing;
     return part;
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -117,6 +117,16 @@
       return n;
     }
 
+    /** Whether urgent tasks are on it. */
+    public boolean runsUrgent() {
+      for (Priority p : Priority.values()) {
+        if (p.urgent() && p.ordinal() < unfinished.size() && unfinished.get(p.ordinal()) > 0) {
+          return true;
+        }
+      }
+      return false;
+    }
+
     /** Whether nothing runs or is about to. */
     public boolean idle() {
       return unfinished.stream().allMatch(n -> n == 0);
