--- a/src/test/java/dev/dunefront/fleet/MarketTest.java
+++ b/src/test/java/dev/dunefront/fleet/MarketTest.java
@@ -131,6 +131,14 @@
     assertEquals(6, need.missing());
   }
 
+  /** Half of such a job runs and the rest waits; machines for it would be rented for ever. */
+  @Test
+  void nothingIsRentedForTasksThatNoZoneMayTake() {
+    Market market = new Market(catalog, refused);
+    market.plan(Need.waiting(replicas, 6, Map.of("a", 0, "b", 0, "c", 0), 0), false);
+    assertNull(market.most());
+  }
+
   /** What one call does not bring the next one does; meanwhile nothing dearer is taken for it. */
   @Test
   void aKindThatIsPlannedInFullIsWaitedFor() {
--- a/src/test/java/dev/dunefront/story/ReturnTest.java
+++ b/src/test/java/dev/dunefront/story/ReturnTest.java
@@ -61,6 +61,31 @@
     assertEquals(List.of(), w.overlaps);
   }
 
+  /** The next life of its holder knows nothing of the return, and the deletion is on its way. */
+  @Test
+  void aReturnMeetsTheEndOfAllControllersAndAPlacement() {
+    World w = world();
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.heldPath = "/machines/delete";
+    for (int i = 0; i < 100 && w.heldCount() == 0; i++) {
+      w.pass(0.25);
+    }
+    w.nodes.values().forEach(World.Node::crash);
+    w.pass(1);
+    w.nodes.values().forEach(World.Node::start);
+    w.pass(6);
+    w.submit("node-0", World.job("wk-1", 1, 1));
+    w.pass(3);
+    assertEquals(List.of("wk-1/0"), a.running(), "it is open to the next life");
+    w.heldPath = null;
+    w.deliverHeld();
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-1");
+    w.pass(80);
+    assertEquals(List.of("wk-1/0"), b.running(), "placed again once the machine is proven gone");
+    assertEquals(List.of(), w.overlaps);
+  }
+
   @Test
   void aMachineThatIsNotReturnedAfterAllOpensAgain() {
     World w = world();
