A huge job that is done but not yet emptied cannot be cancelled

Found on a read of the change: since cancelled follows the final record, a live record that says DONE was taken for open, and a cancellation would have replaced it. Such records exist only for jobs of more chunks than a transaction removes. Story aHugeJobThatIsDoneButNotYetEmptiedCannotBeCancelled fails without the fix.

--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -241,8 +241,9 @@
             answer.send(404, error("no such job"));
           } else if (found.outcome() != Outcome.OK) {
             again(answer);
-          } else if (found.entry() == null) {
-            answer.send(200, status(id, found.status(), null));
+          } else if (found.status() != Status.OPEN) {
+            // A job that is done stays done, also while its last chunks are still being removed.
+            answer.send(200, status(id, found.status(), found.entry()));
           } else if (found.entry().record().status() == Status.CANCELLED) {
             awaitEnd(id, answer);
           } else {
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -60,6 +60,9 @@
       try {
         entry = new Entry(JobRecord.read(value, known == null ? null : known.record.spec()), stamp);
         live.put(id, entry);
+        if (entry.record.status() == Status.DONE) {
+          finals.put(id, Status.DONE);
+        }
       } catch (BadMessage | IllegalArgumentException e) {
         throw new IllegalStateException("job record " + id + " cannot be read", e);
       }
--- a/src/test/java/dev/dunefront/story/ReturnTest.java
+++ b/src/test/java/dev/dunefront/story/ReturnTest.java
@@ -19,6 +19,15 @@
     return w;
   }
 
+  /** Lets time pass until a deletion is sent, and holds it back. */
+  private static void holdDeletion(World w) {
+    w.heldPath = "/machines/delete";
+    for (int i = 0; i < 100 && w.heldCount() == 0; i++) {
+      w.pass(0.25);
+    }
+    assertTrue(w.heldCount() > 0, "the deletion is on its way");
+  }
+
   @Test
   void anIdleMachineIsReturnedAndOneAtWorkIsNot() {
     World w = world();
@@ -45,10 +54,7 @@
     World w = world();
     WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
     w.start().pass(2);
-    w.heldPath = "/machines/delete";
-    for (int i = 0; i < 100 && w.heldCount() == 0; i++) {
-      w.pass(0.25);
-    }
+    holdDeletion(w);
     w.submit("node-0", World.job("wk-1", 1, 1));
     w.pass(3);
     assertEquals(List.of(), a.starts(), "closed before the cloud was asked");
@@ -67,10 +73,7 @@
     World w = world();
     WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
     w.start().pass(2);
-    w.heldPath = "/machines/delete";
-    for (int i = 0; i < 100 && w.heldCount() == 0; i++) {
-      w.pass(0.25);
-    }
+    holdDeletion(w);
     w.nodes.values().forEach(World.Node::crash);
     w.pass(1);
     w.nodes.values().forEach(World.Node::start);
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.dunefront.job.JobRecord;
 import dev.dunefront.standin.WorkerStandIn;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.JobSpec;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -306,6 +308,22 @@
     assertEquals(List.of(), m.running());
   }
 
+  /** A job in more chunks than one transaction removes is recorded as done before it is emptied. */
+  @Test
+  void aHugeJobThatIsDoneButNotYetEmptiedCannotBeCancelled() throws BadMessage {
+    World w = new World(2);
+    w.start().pass(2);
+    JobSpec spec = JobSpec.read(World.job("wk-1", 20_000, 1));
+    JobRecord done = new JobRecord(spec, 1, "node-9#1", 1, JobRecord.Status.DONE, 0);
+    Doc put = Doc.of().put("put", JobRecord.key("wk-1")).put("data", done.write("m"));
+    Doc txn = Doc.of().put("when", List.of()).put("then", List.of(put));
+    w.state.handle("POST", "/txn", txn.encode(), reply -> {});
+    assertEquals("done", w.cancel("node-0", "wk-1").state());
+    w.pass(10);
+    assertEquals("done", w.poll("node-1", "wk-1").state());
+    assertEquals("done", w.cancel("node-1", "wk-1").state());
+  }
+
   @Test
   void aLimitHoldsAcrossControllersThatComeAndGo() {
     World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus = 1.0\ncpus_max = 3.0\n");
