--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -84,11 +84,14 @@
   /** A job has been seen: what it needs is remembered, for others leave room to it. */
   public void seen(JobSpec spec) {
     sizes.add(spec.size());
-    if (spec.priority().urgent() && !spec.service() && urgentArrays.size() < MAX_SIZES) {
+    if (!spec.priority().urgent()) {
+      return;
+    }
+    if (!spec.service() && urgentArrays.size() < MAX_SIZES) {
       urgentArrays.putIfAbsent(spec.jobClass(), spec);
     }
     MachineType home = home(spec);
-    if (home != null && spec.priority().urgent()) {
+    if (home != null) {
       urgentHomes.add(home.name());
     }
   }
--- a/src/main/java/dev/dunefront/fleet/Market.java
+++ b/src/main/java/dev/dunefront/fleet/Market.java
@@ -44,12 +44,6 @@
     }
   }
 
-  /** Whether the job's tasks would go to a machine of the kind rather than wait for another. */
-  private boolean suits(JobSpec spec, Kind kind) {
-    MachineType type = catalog.type(kind.type());
-    return type != null && (!catalog.dear(spec, type) || !toBeHad(spec, catalog.home(spec), false));
-  }
-
   /**
    * Adds machines for the tasks to the plan, the cheapest first, as far as they can be had. Of a
    * kind that has been planned as often as one call rents, the rest is left to the next call: what
@@ -111,9 +105,11 @@
     return (int) Math.ceil(planned.getOrDefault(kind, 0.0) - NONE);
   }
 
-  /** Whether the job's tasks would use a machine of the kind. */
+  /** Whether the job's tasks would use a machine of the kind rather than wait for another. */
   boolean couldUse(JobSpec spec, Kind kind) {
-    return fit(spec, kind) > 0 && suits(spec, kind);
+    return fit(spec, kind) > 0
+        && (!catalog.dear(spec, catalog.type(kind.type()))
+            || !toBeHad(spec, catalog.home(spec), false));
   }
 
   /** How many tasks of the job a machine of the kind takes. */
