Records between controllers are written and read in a class of their own

No change of behaviour: the records are byte for byte the same, and the round trip and garbling tests pass as they were.

--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -74,14 +74,14 @@
     }
     Out link = out.get(node);
     if (link != null) {
-      ward.then(() -> link.send(Message.encode(message)));
+      ward.then(() -> link.send(Records.encode(message)));
     }
   }
 
   @Override
   public void broadcast(Message message) {
     send(settings.node(), message);
-    byte[] record = Message.encode(message);
+    byte[] record = Records.encode(message);
     ward.then(() -> out.values().forEach(o -> o.send(record)));
   }
 
@@ -134,7 +134,7 @@
         buffer.flip();
         while (buffer.remaining() >= 4) {
           int length = buffer.getInt(buffer.position());
-          if (length < 1 || length > Message.MAX_RECORD) {
+          if (length < 1 || length > Records.MAX_RECORD) {
             throw new IOException("a record of " + length + " bytes");
           }
           if (buffer.remaining() < 4 + length) {
@@ -210,7 +210,7 @@
       c.getSourceChannel().getReadSetter().set(channel -> pongs(c));
       c.getSourceChannel().resumeReads();
       c.getSinkChannel().getWriteSetter().set(channel -> flush(c));
-      send(Message.encode(new Message.Hello(settings.node())));
+      send(Records.encode(new Message.Hello(settings.node())));
       ward.run(() -> listener.reached(peer.node()));
       ping(c);
     }
@@ -223,7 +223,7 @@
         close(c, "silent");
         return;
       }
-      send(Message.encode(new Message.Ping()));
+      send(Records.encode(new Message.Ping()));
       timers.after(PING_S, () -> ping(c));
     }
 
@@ -335,7 +335,7 @@
         return;
       }
       heard = timers.now();
-      Message m = Message.decode(record);
+      Message m = Records.decode(record);
       if (node == null) {
         if (!(m instanceof Message.Hello hello) || !out.containsKey(hello.node())) {
           throw new IOException("not a known controller");
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -61,18 +61,18 @@
   @Test
   void everyRecordIsReadBackAsWritten() throws IOException {
     for (Message m : ALL) {
-      assertEquals(m, Message.decode(Message.encode(m)));
+      assertEquals(m, Records.decode(Records.encode(m)));
     }
   }
 
   @Test
   void garbledRecordsAreRefused() {
     for (Message m : ALL) {
-      byte[] good = Message.encode(m);
-      assertThrows(IOException.class, () -> Message.decode(Arrays.copyOf(good, good.length + 1)));
+      byte[] good = Records.encode(m);
+      assertThrows(IOException.class, () -> Records.decode(Arrays.copyOf(good, good.length + 1)));
       byte[] cut = Arrays.copyOf(good, good.length - 1);
-      assertThrows(IOException.class, () -> Message.decode(cut));
+      assertThrows(IOException.class, () -> Records.decode(cut));
     }
-    assertThrows(IOException.class, () -> Message.decode(new byte[] {99}));
+    assertThrows(IOException.class, () -> Records.decode(new byte[] {99}));
   }
 }
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -10,6 +10,7 @@
 import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
+import dev.dunefront.peer.Records;
 import dev.dunefront.standin.CloudStandIn;
 import dev.dunefront.standin.StateStandIn;
 import dev.dunefront.standin.WorkerStandIn;
@@ -247,7 +248,7 @@
       messages++;
       Node to = nodes.get(node);
       int life = to == null ? 0 : to.life;
-      byte[] record = Message.encode(message);
+      byte[] record = Records.encode(message);
       timers.after(
           node.equals(self.name) ? 0 : HOP_S,
           () -> {
@@ -255,7 +256,7 @@
               return;
             }
             try {
-              Message m = Message.decode(record);
+              Message m = Records.decode(record);
               to.ward().run(() -> to.daemon.received(self.name, m));
             } catch (IOException e) {
               throw new AssertionError(e);
