A start names the session and the claim's term it was recorded for; the holder refuses it in any other

A placement is recorded with the worker's session; the claimant heard of the record late, the worker was in its next session by then, and the holder took the start, which named no session, because it still fitted. A view of a later session than recorded then counted as proof that the attempt was gone.

Change: Start names the recorded session and the term; Probe, Stop and Clear name the term. The holder refuses a start for another session, and whatever comes from a claimant whose successor it knows. What it has called gone stays refused when it lets go of a machine and takes it back under the same baton: the fence was lost with the machine before.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -67,6 +67,9 @@
   private final Timers timers;
   private final Map<String, Machine> held = new HashMap<>();
 
+  /** What was called gone on machines let go of since without a new baton; see {@link #hold}. */
+  private final Map<String, Map<TaskId, Long>> fences = new HashMap<>();
+
   private final Map<String, Double> lookedUp = new HashMap<>();
   private final Views views;
   private final Preemption preemption;
@@ -145,9 +148,16 @@
     return held.get(host);
   }
 
-  /** From now on this controller holds the machine. */
+  /**
+   * From now on this controller holds the machine. Under the baton under which it has held it
+   * before, what it has called gone stays refused: the start may still be on its way here.
+   */
   void hold(Machine m) {
     held.put(m.host, m);
+    Map<TaskId, Long> fence = fences.remove(m.host);
+    if (fence != null && m.resumed) {
+      m.fence.putAll(fence);
+    }
     LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", m.host, m.typeName, m.baton);
   }
 
@@ -280,6 +290,9 @@
 
   void dropHold(Machine m, String why) {
     if (held.remove(m.host, m)) {
+      if (!m.fence.isEmpty()) {
+        fences.put(m.host, m.fence);
+      }
       LOG.log(Level.INFO, "no longer holding {0}: {1}", m.host, why);
       peers.broadcast(new Message.Unheld(m.host));
     }
@@ -303,6 +316,10 @@
   public void holdChanged(String host) {
     Machine m = held.get(host);
     Holds.Hold hold = holds.get(host);
+    if (m == null) {
+      // Held under another baton from now on, if ever again.
+      fences.remove(host);
+    }
     if (m != null && hold != null && hold.stamp() > m.holdStamp && !m.raising) {
       if (hold.dead() || !holds.heldBy(settings.node(), hold) || hold.baton() != m.baton) {
         dropHold(m, hold.dead() ? "deleted" : "another controller has taken it");
@@ -376,13 +393,13 @@
       probed(from, p);
     } else if (message instanceof Message.Stop s) {
       Machine m = held.get(s.host());
-      if (m != null) {
+      if (m != null && !outdated(s.job(), s.term())) {
         m.stop(new TaskId(s.job(), s.number()), s.attempt(), s.graceS());
         act(m);
       }
     } else if (message instanceof Message.Clear c) {
       Machine m = held.get(c.host());
-      if (m != null) {
+      if (m != null && !outdated(c.job(), c.term())) {
         m.clears.putIfAbsent(new TaskId(c.job(), c.number()), new Machine.Wish(c.attempt(), 0));
         act(m);
       }
@@ -422,12 +439,15 @@
     boolean good =
         (offered(m, from, s) || stillFits(m, s))
             && m.baton == s.baton()
+            // Recorded for one session of the worker: a view of a later one proves it gone.
+            && m.tenure == s.tenure()
+            && !outdated(s.job(), s.term())
             && !m.doubt
             && !m.raising
             && s.attempt() > m.fence.getOrDefault(id, 0L)
             && !jobs.over(s.job());
     if (!good) {
-      probed(from, new Message.Probe(s.host(), s.baton(), s.job(), s.number(), s.attempt()));
+      probed(from, new Message.Probe(s.host(), s.term(), s.job(), s.number(), s.attempt()));
       return;
     }
     m.offers.remove(s.offer());
@@ -437,6 +457,16 @@
     act(m);
   }
 
+  /**
+   * Whether another controller is known to have claimed the job since. A claimant that stood still
+   * learns so only after it has sent what it had decided before; its successor may have been told
+   * that an attempt is gone, by a holder that has since forgotten that it said so.
+   */
+  private boolean outdated(String job, long term) {
+    JobTable.Entry e = jobs.get(job);
+    return e != null && e.record().term() > term;
+  }
+
   private static boolean offered(Machine m, String from, Message.Start s) {
     Machine.Offered offer = m.offers.get(s.offer());
     return offer != null && offer.node().equals(from) && offer.job().equals(s.job());
@@ -455,7 +485,7 @@
 
   private void probed(String from, Message.Probe p) {
     Machine m = held.get(p.host());
-    if (m == null || !m.settled || m.doubt || m.raising || m.lost) {
+    if (m == null || !m.settled || m.doubt || m.raising || m.lost || outdated(p.job(), p.term())) {
       return;
     }
     TaskId id = new TaskId(p.job(), p.number());
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -469,7 +469,13 @@
         desk.peers()
             .send(
                 s.holder(),
-                new Message.Stop(l.placement.host(), c.id(), e.getKey(), l.placement.attempt(), 0));
+                new Message.Stop(
+                    l.placement.host(),
+                    c.record.term(),
+                    c.id(),
+                    e.getKey(),
+                    l.placement.attempt(),
+                    0));
       }
     }
   }
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -395,7 +395,11 @@
               .send(
                   s.holder(),
                   new Message.Clear(
-                      e.placement().host(), c.id(), e.number(), e.placement().attempt()));
+                      e.placement().host(),
+                      c.record.term(),
+                      c.id(),
+                      e.number(),
+                      e.placement().attempt()));
         }
       }
     }
@@ -415,7 +419,14 @@
           .send(
               s.held.holder(),
               new Message.Start(
-                  o.offer(), o.host(), o.baton(), c.id(), s.number, s.placement.attempt()));
+                  o.offer(),
+                  o.host(),
+                  o.baton(),
+                  s.placement.tenure(),
+                  c.record.term(),
+                  c.id(),
+                  s.number,
+                  s.placement.attempt()));
     }
     if (rewritten != null) {
       c.record = rewritten;
--- a/src/main/java/dev/dunefront/claim/Settling.java
+++ b/src/main/java/dev/dunefront/claim/Settling.java
@@ -106,7 +106,8 @@
         desk.peers()
             .send(
                 seen.holder(),
-                new Message.Probe(v.host(), v.baton(), c.id(), number, l.placement.attempt()));
+                new Message.Probe(
+                    v.host(), c.record.term(), c.id(), number, l.placement.attempt()));
       }
     }
     if (!c.flying) {
@@ -116,8 +117,9 @@
             .send(
                 seen.holder(),
                 t.exited()
-                    ? new Message.Clear(v.host(), c.id(), t.number(), t.attempt())
-                    : new Message.Stop(v.host(), c.id(), t.number(), t.attempt(), 0));
+                    ? new Message.Clear(v.host(), c.record.term(), c.id(), t.number(), t.attempt())
+                    : new Message.Stop(
+                        v.host(), c.record.term(), c.id(), t.number(), t.attempt(), 0));
       }
     }
     if (!c.ends.isEmpty()) {
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -7,7 +7,9 @@
 
 /**
  * What controllers tell each other. A task is named by job and number; a hold by its baton, which
- * is never used twice for one machine.
+ * is never used twice for one machine; a claim by its term, which rises whenever a job changes
+ * hands. Whatever acts on a machine names these, for its sender may have stood still since it knew
+ * them (the table in docs/design.md).
  */
 public sealed interface Message {
 
@@ -166,22 +168,33 @@
   /** The offer is being taken: its room is kept until the placement is recorded. */
   record Taking(long offer, String host) implements Message {}
 
-  /** Takes an offer: the placement is recorded and the task may be started. */
-  record Start(long offer, String host, long baton, String job, int number, long attempt)
+  /**
+   * Takes an offer: the placement is recorded, for this session of the worker alone, and the task
+   * may be started in it.
+   */
+  record Start(
+      long offer,
+      String host,
+      long baton,
+      long tenure,
+      long term,
+      String job,
+      int number,
+      long attempt)
       implements Message {}
 
   /** Asks whether an attempt that the holder's view lacks is surely gone. */
-  record Probe(String host, long baton, String job, int number, long attempt) implements Message {}
+  record Probe(String host, long term, String job, int number, long attempt) implements Message {}
 
   /** It is, and the holder will never start it under this baton. */
   record Absent(String host, long baton, long holdStamp, String job, int number, long attempt)
       implements Message {}
 
-  record Stop(String host, String job, int number, long attempt, double graceS)
+  record Stop(String host, long term, String job, int number, long attempt, double graceS)
       implements Message {}
 
   /** The end of the attempt is recorded; the worker may forget it. */
-  record Clear(String host, String job, int number, long attempt) implements Message {}
+  record Clear(String host, long term, String job, int number, long attempt) implements Message {}
 
   /** The task failed where others of its job did not. */
   record Blame(String host, String job) implements Message {}
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -122,11 +122,13 @@
       out.writeLong(s.offer());
       out.writeUTF(s.host());
       out.writeLong(s.baton());
+      out.writeLong(s.tenure());
+      out.writeLong(s.term());
       writeAttempt(out, s.job(), s.number(), s.attempt());
     } else if (m instanceof Probe p) {
       out.writeByte(9);
       out.writeUTF(p.host());
-      out.writeLong(p.baton());
+      out.writeLong(p.term());
       writeAttempt(out, p.job(), p.number(), p.attempt());
     } else if (m instanceof Absent a) {
       out.writeByte(10);
@@ -137,11 +139,13 @@
     } else if (m instanceof Stop s) {
       out.writeByte(11);
       out.writeUTF(s.host());
+      out.writeLong(s.term());
       writeAttempt(out, s.job(), s.number(), s.attempt());
       out.writeDouble(s.graceS());
     } else if (m instanceof Clear c) {
       out.writeByte(12);
       out.writeUTF(c.host());
+      out.writeLong(c.term());
       writeAttempt(out, c.job(), c.number(), c.attempt());
     } else if (m instanceof Blame b) {
       out.writeByte(13);
@@ -262,6 +266,8 @@
                   in.readLong(),
                   in.readUTF(),
                   in.readLong(),
+                  in.readLong(),
+                  in.readLong(),
                   in.readUTF(),
                   in.readInt(),
                   in.readLong());
@@ -276,8 +282,15 @@
                   in.readInt(),
                   in.readLong());
           case 11 ->
-              new Stop(in.readUTF(), in.readUTF(), in.readInt(), in.readLong(), in.readDouble());
-          case 12 -> new Clear(in.readUTF(), in.readUTF(), in.readInt(), in.readLong());
+              new Stop(
+                  in.readUTF(),
+                  in.readLong(),
+                  in.readUTF(),
+                  in.readInt(),
+                  in.readLong(),
+                  in.readDouble());
+          case 12 ->
+              new Clear(in.readUTF(), in.readLong(), in.readUTF(), in.readInt(), in.readLong());
           case 13 -> new Blame(in.readUTF(), in.readUTF());
           case 14 -> new HoldAsk(in.readUTF());
           case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -59,7 +59,7 @@
   int reports;
   private long order;
 
-  final Timers timers = new FakeTimers(() -> true);
+  final Timers timers = new FakeTimers(Runnable::run);
   final StateStandIn state = new StateStandIn(timers);
   final CloudStandIn cloud = new CloudStandIn();
   final Map<String, Node> nodes = new LinkedHashMap<>();
@@ -110,10 +110,10 @@
   }
 
   final class FakeTimers implements Timers {
-    private final java.util.function.BooleanSupplier alive;
+    private final Consumer<Runnable> runner;
 
-    FakeTimers(java.util.function.BooleanSupplier alive) {
-      this.alive = alive;
+    FakeTimers(Consumer<Runnable> runner) {
+      this.runner = runner;
     }
 
     @Override
@@ -128,15 +128,7 @@
 
     @Override
     public void after(double seconds, Runnable action) {
-      due.add(
-          new Due(
-              now + Math.max(0, seconds),
-              order++,
-              () -> {
-                if (alive.getAsBoolean()) {
-                  action.run();
-                }
-              }));
+      due.add(new Due(now + Math.max(0, seconds), order++, () -> runner.accept(action)));
     }
   }
 
@@ -171,6 +163,9 @@
     private int life;
     private boolean up;
 
+    /** What a controller that stands still would have done or heard meanwhile; null if it runs. */
+    private List<Runnable> backlog;
+
     Node(String name, int controllers) {
       this.name = name;
       this.controllers = controllers;
@@ -179,7 +174,8 @@
     void start() {
       int mine = ++life;
       up = true;
-      Timers own = new FakeTimers(() -> life == mine && up);
+      backlog = null;
+      Timers own = new FakeTimers(action -> meet(mine, action));
       Ward ward = new Ward();
       Caller caller =
           (address, method, path, body, deadlineS, then) ->
@@ -190,11 +186,7 @@
                   path,
                   body,
                   deadlineS,
-                  r -> {
-                    if (life == mine && up) {
-                      then.accept(r);
-                    }
-                  });
+                  r -> meet(mine, () -> then.accept(r)));
       Settings settings = settings(name, controllers);
       HttpStore store = new HttpStore(settings, caller, own, ward, name + "-" + mine);
       daemon =
@@ -221,15 +213,70 @@
     private Ward ward() {
       return daemon.ward();
     }
+
+    /** Something reaches this life of the controller: now, or when it goes on. */
+    private void meet(int inLife, Runnable what) {
+      if (life != inLife || !up) {
+        return;
+      }
+      if (backlog != null) {
+        backlog.add(() -> meet(inLife, what));
+      } else {
+        what.run();
+      }
+    }
+
+    /**
+     * The controller stands still while its clock runs on: all that is due or arrives meanwhile
+     * comes at once when it goes on. The others find its links silent after a while.
+     */
+    void standStill(double seconds) {
+      int mine = life;
+      backlog = new ArrayList<>();
+      timers.after(
+          LINK_SILENCE_S,
+          () -> {
+            if (life == mine && backlog != null) {
+              for (Node other : nodes.values()) {
+                if (other != this && other.up) {
+                  cut.add(other.name + ">" + name);
+                  other.meet(other.life, () -> other.ward().run(() -> other.daemon.gone(name)));
+                }
+              }
+            }
+          });
+      timers.after(
+          seconds,
+          () -> {
+            if (life != mine || !up) {
+              return;
+            }
+            List<Runnable> all = backlog;
+            backlog = null;
+            all.forEach(Runnable::run);
+            for (Node other : nodes.values()) {
+              if (other != this && cut.remove(other.name + ">" + name)) {
+                ward().run(() -> daemon.gone(other.name));
+                link(this, other);
+                link(other, this);
+              }
+            }
+          });
+    }
   }
 
+  /** Links that have broken, as {@code from>to}. */
+  private final Set<String> cut = new HashSet<>();
+
+  private static final double LINK_SILENCE_S = 5;
+
   private void link(Node from, Node to) {
     timers.after(
         HOP_S,
         () -> {
           if (from.up && to.up) {
-            to.ward().run(() -> to.daemon.gone(from.name));
-            from.ward().run(() -> from.daemon.reached(to.name));
+            to.meet(to.life, () -> to.ward().run(() -> to.daemon.gone(from.name)));
+            from.meet(from.life, () -> from.ward().run(() -> from.daemon.reached(to.name)));
           }
         });
   }
@@ -252,12 +299,12 @@
       timers.after(
           node.equals(self.name) ? 0 : HOP_S,
           () -> {
-            if (to == null || !to.up || to.life != life || lost.test(self.name, node)) {
+            if (to == null || lost.test(self.name, node) || cut.contains(self.name + ">" + node)) {
               return;
             }
             try {
               Message m = Records.decode(record);
-              to.ward().run(() -> to.daemon.received(self.name, m));
+              to.meet(life, () -> to.ward().run(() -> to.daemon.received(self.name, m)));
             } catch (IOException e) {
               throw new AssertionError(e);
             }
@@ -412,12 +459,24 @@
       tryNext(w, n);
       return;
     }
-    n.daemon.handle(
-        new HttpServer.Request("POST", "/hello", "", body),
+    boolean[] over = {false};
+    timers.after(
+        ANSWER_S,
+        () -> {
+          if (!over[0]) {
+            over[0] = true;
+            tryNext(w, n);
+          }
+        });
+    HttpServer.Answer answer =
         (status, reply, again) ->
             timers.after(
                 HOP_S,
                 () -> {
+                  if (over[0]) {
+                    return;
+                  }
+                  over[0] = true;
                   try {
                     if (status == 200) {
                       if (w.answered(reply)) {
@@ -433,9 +492,14 @@
                   } catch (BadMessage e) {
                     throw new AssertionError(e);
                   }
-                }));
+                });
+    n.meet(
+        n.life, () -> n.daemon.handle(new HttpServer.Request("POST", "/hello", "", body), answer));
   }
 
+  /** How long a worker waits for an answer. */
+  private static final double ANSWER_S = 4;
+
   private void tryNext(WorkerStandIn w, Node n) {
     List<String> names = List.copyOf(nodes.keySet());
     if (!silent.contains(w.host())) {
@@ -448,22 +512,20 @@
 
   Said ask(String node, String method, String path, byte[] body) {
     Said[] said = {null};
-    nodes
-        .get(node)
-        .daemon
-        .handle(
-            new HttpServer.Request(method, path, "", body),
-            (status, reply, again) -> {
-              try {
-                said[0] =
-                    new Said(
-                        status,
-                        reply == null || reply.length == 0 ? Doc.of() : Doc.decode(reply),
-                        again);
-              } catch (BadMessage e) {
-                throw new AssertionError(e);
-              }
-            });
+    HttpServer.Answer answer =
+        (status, reply, again) -> {
+          try {
+            said[0] =
+                new Said(
+                    status,
+                    reply == null || reply.length == 0 ? Doc.of() : Doc.decode(reply),
+                    again);
+          } catch (BadMessage e) {
+            throw new AssertionError(e);
+          }
+        };
+    Node n = nodes.get(node);
+    n.meet(n.life, () -> n.daemon.handle(new HttpServer.Request(method, path, "", body), answer));
     for (int i = 0; i < 3000 && said[0] == null; i++) {
       pass(0.002);
     }
