A woken controller asks what has changed before it acts; no exception ends a loop

Woken holders went on dealing for seconds by what they had known before.

Nobody writes a hold without a name (raise and take check, Holds.write refuses); a hold that names nobody or cannot be read is one without a holder and is repaired by whoever hears the worker. Ward ends a failed decision or effect alone, logs and counts it (dunefront_decisions_failed); each machine, claim, listener and part of the tick is a decision of its own; a loop that has not turned for 15 to 30 s makes /up 503. Standstill notices a gap of half a node lease between two decisions, asks the state service for what has changed and for its lease, and until it knows (1.5 s at most) deals nothing, orders nothing, calls nothing gone, rents and returns nothing, and lets reports wait. A node key that shows another name while its owner serves is written again: a late write of an earlier try could take it away for good (found by reading).

Ruled out: judging by the lease's proven life instead of the gap.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -9,9 +9,11 @@
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
+import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
@@ -65,6 +67,7 @@
   private final Store store;
   private final Peers peers;
   private final Timers timers;
+  private final Ward ward;
   private final Map<String, Machine> held = new HashMap<>();
 
   /** What was called gone on machines let go of since without a new baton; see {@link #hold}. */
@@ -77,6 +80,7 @@
 
   private final Neighbours neighbours;
   private final Reception reception;
+  private final Standstill standstill;
 
   private double spreadAt;
   private double strangersAt;
@@ -94,17 +98,28 @@
     this.store = desk.store();
     this.peers = desk.peers();
     this.timers = desk.timers();
+    this.ward = desk.ward();
     this.offers = timers.timeOfDayMs() << 16;
     this.views = new Views(desk, held);
     this.preemption = new Preemption(desk, views);
     this.orders = new Orders(desk, caller, this);
     this.neighbours = new Neighbours(settings, membership);
     this.reception = new Reception(desk, neighbours, this);
+    this.standstill = desk.standstill();
+    standstill.listen(reception::woken);
   }
 
   // ---- reports ----
 
+  /**
+   * Takes a worker's report. After a standstill the worker waits a moment: it may have another
+   * holder by now, from which an answer under the old baton would keep it.
+   */
   public void report(Report r, Answer answer) {
+    standstill.whenCurrent(() -> taken(r, answer));
+  }
+
+  private void taken(Report r, Answer answer) {
     Machine m = held.get(r.host());
     if (m != null) {
       reportOfHeld(m, r, answer);
@@ -485,7 +500,13 @@
 
   private void probed(String from, Message.Probe p) {
     Machine m = held.get(p.host());
-    if (m == null || !m.settled || m.doubt || m.raising || m.lost || outdated(p.job(), p.term())) {
+    if (m == null
+        || !m.settled
+        || m.doubt
+        || m.raising
+        || m.lost
+        || !standstill.current()
+        || outdated(p.job(), p.term())) {
       return;
     }
     TaskId id = new TaskId(p.job(), p.number());
@@ -566,7 +587,7 @@
   }
 
   private void deal(Machine m) {
-    if (!m.open() || m.book.isEmpty()) {
+    if (!m.open() || m.book.isEmpty() || !standstill.current()) {
       return;
     }
     MachineType type = catalog.type(m.typeName);
@@ -597,38 +618,12 @@
     neighbours.late(lateS);
     double now = timers.now();
     double lease = settings.workers().leaseS();
+    if (!standstill.current()) {
+      return;
+    }
     for (Machine m : List.copyOf(held.values())) {
-      boolean expired = false;
-      for (Iterator<Machine.Offered> i = m.offers.values().iterator(); i.hasNext(); ) {
-        if (i.next().until() < now) {
-          i.remove();
-          expired = true;
-        }
-      }
-      m.dirty |= expired;
-      if (m.retiringUntil > 0 && !m.retiring(now)) {
-        m.retiringUntil = 0;
-        m.dirty = true;
-      }
-      if (!m.lost && m.ours && now - m.heard > lease * (1 + DRIFT) + 0.3) {
-        // No report of this session has been answered for longer than its lease lasts. A baton
-        // raised since, which the worker may never see, changes nothing in that: a machine that
-        // ended just after would otherwise never be called lost, and its jobs never end.
-        m.lost = true;
-        m.pending.clear();
-        m.offers.clear();
-        m.dirty = true;
-        LOG.log(
-            Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
-      }
-      if (m.noticeS != null) {
-        clearOut(m, m.noticeS - (now - m.noticeAt), now);
-      }
-      boolean waits = m.dirty || !m.pending.isEmpty() || !m.stops.isEmpty() || !m.clears.isEmpty();
-      if (waits || now - m.looked > IDLE_LOOK_S) {
-        m.looked = now;
-        act(m);
-      }
+      // What cannot be done for one machine is no reason to leave the others alone.
+      ward.run(() -> tick(m, now, lease));
     }
     if (now - strangersAt > IDLE_LOOK_S) {
       strangersAt = now;
@@ -637,6 +632,39 @@
     spread(now);
   }
 
+  private void tick(Machine m, double now, double lease) {
+    boolean expired = false;
+    for (Iterator<Machine.Offered> i = m.offers.values().iterator(); i.hasNext(); ) {
+      if (i.next().until() < now) {
+        i.remove();
+        expired = true;
+      }
+    }
+    m.dirty |= expired;
+    if (m.retiringUntil > 0 && !m.retiring(now)) {
+      m.retiringUntil = 0;
+      m.dirty = true;
+    }
+    if (!m.lost && m.ours && now - m.heard > lease * (1 + DRIFT) + 0.3) {
+      // No report of this session has been answered for longer than its lease lasts. A baton
+      // raised since, which the worker may never see, changes nothing in that: a machine that
+      // ended just after would otherwise never be called lost, and its jobs never end.
+      m.lost = true;
+      m.pending.clear();
+      m.offers.clear();
+      m.dirty = true;
+      LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
+    }
+    if (m.noticeS != null) {
+      clearOut(m, m.noticeS - (now - m.noticeAt), now);
+    }
+    boolean waits = m.dirty || !m.pending.isEmpty() || !m.stops.isEmpty() || !m.clears.isEmpty();
+    if (waits || now - m.looked > IDLE_LOOK_S) {
+      m.looked = now;
+      act(m);
+    }
+  }
+
   /**
    * A machine will be taken back. Tasks that can save are told to, while there is time. Of the
    * others those that will surely not be done are stopped at once, and the rest just before the
--- a/src/main/java/dev/dunefront/book/Holds.java
+++ b/src/main/java/dev/dunefront/book/Holds.java
@@ -7,6 +7,7 @@
 import dev.dunefront.store.Txn;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +23,8 @@
 public final class Holds {
   public static final String PREFIX = Replica.PREFIX + "h/";
 
+  private static final System.Logger LOG = System.getLogger(Holds.class.getName());
+
   /** The controllers among which machines are shared by nature: written once and for all. */
   private static final String ROSTER = Replica.PREFIX + "roster";
 
@@ -50,23 +53,30 @@
           if (value == null) {
             all.remove(host);
           } else {
-            try {
-              all.put(
-                  host,
-                  new Hold(
-                      value.textOr("holder", ""),
-                      value.countOr("baton", 0),
-                      value.flagOr("dead", false),
-                      stamp));
-            } catch (BadMessage e) {
-              throw new IllegalStateException("hold record " + host + " cannot be read", e);
-            }
+            all.put(host, read(host, value, stamp));
           }
           listener.accept(host);
         });
     replica.listen(ROSTER, (rest, value, stamp) -> enrol(value));
   }
 
+  /**
+   * A record that names nobody, or cannot be read, is one without a holder: whoever the worker
+   * reports to takes the machine and so writes a good one.
+   */
+  private static Hold read(String host, Doc value, long stamp) {
+    try {
+      return new Hold(
+          value.textOr("holder", ""),
+          value.countOr("baton", 0),
+          value.flagOr("dead", false),
+          stamp);
+    } catch (BadMessage e) {
+      LOG.log(Level.ERROR, "the hold of {0} cannot be read: {1}", host, e.getMessage());
+      return new Hold("", 0, false, stamp);
+    }
+  }
+
   private void enrol(Doc value) {
     if (value == null || !roster.isEmpty()) {
       return;
@@ -79,7 +89,7 @@
       }
       roster = members;
     } catch (BadMessage | IndexOutOfBoundsException e) {
-      throw new IllegalStateException("the roster cannot be read", e);
+      LOG.log(Level.ERROR, "the roster cannot be read: {0}", e.getMessage());
     }
   }
 
@@ -157,7 +167,11 @@
         && Membership.nodeOf(hold.holder()).equals(node);
   }
 
+  /** A holder's record. Nobody may write one who has no name: nobody else could read it. */
   static Doc write(String holder, long baton, String mark) {
+    if (Membership.nodeOf(holder).isEmpty()) {
+      throw new IllegalArgumentException("a hold needs a holder");
+    }
     return Doc.of().put("holder", holder).put("baton", baton).put(Store.MARK, mark);
   }
 
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -5,6 +5,7 @@
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
 import dev.dunefront.store.Membership;
+import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Txn;
 import dev.dunefront.wire.BadMessage;
@@ -32,6 +33,7 @@
   private final Timers timers;
   private final Ward ward;
   private final Books books;
+  private final Standstill standstill;
 
   Orders(Desk desk, Caller caller, Books books) {
     this.membership = desk.membership();
@@ -41,18 +43,22 @@
     this.timers = desk.timers();
     this.ward = desk.ward();
     this.books = books;
+    this.standstill = desk.standstill();
   }
 
   /** Raises the baton, so that orders of unknown fate are refused by the worker from now on. */
   void raise(Machine m) {
-    if (m.raising || store.down()) {
+    // While this controller is nobody it writes nothing: a hold that names nobody is held by
+    // nobody.
+    String self = membership.self();
+    if (m.raising || store.down() || self == null) {
       return;
     }
     m.raising = true;
     m.offers.clear();
     long baton = m.baton + 1;
     String mark = store.newMark();
-    Doc value = Holds.write(membership.self(), baton, mark);
+    Doc value = Holds.write(self, baton, mark);
     store.commit(
         new Txn().when(Holds.key(m.host), m.holdStamp).put(Holds.key(m.host), value),
         mark,
@@ -84,7 +90,13 @@
   }
 
   void give(Machine m) {
-    if (m.ordering || m.doubt || m.raising || !m.settled || m.lost || m.endpoint.isEmpty()) {
+    if (m.ordering
+        || m.doubt
+        || m.raising
+        || !m.settled
+        || m.lost
+        || m.endpoint.isEmpty()
+        || !standstill.current()) {
       return;
     }
     double now = timers.now();
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -84,6 +84,11 @@
     taking.clear();
   }
 
+  /** This controller has stood still: nobody else has been silent for as long as its clock says. */
+  void woken() {
+    unanswered.clear();
+  }
+
   /** Another controller has let go of a machine. */
   void released(String host, String from) {
     released.put(host, from);
@@ -241,12 +246,13 @@
   /** Takes the hold of a machine, raising its baton above all that its worker has seen. */
   private void take(Report r, Answer answer) {
     Holds.Hold hold = holds.of(r.host(), r.zone());
-    if (store.down() || hold == null) {
+    String self = membership.self();
+    if (store.down() || hold == null || self == null) {
+      // An answer or a wait may have come between, and with it the end of this incarnation.
       answer.send(503, null, 1);
       return;
     }
     long baton = Math.max(r.baton(), hold.baton()) + 1;
-    String self = membership.self();
     String mark = store.newMark();
     Doc value = Holds.write(self, baton, mark);
     taking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -238,6 +238,7 @@
   private void claimLapsed(double now) {
     if (desk.membership().self() == null
         || !desk.replica().ready()
+        || !desk.standstill().current()
         || !desk.catalog().known()
         || desk.store().down()) {
       return;
@@ -371,7 +372,11 @@
       c.parked.computeIfPresent(o.host(), (h, n) -> n > 1 ? n - 1 : null);
     }
     // While the state cannot be written an offer would only keep room from others.
-    if (c == null || c.loading || !c.open() || desk.store().down()) {
+    if (c == null
+        || c.loading
+        || !c.open()
+        || desk.store().down()
+        || !desk.standstill().current()) {
       desk.peers().send(from, new Message.Decline(o.offer(), o.host()));
     } else {
       c.offers.add(new Held(from, o, desk.now()));
@@ -434,7 +439,7 @@
     all.sort(
         Comparator.comparing((Claim c) -> c.spec.priority())
             .thenComparing(c -> c.record.acceptedMs()));
-    all.forEach(this::review);
+    all.forEach(c -> desk.ward().run(() -> review(c)));
   }
 
   void review(Claim c) {
@@ -452,10 +457,15 @@
     double now = desk.now();
     claimLapsed(now);
     for (Claim c : List.copyOf(claims.values())) {
-      if (!c.open() && !c.loading) {
-        stopAll(c, now);
-      }
-      settling.lookAgain(c);
+      // What cannot be done for one job is no reason to leave the others alone.
+      desk.ward()
+          .run(
+              () -> {
+                if (!c.open() && !c.loading) {
+                  stopAll(c, now);
+                }
+                settling.lookAgain(c);
+              });
     }
     reviewAll();
   }
--- a/src/main/java/dev/dunefront/claim/Desk.java
+++ b/src/main/java/dev/dunefront/claim/Desk.java
@@ -10,6 +10,7 @@
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
+import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
 
 /** What the parts of a controller share. */
@@ -24,7 +25,8 @@
     Store store,
     Peers peers,
     Timers timers,
-    Ward ward) {
+    Ward ward,
+    Standstill standstill) {
 
   double now() {
     return timers.now();
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -242,7 +242,9 @@
                 if (regrant) {
                   quotas.saw(quota, Quotas.write(used, mark), done.revision());
                 }
-                written(c, f, finalStatus, record, emptied, mark, done.revision());
+                // Whatever comes of it, the team's record is free for others again.
+                desk.ward()
+                    .run(() -> written(c, f, finalStatus, record, emptied, mark, done.revision()));
               } else if (!c.dropped) {
                 refused(c, f, done);
               } else {
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -16,16 +16,19 @@
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.HttpServer.Request;
 import dev.dunefront.net.Lag;
+import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
+import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.Report;
+import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -35,9 +38,13 @@
 
 /** One controller, put together from its parts; network, clock and store come from outside. */
 public final class Daemon implements Peers.Listener {
+  private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
   private static final double TICK_S = 0.25;
   private static final double SLOW_TICK_S = 0.5;
 
+  /** A loop that has not turned for so long will not turn again. */
+  private static final double STALLED_S = 15;
+
   /** What is assumed of a controller that lives but is not heard: more than an equal part. */
   private static final Store.Use UNHEARD = new Store.Use(1e6, 1e6);
 
@@ -48,6 +55,7 @@
   private final Store store;
   private final Timers timers;
   private final Ward ward;
+  private final Loops loops;
   private final Replica replica;
   private final Membership membership;
   private final Catalog catalog;
@@ -70,14 +78,20 @@
       Caller caller,
       Timers timers,
       Ward ward,
+      Loops loops,
       BiFunction<Ward, Peers.Listener, Peers> peersMaker) {
     this.settings = settings;
     this.store = store;
     this.timers = timers;
     this.ward = ward;
+    this.loops = loops;
     peers = peersMaker.apply(ward, this);
-    replica = new Replica(store, timers);
-    membership = new Membership(settings.node(), store, replica, timers, tunables.nodeLeaseS());
+    replica = new Replica(store, timers, ward, loops);
+    membership =
+        new Membership(settings.node(), store, replica, timers, tunables.nodeLeaseS(), loops);
+    // A lease is renewed four times in its life: in a shorter pause it cannot have run out.
+    Standstill standstill =
+        new Standstill(replica, membership, timers, ward, tunables.nodeLeaseS() / 2);
     catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica);
@@ -93,7 +107,8 @@
             store,
             peers,
             timers,
-            ward);
+            ward,
+            standstill);
     books = new Books(desk, caller);
     claims = new Claims(desk);
     fleet = new Fleet(desk, claims.room(), claims.urgencies(), caller);
@@ -107,6 +122,7 @@
     meters.gauge("dunefront.jobs.claimed", claims::claimed);
     meters.gauge("dunefront.tasks.unstarted", claims::unstarted);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
+    meters.gauge("dunefront.decisions.failed", loops::failures);
     jobs.listen(
         (id, entry) -> {
           if (entry != null) {
@@ -147,9 +163,11 @@
     lag.fired(timers.now(), TICK_S);
     ward.run(
         () -> {
-          books.tick(lag.seconds());
-          claims.tick();
-          fleet.tick();
+          // Each of its own: what fails in one must not keep the others from their turn.
+          ward.run(() -> books.tick(lag.seconds()));
+          ward.run(claims::tick);
+          ward.run(fleet::tick);
+          loops.turned("tick", timers.now(), STALLED_S);
         });
     timers.after(TICK_S, this::tick);
   }
@@ -157,7 +175,8 @@
   private void slowTick() {
     ward.run(
         () -> {
-          shareBudget();
+          loops.turned("slow tick", timers.now(), STALLED_S);
+          ward.run(this::shareBudget);
           holds.establish(settings, store);
           Message.Progress progress = claims.progress();
           if (!progress.counts().isEmpty()) {
@@ -200,6 +219,11 @@
    * serves others sends its users to those; in an outage that all share, each goes on answering.
    */
   private boolean ready() {
+    String stalled = loops.stalled(timers.now());
+    if (stalled != null) {
+      LOG.log(Level.ERROR, "no longer turns: {0}", stalled);
+      return false;
+    }
     boolean refusedAlone = store.down() && timers.now() - servedElsewhere < HEALTH_S;
     return !refusedAlone
         && !books.overloaded()
@@ -211,7 +235,17 @@
   // ---- requests ----
 
   public void handle(Request request, Answer answer) {
-    ward.run(() -> route(request, outside(answer)));
+    ward.run(
+        () -> {
+          Answer out = outside(answer);
+          try {
+            route(request, out);
+          } catch (RuntimeException e) {
+            // Only the first answer counts, so this is heard where there was none.
+            out.send(503, null, 1);
+            throw e;
+          }
+        });
   }
 
   /** Answers are sent outside the lock. */
--- a/src/main/java/dev/dunefront/cli/Main.java
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -5,6 +5,7 @@
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.net.HttpServer;
+import dev.dunefront.net.Loops;
 import dev.dunefront.net.NoManagement;
 import dev.dunefront.net.UndertowCaller;
 import dev.dunefront.net.Ward;
@@ -106,7 +107,8 @@
     XnioTimers timers = new XnioTimers(thread);
     DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 64, 4);
     UndertowCaller caller = new UndertowCaller(thread, buffers, timers);
-    Ward ward = new Ward();
+    Loops loops = new Loops();
+    Ward ward = new Ward(loops::failed);
     String marks = settings.node() + "-" + UUID.randomUUID().toString().substring(0, 13);
     HttpStore store = new HttpStore(settings, caller, timers, ward, marks);
     XnioPeers[] links = new XnioPeers[1];
@@ -118,6 +120,7 @@
             caller,
             timers,
             ward,
+            loops,
             (w, listener) -> links[0] = new XnioPeers(settings, worker, timers, w, listener));
     links[0].start();
     thread.execute(daemon::start);
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -15,6 +15,7 @@
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
+import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Txn;
 import dev.dunefront.wire.BadMessage;
@@ -66,6 +67,7 @@
   private final Health health;
   private final Urgencies urgencies;
   private final Peers peers;
+  private final Standstill standstill;
 
   private boolean leading;
   private boolean asking;
@@ -84,6 +86,7 @@
   public Fleet(Desk desk, Room room, Urgencies urgencies, Caller caller) {
     this.urgencies = urgencies;
     this.peers = desk.peers();
+    this.standstill = desk.standstill();
     this.lagS = desk.settings().cloudLimits().listLagS();
     this.tunables = desk.tunables();
     this.membership = desk.membership();
@@ -130,6 +133,10 @@
       leading = false;
       return;
     }
+    if (!standstill.current()) {
+      // Another may rent by now, and what waited then is no reason to rent or return anything.
+      return;
+    }
     boolean mine = self.equals(leader);
     if (mine && !leading) {
       LOG.log(Level.INFO, "renting and returning machines from now on");
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -1,5 +1,6 @@
 package dev.dunefront.store;
 
+import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
@@ -7,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * Which controllers live. Each holds a key under a lease of its own; the lease's id makes the
@@ -14,6 +16,10 @@
  */
 public final class Membership {
   public static final String PREFIX = Replica.PREFIX + "n/";
+
+  /** Even in an outage the lease is asked for more often than this. */
+  private static final double STALLED_S = 30;
+
   private static final System.Logger LOG = System.getLogger(Membership.class.getName());
 
   private final String node;
@@ -21,32 +27,74 @@
   private final Replica replica;
   private final Timers timers;
   private final double lifeS;
+  private final Loops loops;
   private final Map<String, String> live = new TreeMap<>();
   private Runnable reborn = () -> {};
   private long tenancy;
   private String self;
 
-  public Membership(String node, Store store, Replica replica, Timers timers, double lifeS) {
+  public Membership(
+      String node, Store store, Replica replica, Timers timers, double lifeS, Loops loops) {
     this.node = node;
     this.store = store;
     this.replica = replica;
     this.timers = timers;
     this.lifeS = lifeS;
+    this.loops = loops;
     replica.listen(
         PREFIX,
         (name, value, stamp) -> {
-          if (value == null) {
-            live.remove(name);
-            return;
-          }
+          String incarnation = null;
           try {
-            live.put(name, value.text("inc"));
+            incarnation = value == null ? null : value.text("inc");
           } catch (BadMessage e) {
+            LOG.log(Level.ERROR, "the record of {0} cannot be read: {1}", name, e.getMessage());
+          }
+          if (incarnation == null) {
             live.remove(name);
+          } else {
+            live.put(name, incarnation);
+          }
+          if (name.equals(node) && self != null && !self.equals(incarnation)) {
+            reassert(self);
           }
         });
   }
 
+  /**
+   * This controller's key shows another name or is gone, while it serves. Either its lease has just
+   * run out, or a write of an earlier try has come late and taken the key along when that try's
+   * lease ended: then the others would take it for dead for ever while it goes on.
+   */
+  private void reassert(String name) {
+    store.tryTxn(
+        new Txn().put(PREFIX + node, value(name), tenancy),
+        Store.Urgency.CORE,
+        done -> {
+          if (!name.equals(self)) {
+            return;
+          }
+          if (done.ok()) {
+            replica.apply(PREFIX + node, value(name), done.revision());
+          } else if (done.outcome() == Store.Outcome.MISSING) {
+            lapsed();
+          } else {
+            timers.after(0.3, () -> reassert(name));
+          }
+        });
+  }
+
+  private void lapsed() {
+    LOG.log(Level.INFO, "lease of {0} has ended", self);
+    self = null;
+    tenancy = 0;
+    start();
+  }
+
+  private Doc value(String name) {
+    return Doc.of().put("inc", name).put(Store.MARK, store.newMark());
+  }
+
   /** What to do whenever this controller has become a new incarnation. */
   public void onReborn(Runnable action) {
     reborn = action;
@@ -74,8 +122,9 @@
     return live.keySet();
   }
 
+  /** The controller of an incarnation; empty for what is none, which no controller is called. */
   public static String nodeOf(String incarnation) {
-    return incarnation.substring(0, incarnation.lastIndexOf('#'));
+    return incarnation.substring(0, Math.max(0, incarnation.lastIndexOf('#')));
   }
 
   public void start() {
@@ -86,10 +135,10 @@
             timers.after(0.3, this::start);
             return;
           }
+          loops.turned("renewing the lease", timers.now(), STALLED_S);
           long id = granted.revision();
           String name = node + "#" + id;
-          String mark = store.newMark();
-          Doc value = Doc.of().put("inc", name).put(Store.MARK, mark);
+          Doc value = value(name);
           store.tryTxn(
               new Txn().put(PREFIX + node, value, id),
               Store.Urgency.CORE,
@@ -100,25 +149,38 @@
                 }
                 tenancy = id;
                 self = name;
+                timers.after(lifeS / 4, () -> renew(id));
                 replica.apply(PREFIX + node, value, done.revision());
                 LOG.log(Level.INFO, "serving as {0}", name);
                 reborn.run();
-                timers.after(lifeS / 4, () -> renew(id));
               });
         });
   }
 
   private void renew(long id) {
+    if (id == tenancy) {
+      touch(id, ok -> timers.after(ok ? lifeS / 4 : 0.3, () -> renew(id)));
+    }
+  }
+
+  /** Asks whether this incarnation still lives; by the time the action runs that is known. */
+  void verify(Runnable then) {
+    if (self == null) {
+      then.run();
+    } else {
+      touch(tenancy, ok -> then.run());
+    }
+  }
+
+  private void touch(long id, Consumer<Boolean> then) {
     store.touchLease(
         id,
         done -> {
-          if (done.outcome() == Store.Outcome.MISSING) {
-            LOG.log(Level.INFO, "lease of {0} has ended", self);
-            self = null;
-            start();
-          } else {
-            timers.after(done.ok() ? lifeS / 4 : 0.3, () -> renew(id));
+          loops.turned("renewing the lease", timers.now(), STALLED_S);
+          if (done.outcome() == Store.Outcome.MISSING && id == tenancy) {
+            lapsed();
           }
+          then.accept(done.ok());
         });
   }
 }
--- a/src/main/java/dev/dunefront/store/Replica.java
+++ b/src/main/java/dev/dunefront/store/Replica.java
@@ -1,6 +1,8 @@
 package dev.dunefront.store;
 
+import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
 import dev.dunefront.store.Store.Urgency;
 import dev.dunefront.wire.Doc;
 import java.util.HashMap;
@@ -16,6 +18,10 @@
 
   private static final double BLOCK_S = 10;
   private static final double PAUSE_S = 0.06;
+
+  /** A watch is answered, or given up, well within this time. */
+  private static final double STALLED_S = 30;
+
   private static final int TOMBSTONES = 4096;
 
   /** Hears of each change; a null value means removed. */
@@ -34,12 +40,19 @@
           return size() > TOMBSTONES;
         }
       };
+  private final Ward ward;
+  private final Loops loops;
   private boolean ready;
   private Runnable whenRead = () -> {};
 
-  public Replica(Store store, Timers timers) {
+  /** Everything up to here has been seen. */
+  private long seen;
+
+  public Replica(Store store, Timers timers, Ward ward, Loops loops) {
     this.store = store;
     this.timers = timers;
+    this.ward = ward;
+    this.loops = loops;
   }
 
   /** Whether the first full read is complete. */
@@ -66,33 +79,55 @@
             timers.after(0.3, this::start);
             return;
           }
-          Set<String> seen = new HashSet<>();
+          Set<String> there = new HashSet<>();
           for (Store.Pair p : range.pairs()) {
-            seen.add(p.key());
+            there.add(p.key());
             apply(p.key(), p.value(), p.stamp());
           }
           for (String key : Set.copyOf(stamps.keySet())) {
-            if (!seen.contains(key) && stamps.get(key) <= range.revision()) {
+            if (!there.contains(key) && stamps.get(key) <= range.revision()) {
               apply(key, null, range.revision());
             }
           }
+          seen = Math.max(seen, range.revision());
           if (!ready) {
             ready = true;
-            whenRead.run();
+            ward.run(whenRead);
           }
           follow(range.revision());
         });
   }
 
+  /** Asks at once for what has changed, besides following; the action runs when it is here. */
+  void catchUp(Runnable then) {
+    store.watch(
+        PREFIX,
+        seen,
+        0,
+        watched -> {
+          took(watched);
+          then.run();
+        });
+  }
+
+  private void took(Store.Watched watched) {
+    for (Store.Event e : watched.events()) {
+      apply(e.key(), e.value(), e.stamp());
+    }
+    if (watched.outcome() == Store.Outcome.OK) {
+      seen = Math.max(seen, watched.revision());
+    }
+  }
+
   private void follow(long from) {
+    loops.turned("following the state", timers.now(), STALLED_S);
     store.watch(
         PREFIX,
         from,
         BLOCK_S,
         watched -> {
-          for (Store.Event e : watched.events()) {
-            apply(e.key(), e.value(), e.stamp());
-          }
+          loops.turned("following the state", timers.now(), STALLED_S);
+          took(watched);
           if (watched.tooOld()) {
             start();
             return;
@@ -118,7 +153,8 @@
     listeners.forEach(
         (prefix, listener) -> {
           if (key.startsWith(prefix)) {
-            listener.changed(key.substring(prefix.length()), value, stamp);
+            // A record that cannot be understood concerns whoever reads it, and not what follows.
+            ward.run(() -> listener.changed(key.substring(prefix.length()), value, stamp));
           }
         });
   }
--- /dev/null
+++ b/src/main/java/dev/dunefront/store/Standstill.java
@@ -0,0 +1,102 @@
+package dev.dunefront.store;
+
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Notices that this controller has stood still while its clock ran on: by the steady clock between
+ * two decisions, for its timers come several times a second. Meanwhile others may have taken its
+ * claims and machines, and what is due or has arrived since comes all at once. So it first asks
+ * whether its lease still lives and what has changed, and until it knows it deals no room, sends no
+ * orders, calls nothing gone, rents and returns nothing and lets workers wait a moment for their
+ * answers.
+ *
+ * <p>Where the state service does not answer it goes on after a while as before: every placement
+ * and every proof is conditional on the record of the hold, so nothing untrue can be written; in an
+ * outage nobody can have taken anything, and workers need answers.
+ */
+public final class Standstill {
+  private static final System.Logger LOG = System.getLogger(Standstill.class.getName());
+
+  /** How long is waited for the state service's word. */
+  private static final double WAIT_S = 1.5;
+
+  private final Replica replica;
+  private final Membership membership;
+  private final Timers timers;
+  private final Ward ward;
+  private final double gapS;
+  private final List<Runnable> waiting = new ArrayList<>();
+  private final List<Runnable> listeners = new ArrayList<>();
+  private double turnedAt;
+  private long wakings;
+  private int unknown;
+  private boolean current = true;
+
+  /** A gap of {@code gapS} is one in which this controller's lease may have run out. */
+  public Standstill(Replica replica, Membership membership, Timers timers, Ward ward, double gapS) {
+    this.replica = replica;
+    this.membership = membership;
+    this.timers = timers;
+    this.ward = ward;
+    this.gapS = gapS;
+    this.turnedAt = timers.now();
+    ward.onEntering(this::turned);
+  }
+
+  /** Hears whenever this controller knows again what holds. */
+  public void listen(Runnable woken) {
+    listeners.add(woken);
+  }
+
+  /** Whether what this controller believes was not overtaken while it stood still. */
+  public boolean current() {
+    return current;
+  }
+
+  /** Runs the action when this controller is current, which may be now. */
+  public void whenCurrent(Runnable action) {
+    if (current) {
+      action.run();
+    } else {
+      waiting.add(action);
+    }
+  }
+
+  /** A decision is about to be made. */
+  private void turned() {
+    double now = timers.now();
+    double gap = now - turnedAt;
+    turnedAt = now;
+    if (gap < gapS || !replica.ready()) {
+      return;
+    }
+    LOG.log(Level.INFO, "stood still for {0} s; asks what has changed", gap);
+    long waking = ++wakings;
+    current = false;
+    unknown = 2;
+    replica.catchUp(() -> known(waking));
+    membership.verify(() -> known(waking));
+    timers.after(WAIT_S, () -> ward.run(() -> wake(waking)));
+  }
+
+  private void known(long waking) {
+    if (waking == wakings && --unknown == 0) {
+      wake(waking);
+    }
+  }
+
+  private void wake(long waking) {
+    if (waking != wakings || current) {
+      return;
+    }
+    current = true;
+    listeners.forEach(Runnable::run);
+    List<Runnable> all = List.copyOf(waiting);
+    waiting.clear();
+    all.forEach(Runnable::run);
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/dunefront/net/WardTest.java
@@ -0,0 +1,51 @@
+package dev.dunefront.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class WardTest {
+  private final List<String> said = new ArrayList<>();
+
+  private void fail(String why) {
+    throw new IllegalStateException(why);
+  }
+
+  /** An exception once ended the loop of whoever rents, while its process lived on and answered. */
+  @Test
+  void whatFailsEndsItselfAndNothingElse() {
+    Ward ward = new Ward(e -> said.add("failed: " + e.getMessage()));
+    ward.run(
+        () -> {
+          ward.then(() -> fail("an effect"));
+          ward.then(() -> said.add("the next effect"));
+          ward.run(() -> fail("a part"));
+          ward.run(() -> said.add("the next part"));
+          fail("the rest");
+        });
+    ward.run(() -> said.add("the next decision"));
+    assertEquals(
+        List.of(
+            "failed: a part",
+            "the next part",
+            "failed: the rest",
+            "failed: an effect",
+            "the next effect",
+            "the next decision"),
+        said);
+  }
+
+  @Test
+  void aLoopThatNoLongerTurnsIsNamed() {
+    Loops loops = new Loops();
+    loops.turned("tick", 100, 15);
+    loops.turned("watch", 100, 30);
+    assertNull(loops.stalled(115));
+    assertEquals("tick", loops.stalled(116));
+    loops.turned("tick", 116, 15);
+    assertNull(loops.stalled(130));
+  }
+}
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -6,6 +6,7 @@
 import dev.dunefront.config.Tunables;
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.HttpServer;
+import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
@@ -82,6 +83,9 @@
 
   private final List<Runnable> held = new ArrayList<>();
 
+  /** What has ever been held back: path and body. */
+  final List<String> heldCalls = new ArrayList<>();
+
   /** Every task's machines over time must never overlap; this is what was found. */
   final List<String> overlaps = new ArrayList<>();
 
@@ -176,7 +180,11 @@
       up = true;
       backlog = null;
       Timers own = new FakeTimers(action -> meet(mine, action));
-      Ward ward = new Ward();
+      Ward ward =
+          new Ward(
+              e -> {
+                throw new AssertionError("a decision of " + name + " failed", e);
+              });
       Caller caller =
           (address, method, path, body, deadlineS, then) ->
               call(
@@ -190,7 +198,15 @@
       Settings settings = settings(name, controllers);
       HttpStore store = new HttpStore(settings, caller, own, ward, name + "-" + mine);
       daemon =
-          new Daemon(settings, tunables, store, caller, own, ward, (w, l) -> new Links(this, w));
+          new Daemon(
+              settings,
+              tunables,
+              store,
+              caller,
+              own,
+              ward,
+              new Loops(),
+              (w, l) -> new Links(this, w));
       daemon.start();
       for (Node other : nodes.values()) {
         if (other != this && other.up) {
@@ -384,11 +400,20 @@
     }
     if (heldBack.test(from, address) || path.equals(heldPath)) {
       held.add(deliver);
+      heldCalls.add(path + " " + text(body));
       return;
     }
     timers.after(HOP_S, deliver);
   }
 
+  private static String text(byte[] body) {
+    try {
+      return body == null ? "" : Doc.decode(body).toString();
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
   /** What was held back arrives now, however late. */
   void deliverHeld() {
     List<Runnable> all = List.copyOf(held);
@@ -424,6 +449,20 @@
     }
   }
 
+  /** Somebody else writes into the state service, whatever it is. */
+  void writeState(String key, Doc value) {
+    Doc put = Doc.of().put("put", key).put("data", value);
+    state.handle(
+        "POST",
+        "/txn",
+        Doc.of().put("when", List.of()).put("then", List.of(put)).encode(),
+        reply -> {
+          if (!reply.ok()) {
+            throw new AssertionError("not written: " + reply.status());
+          }
+        });
+  }
+
   // ---- workers ----
 
   WorkerStandIn machine(String host, String type, String zone, String firstNode) {
