A job whose acceptance was unclear is taken up by the controller that its record names

The record names a living claimant that never heard of it, so no survivor claims it and it waits for ever. It can happen at any size, whenever an answer is lost.

Ruled out: giving up the claim in the accepting write (a write more for every job).

Change: a record that names this incarnation, is not among its claims and is not being written for 2 s is adopted and its chunks are read. Story aJobWhoseAcceptanceWasUnclearIsTakenUp, seen to fail without the change.

--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -35,6 +35,9 @@
   private static final double REPEAT_S = 1.5;
   private static final double REVIEW_S = 0.02;
 
+  /** The answer to a write comes sooner than this, if it ever does. */
+  private static final double UNADOPTED_S = 2;
+
   private final Desk desk;
   private final Quotas quotas;
   private final Room room = new Room();
@@ -245,14 +248,29 @@
     }
     List<JobTable.Entry> lapsed = new ArrayList<>();
     Set<String> ids = new HashSet<>();
+    List<JobTable.Entry> ours = new ArrayList<>();
     for (JobTable.Entry e : desk.jobs().all()) {
       String claim = e.record().claim();
+      String id = e.record().spec().id();
       if (claim == null || !desk.membership().alive(claim)) {
         lapsed.add(e);
-        ids.add(e.record().spec().id());
+        ids.add(id);
+      } else if (e.record().heldBy(desk.membership().self())
+          && !claims.containsKey(id)
+          && !claiming.contains(id)) {
+        ours.add(e);
+        ids.add(id);
       }
     }
     orphans.keySet().retainAll(ids);
+    for (JobTable.Entry e : ours) {
+      // Accepted and claimed in one write whose answer was lost: to all others it has a living
+      // claimant, and were it not taken up here it would wait for ever.
+      if (now - orphans.computeIfAbsent(e.record().spec().id(), k -> now) > UNADOPTED_S) {
+        LOG.log(Level.INFO, "takes up {0}, whose acceptance was unclear", e.record().spec().id());
+        adopt(e.record(), e.stamp(), false);
+      }
+    }
     lapsed.sort(
         Comparator.comparing((JobTable.Entry e) -> e.record().spec().priority())
             .thenComparing(JobTable.Entry::stamp));
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -50,6 +50,24 @@
     assertEquals(List.of("wk-1/0#1"), m.starts());
   }
 
+  /**
+   * The record is written and names its claimant, who never hears so. To all others the job has a
+   * living claimant: 16 jobs of a day waited for ever.
+   */
+  @Test
+  void aJobWhoseAcceptanceWasUnclearIsTakenUp() {
+    World w = new World(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(2);
+    w.unanswered = (from, to) -> from.equals("node-0") && to.equals("10.2.0.1:1");
+    assertEquals(503, w.submit("node-0", World.job("wk-1", 1, 1)).status());
+    w.unanswered = (from, to) -> false;
+    assertEquals(200, w.submit("node-1", World.job("wk-1", 1, 1)).status());
+    // The answer to its watch was lost as well: it hears of the record when that is over.
+    w.pass(16);
+    assertEquals(List.of("wk-1/0#1"), m.starts());
+  }
+
   @Test
   void bigTasksWaitBehindNobodyOfLowerPriority() {
     World w = new World(2);
