Why a controller is not enrolled yet is in its log; a stalled loop is named once

An entry that is written again checks first that it still serves under that name: with no lease it would have been written without one, for ever.

--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -69,6 +69,7 @@
   private final Meters meters = new Meters();
   private final Map<String, Store.Use> uses = new HashMap<>();
   private final Lag lag = new Lag();
+  private String saidStalled;
   private double servedElsewhere = Double.NEGATIVE_INFINITY;
 
   public Daemon(
@@ -220,8 +221,11 @@
    */
   private boolean ready() {
     String stalled = loops.stalled(timers.now());
-    if (stalled != null) {
+    if (stalled != null && !stalled.equals(saidStalled)) {
       LOG.log(Level.ERROR, "no longer turns: {0}", stalled);
+    }
+    saidStalled = stalled;
+    if (stalled != null) {
       return false;
     }
     boolean refusedAlone = store.down() && timers.now() - servedElsewhere < HEALTH_S;
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -67,6 +67,9 @@
    * lease ended: then the others would take it for dead for ever while it goes on.
    */
   private void reassert(String name) {
+    if (!name.equals(self)) {
+      return;
+    }
     store.tryTxn(
         new Txn().put(PREFIX + node, value(name), tenancy),
         Store.Urgency.CORE,
@@ -132,6 +135,7 @@
         lifeS,
         granted -> {
           if (!granted.ok()) {
+            LOG.log(Level.INFO, "no lease is granted yet: {0}", granted.outcome());
             timers.after(0.3, this::start);
             return;
           }
@@ -144,6 +148,7 @@
               Store.Urgency.CORE,
               done -> {
                 if (!done.ok()) {
+                  LOG.log(Level.INFO, "not enrolled as {0} yet: {1}", name, done.outcome());
                   timers.after(0.3, this::start);
                   return;
                 }
