A controller without a lease takes an equal part of the budget, and one request always goes

Parts follow what controllers ask for, and one that has no lease works its part out no more, for it does not know the others. Its machines had a holder that answered reports and took no machine, its users got 503, until something crashed it. Not new: it needs a lease that ends while its controller asks for nothing.

Ruled out: starvation behind its own writes (it ends by itself: the test passes with the grant behind 60 of them); the membership's chain (its log shows every turn).

Change: without a lease a controller takes an equal part; however small a part, one request can be saved up (HttpStoreTest fails without it); grants and the entry go with users' urgency as renewals do. A standstill is no stalled loop (Loops.stoodStill).

--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -31,6 +31,7 @@
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -92,7 +93,7 @@
         new Membership(settings.node(), store, replica, timers, tunables.nodeLeaseS(), loops);
     // A lease is renewed four times in its life: in a shorter pause it cannot have run out.
     Standstill standstill =
-        new Standstill(replica, membership, timers, ward, tunables.nodeLeaseS() / 2);
+        new Standstill(replica, membership, timers, ward, loops, tunables.nodeLeaseS() / 2);
     catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica);
@@ -204,7 +205,12 @@
         others.add(uses.getOrDefault(node, UNHEARD));
       }
     }
-    if (membership.self() != null && replica.ready()) {
+    if (membership.self() == null) {
+      // Nobody counts on a controller without a lease, nor does it know what the others ask. It
+      // takes an equal part to become somebody again: with the little that it had while it asked
+      // for nothing, what it had left to write kept it from ever getting a lease.
+      store.share(UNHEARD, Collections.nCopies(settings.peers().size(), UNHEARD));
+    } else if (replica.ready()) {
       store.share(own, others);
     }
     for (Settings.Peer p : settings.peers()) {
--- a/src/main/java/dev/dunefront/net/Loops.java
+++ b/src/main/java/dev/dunefront/net/Loops.java
@@ -22,6 +22,11 @@
     turns.put(loop, new Turn(now, withinS));
   }
 
+  /** The whole process has stood still until now, which is no loop's fault. */
+  public void stoodStill(double now) {
+    turns.replaceAll((loop, turn) -> new Turn(now, turn.within));
+  }
+
   /** A loop that should have turned and has not, or null. */
   public String stalled(double now) {
     for (var e : turns.entrySet()) {
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -94,10 +94,15 @@
     return queued;
   }
 
+  /** What may be saved up; however small the part, one request at least, or none would ever go. */
+  private static double burst(double rate) {
+    return Math.max(1, rate * BURST);
+  }
+
   private void refill() {
     double now = timers.now();
-    requests = Math.min(rps * BURST, requests + (now - refilled) * rps);
-    writes = Math.min(writeRps * BURST, writes + (now - refilled) * writeRps);
+    requests = Math.min(burst(rps), requests + (now - refilled) * rps);
+    writes = Math.min(burst(writeRps), writes + (now - refilled) * writeRps);
     refilled = now;
   }
 
@@ -296,7 +301,7 @@
   @Override
   public void grantLease(double lifeS, Consumer<Done> then) {
     byte[] body = Doc.of().put("life_ms", Math.round(lifeS * 1000)).encode();
-    ask(Urgency.CORE, 0, "POST", "/leases", body, CALL_S, r -> then.accept(done(r, "tenancy")));
+    ask(Urgency.USER, 0, "POST", "/leases", body, CALL_S, r -> then.accept(done(r, "tenancy")));
   }
 
   @Override
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -72,7 +72,7 @@
     }
     store.tryTxn(
         new Txn().put(PREFIX + node, value(name), tenancy),
-        Store.Urgency.CORE,
+        Store.Urgency.USER,
         done -> {
           if (!name.equals(self)) {
             return;
@@ -145,7 +145,8 @@
           Doc value = value(name);
           store.tryTxn(
               new Txn().put(PREFIX + node, value, id),
-              Store.Urgency.CORE,
+              // Without a lease nothing else can be done: it waits behind nothing.
+              Store.Urgency.USER,
               done -> {
                 if (!done.ok()) {
                   LOG.log(Level.INFO, "not enrolled as {0} yet: {1}", name, done.outcome());
--- a/src/main/java/dev/dunefront/store/Standstill.java
+++ b/src/main/java/dev/dunefront/store/Standstill.java
@@ -1,5 +1,6 @@
 package dev.dunefront.store;
 
+import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
 import java.lang.System.Logger.Level;
@@ -28,6 +29,7 @@
   private final Membership membership;
   private final Timers timers;
   private final Ward ward;
+  private final Loops loops;
   private final double gapS;
   private final List<Runnable> waiting = new ArrayList<>();
   private final List<Runnable> listeners = new ArrayList<>();
@@ -37,11 +39,13 @@
   private boolean current = true;
 
   /** A gap of {@code gapS} is one in which this controller's lease may have run out. */
-  public Standstill(Replica replica, Membership membership, Timers timers, Ward ward, double gapS) {
+  public Standstill(
+      Replica replica, Membership membership, Timers timers, Ward ward, Loops loops, double gapS) {
     this.replica = replica;
     this.membership = membership;
     this.timers = timers;
     this.ward = ward;
+    this.loops = loops;
     this.gapS = gapS;
     this.turnedAt = timers.now();
     ward.onEntering(this::turned);
@@ -71,7 +75,11 @@
     double now = timers.now();
     double gap = now - turnedAt;
     turnedAt = now;
-    if (gap < gapS || !replica.ready()) {
+    if (gap < gapS) {
+      return;
+    }
+    loops.stoodStill(now);
+    if (!replica.ready()) {
       return;
     }
     LOG.log(Level.INFO, "stood still for {0} s; asks what has changed", gap);
--- a/src/test/java/dev/dunefront/net/WardTest.java
+++ b/src/test/java/dev/dunefront/net/WardTest.java
@@ -47,5 +47,8 @@
     assertEquals("tick", loops.stalled(116));
     loops.turned("tick", 116, 15);
     assertNull(loops.stalled(130));
+    loops.stoodStill(160);
+    assertNull(loops.stalled(175), "a whole process that stood still is no stalled loop");
+    assertEquals("tick", loops.stalled(176));
   }
 }
--- /dev/null
+++ b/src/test/java/dev/dunefront/store/HttpStoreTest.java
@@ -0,0 +1,136 @@
+package dev.dunefront.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.config.BadSetting;
+import dev.dunefront.config.Settings;
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.Ward;
+import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+
+/** What goes to the state service first when there is little to spend. */
+class HttpStoreTest {
+  private record Due(double at, Runnable action) {}
+
+  private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingDouble(Due::at));
+  private final List<String> sent = new ArrayList<>();
+  private double now = 100;
+
+  private final Timers timers =
+      new Timers() {
+        @Override
+        public double now() {
+          return now;
+        }
+
+        @Override
+        public long timeOfDayMs() {
+          return 0;
+        }
+
+        @Override
+        public void after(double seconds, Runnable action) {
+          due.add(new Due(now + seconds, action));
+        }
+      };
+
+  private void pass(double seconds) {
+    double until = now + seconds;
+    while (!due.isEmpty() && due.peek().at <= until) {
+      Due d = due.poll();
+      now = d.at;
+      d.action.run();
+    }
+    now = until;
+  }
+
+  private HttpStore store() throws BadSetting {
+    Settings settings =
+        Settings.parse(
+            """
+            host_name = "n-0"
+            site = "a"
+            listen = "10.0.0.1:80"
+            peer_bind = "10.0.0.1:81"
+            [outside]
+            cloud = "10.2.0.2:1"
+            state = "10.2.0.1:1"
+            [[facts.teams]]
+            name = "t"
+            [facts.workers]
+            report_s = 1.0
+            lease_s = 8.0
+            cancel_s = 20.0
+            [facts.state]
+            rps = 50.0
+            write_rps = 10.0
+            value_kb = 16.0
+            txn_ops = 24
+            [facts.cloud]
+            rps = 5.0
+            list_lag_s = 2.0
+            [facts.limits]
+            cores = 1.0
+            memory_mb = 256.0
+            fd_limit = 500
+            """);
+    Caller caller =
+        (address, method, path, body, deadlineS, then) -> {
+          sent.add(path);
+          byte[] answer = Doc.of().put("tenancy", 7).put("ledger_rev", 9).encode();
+          timers.after(0.01, () -> then.accept(new Caller.Reply(200, answer, 0)));
+        };
+    return new HttpStore(
+        settings,
+        caller,
+        timers,
+        new Ward(
+            e -> {
+              throw new AssertionError(e);
+            }),
+        "m");
+  }
+
+  /**
+   * A controller that had asked for nothing had the least part, one request a second, of which it
+   * could save up less than one, so that none ever went out. It lost its lease while it stood
+   * still, and without a lease it took no larger part: it was gone for the rest of the day.
+   */
+  @Test
+  void aLeaseWaitsBehindNothing() throws BadSetting {
+    HttpStore store = store();
+    store.share(new Store.Use(0, 0), Collections.nCopies(4, new Store.Use(1e6, 1e6)));
+    for (int i = 0; i < 60; i++) {
+      String mark = store.newMark();
+      Doc value = Doc.of().put(Store.MARK, mark);
+      store.commit(new Txn().when("w/x/" + i, 0).put("w/x/" + i, value), mark, done -> {});
+    }
+    pass(10);
+    ask(store);
+    pass(4);
+    assertEquals(1, granted, "though there is no more than one request a second");
+    assertTrue(sent.contains("/leases"));
+  }
+
+  private int granted;
+
+  private void ask(HttpStore store) {
+    store.grantLease(
+        4,
+        done -> {
+          if (done.ok()) {
+            granted++;
+          } else {
+            timers.after(0.3, () -> ask(store));
+          }
+        });
+  }
+}
