With many machines their changes gather longer before the others hear of them

Each controller tells its changes every 40 ms to each of the others, which at 140 to 400 machines each means 25 wakings a second on every link.

Change: from 100 held machines on the pause grows with them, to 120 ms at the most. Deployments of up to 100 machines a controller are untouched.

--- a/src/main/java/dev/dunefront/book/Views.java
+++ b/src/main/java/dev/dunefront/book/Views.java
@@ -19,9 +19,18 @@
 
 /** Tells the controllers of held machines: what room there is, and what has become of tasks. */
 final class Views {
-  /** Changes of a machine gather this long before the other controllers hear of them. */
+  /** Changes of machines gather this long before the other controllers hear of them. */
   private static final double TELL_S = 0.04;
 
+  /**
+   * With more machines than these there is always a change to tell, so that the others are woken by
+   * each controller every time the least pause is over. They gather in proportion, up to so many
+   * times as long: what a change costs is mostly the waking.
+   */
+  private static final double MACHINES = 100;
+
+  private static final double LONGEST = 3;
+
   private final JobTable jobs;
   private final Catalog catalog;
   private final Peers peers;
@@ -113,7 +122,8 @@
     m.telling = true;
     toTell.add(m);
     if (toTell.size() == 1) {
-      timers.after(TELL_S, () -> ward.run(this::tell));
+      double longer = Math.max(1, Math.min(LONGEST, held.size() / MACHINES));
+      timers.after(TELL_S * longer, () -> ward.run(this::tell));
     }
   }
 
