Stories of the fleet: a cut zone whose packets are held, any zones and controllers, a thousand machines

The in-memory world gets zones for controllers, a zone cut off from everything (calls and reports are held and arrive at once when it ends, links fall silent) beside the controller that stands still. FleetTest: cuts of 3 s to four leases lose nothing and start nothing twice; one to five zones, with controllers and no machines and the other way round, two to nine controllers; a thousand machines through standstills and a crash of all, no task started again.

--- /dev/null
+++ b/src/test/java/dev/dunefront/story/FleetTest.java
@@ -0,0 +1,144 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.standin.WorkerStandIn;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a fleet meets: a thousand machines, zones of every kind, and cuts whose packets are held.
+ */
+class FleetTest {
+  private static final int MACHINES = 1000;
+  private static final String LIMITED =
+      "[[facts.teams]]\nname = \"t\"\ncpus = 100.0\ncpus_max = 50000.0\n";
+
+  private static int running(World w) {
+    return w.workers.values().stream().mapToInt(m -> m.running().size()).sum();
+  }
+
+  private static void finishAll(World w) {
+    w.workers.values().forEach(m -> m.running().forEach(t -> m.exit(t, "done")));
+  }
+
+  /** Lets tasks end every few seconds until all jobs are done, and says how long that took. */
+  private static int untilDone(World w, int jobs, int mostS) {
+    for (int second = 0; second < mostS; second++) {
+      w.pass(1);
+      if (second % 4 == 3) {
+        finishAll(w);
+      }
+      boolean all = true;
+      for (int i = 0; i < jobs && all; i++) {
+        World.Said said = w.poll("node-" + i % w.nodes.size(), "wk-" + i);
+        all = said != null && said.status() == 200 && said.state().equals("done");
+      }
+      if (all) {
+        return second;
+      }
+    }
+    throw new AssertionError("not all jobs are done after " + mostS + " s");
+  }
+
+  /**
+   * Inside the cut, leases are answered and what runs goes on; outside, nothing is placed again
+   * that may still run inside. When the cut ends, what was held arrives from all machines at once.
+   */
+  @Test
+  void aZoneThatIsCutOffFromEverythingLosesNothing() {
+    for (double cutS :
+        new double[] {3, World.LEASE_S / 2, World.LEASE_S * 1.5, World.LEASE_S * 4}) {
+      World w = new World(List.of("a", "a", "b", "b"), World.ONE_TEAM);
+      w.start().pass(2);
+      for (int i = 0; i < 20; i++) {
+        w.machine("host-" + i, "small", i % 2 == 0 ? "a" : "b", "node-" + i % 4);
+      }
+      w.pass(6);
+      for (int i = 0; i < 8; i++) {
+        assertEquals(201, w.submit("node-" + i % 4, World.job("wk-" + i, 14, 1)).status());
+      }
+      w.pass(1.5);
+      List<String> inside =
+          w.workers.values().stream()
+              .filter(m -> w.zoneOf(m).equals("b"))
+              .flatMap(m -> m.running().stream())
+              .toList();
+      assertTrue(inside.size() > 10, inside + " run inside");
+      w.cut("b");
+      w.pass(cutS);
+      List<String> still =
+          w.workers.values().stream()
+              .filter(m -> w.zoneOf(m).equals("b"))
+              .flatMap(m -> m.running().stream())
+              .toList();
+      assertTrue(still.containsAll(inside), "what ran inside goes on through " + cutS + " s");
+      assertEquals(List.of(), w.overlaps, "during a cut of " + cutS + " s");
+      w.heal();
+      untilDone(w, 8, 60);
+      assertEquals(List.of(), w.overlaps, "after a cut of " + cutS + " s");
+    }
+  }
+
+  /** Zones with controllers and no machines, and machines where there is no controller. */
+  @Test
+  void anyNumberOfZonesAndControllersServes() {
+    for (List<String> zones :
+        List.of(
+            List.of("a", "a"),
+            List.of("a", "b", "c"),
+            List.of("a", "a", "b", "c", "d"),
+            List.of("c", "c", "d"),
+            List.of("a", "b", "c", "d", "a", "b", "c", "d", "a"))) {
+      World w = new World(zones, World.ONE_TEAM);
+      w.start().pass(2);
+      for (int i = 0; i < 24; i++) {
+        w.machine("host-" + i, "small", i % 3 == 0 ? "a" : "b", "node-" + i % zones.size());
+      }
+      w.pass(6);
+      for (int i = 0; i < 6; i++) {
+        assertEquals(
+            201, w.submit("node-" + i % zones.size(), World.job("wk-" + i, 16, 1)).status());
+      }
+      w.pass(3);
+      assertEquals(96, running(w), "all run with controllers in " + zones);
+      w.nodes.get("node-0").crash();
+      w.pass(3);
+      w.nodes.get("node-0").start();
+      untilDone(w, 6, 40);
+      assertEquals(List.of(), w.overlaps, zones.toString());
+    }
+  }
+
+  /** A thousand machines: most controllers stand still, then all crash at once, and all return. */
+  @Test
+  void aThousandMachinesOutliveStandstillsAndACrashOfAll() {
+    World w = new World(5, LIMITED);
+    w.start().pass(2);
+    for (int i = 0; i < MACHINES; i++) {
+      w.machine("host-" + i, "small", "a", "node-" + i % 5);
+    }
+    w.pass(8);
+    for (int i = 0; i < 6; i++) {
+      assertEquals(201, w.submit("node-" + i % 5, World.job("wk-" + i, 100, 1)).status());
+    }
+    w.pass(3);
+    assertEquals(600, running(w));
+    for (int i = 0; i < 3; i++) {
+      w.nodes.get("node-" + i).standStill(World.LEASE_S / 2);
+    }
+    w.pass(World.LEASE_S / 2 + 3);
+    assertEquals(600, running(w), "no lease ran out");
+    w.nodes.values().forEach(World.Node::crash);
+    w.pass(3);
+    w.nodes.values().forEach(World.Node::start);
+    w.pass(World.LEASE_S);
+    assertEquals(600, running(w), "no lease ran out");
+    for (WorkerStandIn m : w.workers.values()) {
+      assertEquals(m.running().size(), m.starts().size(), "nothing was started again");
+    }
+    untilDone(w, 6, 20);
+    assertEquals(List.of(), w.overlaps);
+  }
+}
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -20,6 +20,7 @@
 import dev.dunefront.wire.Doc;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -27,6 +28,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
@@ -65,6 +67,7 @@
   final CloudStandIn cloud = new CloudStandIn();
   final Map<String, Node> nodes = new LinkedHashMap<>();
   final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
+  private final Map<String, String> machineZones = new HashMap<>();
   private final Map<String, String> reportsTo = new HashMap<>();
   private final Map<String, Double> answeredAt = new HashMap<>();
   final Set<String> silent = new HashSet<>();
@@ -89,7 +92,13 @@
   /** Every task's machines over time must never overlap; this is what was found. */
   final List<String> overlaps = new ArrayList<>();
 
+  static final String ONE_TEAM = "[[facts.teams]]\nname = \"t\"\n";
+
   final String teams;
+  private final List<String> zones;
+
+  /** The zone that is cut off from everything, or null. */
+  private String cutZone;
 
   /** The state service's limit on values. */
   double valueKb = 16;
@@ -98,14 +107,20 @@
   Tunables tunables = Tunables.of(Map.of("idle_boots", 1000.0));
 
   World(int controllers, String teams) {
+    this(Collections.nCopies(controllers, "a"), teams);
+  }
+
+  /** A controller for each of the zones given. */
+  World(List<String> zones, String teams) {
     this.teams = teams;
-    for (int i = 0; i < controllers; i++) {
-      nodes.put("node-" + i, new Node("node-" + i, controllers));
+    this.zones = zones;
+    for (int i = 0; i < zones.size(); i++) {
+      nodes.put("node-" + i, new Node("node-" + i, zones.get(i)));
     }
   }
 
   World(int controllers) {
-    this(controllers, "[[facts.teams]]\nname = \"t\"\n");
+    this(controllers, ONE_TEAM);
   }
 
   World start() {
@@ -162,7 +177,7 @@
 
   final class Node {
     final String name;
-    private final int controllers;
+    private final String zone;
     private Daemon daemon;
     private int life;
     private boolean up;
@@ -170,9 +185,9 @@
     /** What a controller that stands still would have done or heard meanwhile; null if it runs. */
     private List<Runnable> backlog;
 
-    Node(String name, int controllers) {
+    Node(String name, String zone) {
       this.name = name;
-      this.controllers = controllers;
+      this.zone = zone;
     }
 
     void start() {
@@ -195,7 +210,7 @@
                   body,
                   deadlineS,
                   r -> meet(mine, () -> then.accept(r)));
-      Settings settings = settings(name, controllers);
+      Settings settings = settings(name);
       HttpStore store = new HttpStore(settings, caller, own, ward, name + "-" + mine);
       daemon =
           new Daemon(
@@ -315,7 +330,10 @@
       timers.after(
           node.equals(self.name) ? 0 : HOP_S,
           () -> {
-            if (to == null || lost.test(self.name, node) || cut.contains(self.name + ">" + node)) {
+            if (to == null
+                || lost.test(self.name, node)
+                || crosses(self.zone, to.zone)
+                || cut.contains(self.name + ">" + node)) {
               return;
             }
             try {
@@ -333,14 +351,16 @@
     }
   }
 
-  private Settings settings(String name, int controllers) {
+  private Settings settings(String name) {
     StringBuilder toml = new StringBuilder();
-    toml.append("host_name = \"").append(name).append("\"\nsite = \"a\"\n");
+    toml.append("host_name = \"").append(name);
+    toml.append("\"\nsite = \"").append(nodes.get(name).zone).append("\"\n");
     toml.append("listen = \"10.0.0.1:80\"\npeer_bind = \"10.0.0.1:81\"\n");
-    for (int i = 0; i < controllers; i++) {
+    for (int i = 0; i < zones.size(); i++) {
       if (!name.equals("node-" + i)) {
         toml.append("[[others]]\nhost_name = \"node-").append(i);
-        toml.append("\"\nsite = \"a\"\naddress = \"10.0.0.9:81\"\n");
+        toml.append("\"\nsite = \"").append(zones.get(i));
+        toml.append("\"\naddress = \"10.0.0.9:81\"\n");
       }
     }
     toml.append("[outside]\ncloud = \"10.2.0.2:1\"\nstate = \"10.2.0.1:1\"\n").append(teams);
@@ -398,7 +418,9 @@
     if (lost.test(from, address)) {
       return;
     }
-    if (heldBack.test(from, address) || path.equals(heldPath)) {
+    WorkerStandIn worker = workers.get(address);
+    boolean cutOff = crosses(nodes.get(from).zone, worker == null ? null : zoneOf(worker));
+    if (cutOff || heldBack.test(from, address) || path.equals(heldPath)) {
       held.add(deliver);
       heldCalls.add(path + " " + text(body));
       return;
@@ -406,6 +428,41 @@
     timers.after(HOP_S, deliver);
   }
 
+  /** Whether a packet between the zones meets the cut; null is where no zone is. */
+  private boolean crosses(String one, String other) {
+    return cutZone != null && cutZone.equals(one) != cutZone.equals(other);
+  }
+
+  /** Cuts a zone off from everything else: what crosses is held, links fall silent. */
+  void cut(String zone) {
+    cutZone = zone;
+    timers.after(LINK_SILENCE_S, () -> crossing((a, b) -> b.daemon.gone(a.name)));
+  }
+
+  /** The cut ends: all that was held arrives at once, and links are made anew. */
+  void heal() {
+    String zone = cutZone;
+    deliverHeld();
+    cutZone = null;
+    for (Node a : nodes.values()) {
+      for (Node b : nodes.values()) {
+        if (zone.equals(a.zone) != zone.equals(b.zone)) {
+          link(a, b);
+        }
+      }
+    }
+  }
+
+  private void crossing(BiConsumer<Node, Node> what) {
+    for (Node a : nodes.values()) {
+      for (Node b : nodes.values()) {
+        if (crosses(a.zone, b.zone) && b.up) {
+          b.meet(b.life, () -> b.ward().run(() -> what.accept(a, b)));
+        }
+      }
+    }
+  }
+
   private static String text(byte[] body) {
     try {
       return body == null ? "" : Doc.decode(body).toString();
@@ -468,6 +525,7 @@
   WorkerStandIn machine(String host, String type, String zone, String firstNode) {
     WorkerStandIn w = new WorkerStandIn(host, host + ":9", type, zone);
     workers.put(w.endpoint(), w);
+    machineZones.put(host, zone);
     cloud.add(host, type, zone);
     reportsTo.put(host, firstNode);
     answeredAt.put(host, now);
@@ -475,6 +533,10 @@
     return w;
   }
 
+  String zoneOf(WorkerStandIn w) {
+    return machineZones.get(w.host());
+  }
+
   /** The controller to which the machine reports. */
   String holder(String host) {
     return reportsTo.get(host);
@@ -498,6 +560,14 @@
       tryNext(w, n);
       return;
     }
+    if (crosses(zoneOf(w), n.zone)) {
+      // Held, and read when the cut ends; the worker has long gone elsewhere by then.
+      int life = n.life;
+      HttpServer.Request late = new HttpServer.Request("POST", "/hello", "", body);
+      held.add(() -> n.meet(life, () -> n.daemon.handle(late, (status, reply, again) -> {})));
+      timers.after(ANSWER_S, () -> tryNext(w, n));
+      return;
+    }
     boolean[] over = {false};
     timers.after(
         ANSWER_S,
