Stories for the kept fence, the claim's term and the node key that is written again

Each story fails when its part is taken out: 'wk-1/0' starts on the machine that was called gone, a former claimant's start runs beside its successor's, and the key keeps the foreign name.

No main code but a misplaced comment in the state stand-in.

--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -49,7 +49,6 @@
     }
   }
 
-  /** The value of a key, or null. */
   /** How often keys with the prefix have been put or removed so far. */
   public int written(String prefix) {
     return written.entrySet().stream()
@@ -58,6 +57,7 @@
         .sum();
   }
 
+  /** The value of a key, or null. */
   public Doc value(String key) {
     expire();
     Value v = keys.get(key);
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -0,0 +1,122 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.peer.Message;
+import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Words that come when what they rest on no longer holds, and facts that others overwrite. */
+class LateWordsTest {
+
+  /**
+   * What a holder has called gone stays refused when it lets go of the machine and takes it back
+   * under its old baton. Were that forgotten on the way, a start that a broken link held back would
+   * be carried out beside the attempt that was placed on the proof.
+   */
+  @Test
+  void whatWasCalledGoneStaysRefusedWhenTheMachineComesBack() {
+    World w = new World(List.of("a", "a", "b"), World.ONE_TEAM);
+    WorkerStandIn a = w.machine("host-1", "small", "b", "node-0");
+    w.nodes.get("node-0").start();
+    w.nodes.get("node-1").start();
+    w.pass(8);
+    assertEquals("node-0", w.holder("host-1"), "the controller of its zone is not there");
+    // From its start on all that concerns the room of that machine is held back.
+    w.late =
+        m ->
+            m instanceof Message.Start s && s.host().equals("host-1")
+                || m instanceof Message.Offer o && o.host().equals("host-1") && w.heldCount() > 0;
+    assertEquals(201, w.submit("node-1", World.job("wk-1", 1, 1)).status());
+    w.pass(3);
+    assertTrue(w.heldCount() > 0, "its start is held back, and it is called gone meanwhile");
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-0");
+    for (int i = 0; i < 60 && b.running().isEmpty(); i++) {
+      w.pass(1);
+    }
+    assertEquals(List.of("wk-1/0"), b.running());
+    // The controller of its zone is back, is given the machine, and cannot be reached by it.
+    w.lost = (from, to) -> from.equals("host-1:9") && to.equals("node-2");
+    long baton = a.baton();
+    w.nodes.get("node-2").start();
+    for (String next : List.of("node-2", "node-0")) {
+      for (int i = 0; i < 100 && !next.equals(w.holder("host-1")); i++) {
+        w.pass(0.1);
+      }
+      assertEquals(next, w.holder("host-1"));
+    }
+    w.pass(World.REPORT_S);
+    assertEquals(baton, a.baton(), "held on without a write");
+    w.deliverHeld();
+    w.pass(4);
+    assertEquals(List.of(), a.starts());
+    assertEquals(List.of(), w.overlaps);
+  }
+
+  /**
+   * A claimant that stood still sends what it had decided before it learns that another has claimed
+   * its jobs. Its stop would end what the other has placed, its clear would let the worker forget
+   * an end before it is recorded, and its start would run a task twice.
+   */
+  @Test
+  void wordsOfAFormerClaimantChangeNothing() throws BadMessage {
+    World w = new World(3);
+    WorkerStandIn a = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(3);
+    assertEquals(201, w.submit("node-1", World.job("wk-1", 2, 1)).status());
+    w.pass(2);
+    assertEquals(2, a.running().size());
+    long term = w.state.value("w/j/wk-1").count("term");
+    w.nodes.get("node-1").crash();
+    w.pass(World.LEASE_S + 4);
+    assertEquals(term + 1, w.state.value("w/j/wk-1").count("term"), "another has claimed it");
+    WorkerStandIn b = w.machine("host-2", "small", "a", "node-0");
+    w.pass(4);
+    assertEquals("node-0", w.holder("host-2"));
+    Doc hold = w.state.value("w/h/host-2");
+    long baton = hold == null ? b.baton() : hold.count("baton");
+
+    w.say("node-1", "node-0", new Message.Stop("host-1", term, "wk-1", 0, 1, 0));
+    w.say("node-1", "node-0", new Message.Start(0, "host-2", baton, 1, term, "wk-1", 0, 1));
+    w.pass(3);
+    assertEquals(2, a.running().size());
+    assertEquals(List.of(), b.starts());
+
+    w.refusedByState.addAll(List.of("node-0", "node-2"));
+    a.exit("wk-1/0", "done");
+    w.pass(World.REPORT_S + 0.1);
+    w.say("node-1", "node-0", new Message.Clear("host-1", term, "wk-1", 0, 1));
+    w.pass(2);
+    w.refusedByState.clear();
+    w.pass(3);
+    w.finishAll();
+    w.pass(5);
+    assertEquals("done", w.poll("node-0", "wk-1").state());
+    assertEquals(2, a.starts().size() + b.starts().size(), "nothing was run again");
+  }
+
+  /**
+   * The key that says which incarnation of a controller lives shows another name while it serves: a
+   * write of an earlier try has come late. To all others it would be dead for ever.
+   */
+  @Test
+  void aNodeKeyThatShowsAnotherNameIsWrittenAgain() throws BadMessage {
+    World w = new World(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(3);
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 2, 1)).status());
+    w.pass(1);
+    String name = w.state.value("w/n/node-0").text("inc");
+    w.writeState("w/n/node-0", Doc.of().put("inc", "node-0#1"));
+    w.pass(1);
+    assertEquals(name, w.state.value("w/n/node-0").text("inc"));
+    w.finishAll();
+    w.pass(4);
+    assertEquals("done", w.poll("node-1", "wk-1").state());
+    assertEquals(2, m.starts().size());
+  }
+}
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -30,6 +30,7 @@
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Controllers, workers, state and cloud on one fake clock and one fake network. */
 final class World {
@@ -74,6 +75,9 @@
   /** Whether a call from one address to another is lost on its way there. */
   BiPredicate<String, String> lost = (from, to) -> false;
 
+  /** Whether a record is held on its way between controllers, delivered by deliverHeld. */
+  Predicate<Message> late = message -> false;
+
   /** Whether the answer to such a call is lost on its way back. */
   BiPredicate<String, String> unanswered = (from, to) -> false;
 
@@ -326,6 +330,10 @@
       Node to = nodes.get(node);
       int life = to == null ? 0 : to.life;
       byte[] record = Records.encode(message);
+      if (late.test(message)) {
+        held.add(() -> say(self.name, node, message));
+        return;
+      }
       timers.after(
           node.equals(self.name) ? 0 : HOP_S,
           () -> {
@@ -350,6 +358,12 @@
     }
   }
 
+  /** A record from one controller reaches another, whenever it was sent. */
+  void say(String from, String to, Message message) {
+    Node n = nodes.get(to);
+    n.meet(n.life, () -> n.ward().run(() -> n.daemon.received(from, message)));
+  }
+
   private Settings settings(String name) {
     StringBuilder toml = new StringBuilder();
     toml.append("host_name = \"").append(name);
