Jobs with room enough look at that alone; holders pass over mere grants

Cause: a profile of real processes with 1,500 workers shows 14% of the samples where each job that came walked over all machines and sorted them, and 7% where each change of a job's record, mostly of tasks granted, went over all held machines and their tasks. Ruled out as the largest part: the tick (5%), the renting plan, records between controllers (3%).

Change: the full machines are looked at only if the others do not offer the surplus that is parked anyway, the best few come off a heap, and a holder acts on a job's change only if its claimant or its end is new. Nothing is parked that was not before. Were changes of the claimant passed over too, two stories fail (FleetTest, StandstillTest).

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -26,6 +26,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * The machines that this controller holds: takes reports, keeps a book for each and deals freed
@@ -73,6 +74,9 @@
   /** What was called gone on machines let go of since without a new baton; see {@link #hold}. */
   private final Map<String, Map<TaskId, Long>> fences = new HashMap<>();
 
+  /** Who was last seen to claim each open job; empty for nobody. */
+  private final Map<String, String> claimants = new HashMap<>();
+
   private final Map<String, Double> lookedUp = new HashMap<>();
   private final Views views;
   private final Preemption preemption;
@@ -345,6 +349,15 @@
   /** A live record has changed; a job that must no longer run is stopped without being asked. */
   public void jobChanged(String id, JobTable.Entry entry) {
     boolean over = entry == null || entry.record().status() != JobRecord.Status.OPEN;
+    if (over) {
+      claimants.remove(id);
+    } else {
+      // Most changes grant tasks; who is told of the job's tasks, and what they take, stays.
+      String claim = Objects.requireNonNullElse(entry.record().claim(), "");
+      if (claim.equals(claimants.put(id, claim))) {
+        return;
+      }
+    }
     for (Machine m : held.values()) {
       if (over) {
         m.book.dropJob(id);
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -11,6 +11,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 
 /**
@@ -60,15 +62,16 @@
   private static final double ORDINARY_S = 10;
 
   /** A machine on which a job could park; the lower the tier, the sooner it is chosen. */
-  private record Choice(Room.Seen seen, int ever, int fits, int tier, double costS, int mix) {
-    static final Comparator<Choice> ORDER =
-        (a, b) -> {
-          if (a.tier != b.tier) {
-            return Integer.compare(a.tier, b.tier);
-          }
-          int cost = Double.compare(a.costS, b.costS);
-          return cost != 0 ? cost : Integer.compare(a.mix, b.mix);
-        };
+  private record Choice(Room.Seen seen, int ever, int fits, int tier, double costS, int mix)
+      implements Comparable<Choice> {
+    @Override
+    public int compareTo(Choice o) {
+      if (tier != o.tier) {
+        return Integer.compare(tier, o.tier);
+      }
+      int cost = Double.compare(costS, o.costS);
+      return cost != 0 ? cost : Integer.compare(mix, o.mix);
+    }
   }
 
   private final Desk desk;
@@ -238,24 +241,22 @@
   }
 
   private void parkAnew(Claim c, int wanted, double now) {
-    List<Choice> choices = new ArrayList<>();
+    long surplus = (long) Math.ceil(wanted * SURPLUS);
+    List<Choice> choices = choices(c, wanted, surplus, now);
     int fitting = 0;
-    for (Room.Seen s : room.all()) {
-      Choice choice = choice(c, s, now);
-      if (choice != null) {
-        choices.add(choice);
-        fitting += choice.tier == 0 ? choice.fits : 0;
-      }
+    for (Choice ch : choices) {
+      fitting += ch.tier == 0 ? ch.fits : 0;
     }
-    choices.sort(Choice.ORDER);
     preempt(c, choices, wanted, now);
-    long surplus = (long) Math.ceil(wanted * SURPLUS);
+    // Of the many only the first few are looked at, so they are not sorted as a whole.
+    Queue<Choice> best = new PriorityQueue<>(choices);
     // Where there is room enough right now, nothing need wait for room elsewhere.
     long left = fitting >= surplus ? surplus : (long) wanted * c.reach;
     long here = surplus;
     int machines = 0;
     Map<String, Integer> target = new HashMap<>();
-    for (Choice ch : choices) {
+    double fetchS = choices.isEmpty() ? 0 : best.peek().costS;
+    for (Choice ch = best.poll(); ch != null; ch = best.poll()) {
       if (left <= 0 && (machines >= c.reach || ch.tier != 0)) {
         break;
       }
@@ -274,7 +275,6 @@
       }
     }
     double ageS = (desk.timers().timeOfDayMs() - c.record.acceptedMs()) / 1000.0;
-    double fetchS = choices.isEmpty() ? 0 : choices.get(0).costS;
     int rank = urgencies.rank(c.spec, c.unstarted(), ageS, fetchS);
     boolean moved = rank != c.rank;
     c.rank = rank;
@@ -286,6 +286,32 @@
         });
   }
 
+  /**
+   * The machines on which the job could park. Where there is so much room that nothing would be
+   * parked at full ones, those are not looked at: in a fleet they are many, and each job that comes
+   * would walk over all of them.
+   */
+  private List<Choice> choices(Claim c, int wanted, long surplus, double now) {
+    List<Choice> choices = new ArrayList<>();
+    long here = 0;
+    for (Room.Seen s : room.roomy()) {
+      Choice choice = choice(c, s, now);
+      if (choice != null) {
+        choices.add(choice);
+        here += choice.tier == 0 ? Math.min(wanted, choice.fits) : 0;
+      }
+    }
+    if (here < surplus) {
+      for (Room.Seen s : room.all()) {
+        Choice choice = s.roomy() ? null : choice(c, s, now);
+        if (choice != null) {
+          choices.add(choice);
+        }
+      }
+    }
+    return choices;
+  }
+
   /** Parks beside what is parked already, where there is room now. */
   private void parkInOpenings(Claim c, int wanted, double now) {
     List<Choice> choices = new ArrayList<>();
@@ -301,12 +327,10 @@
         choices.add(choice);
       }
     }
-    choices.sort(Choice.ORDER);
+    Queue<Choice> best = new PriorityQueue<>(choices);
     long left = (long) Math.ceil(wanted * SURPLUS) - covered;
-    for (Choice ch : choices) {
-      if (left <= 0) {
-        return;
-      }
+    while (left > 0 && !best.isEmpty()) {
+      Choice ch = best.poll();
       int n = Math.min(wanted, ch.fits);
       want(c, ch.seen.view().host(), n);
       left -= n;
@@ -333,7 +357,8 @@
     for (Choice ch : choices) {
       need -= ch.fits;
     }
-    for (Choice ch : choices) {
+    Queue<Choice> best = new PriorityQueue<>(need > 0 ? choices : List.of());
+    for (Choice ch = best.poll(); ch != null; ch = best.poll()) {
       if (need <= 0) {
         break;
       }
