Who claimed a job before is told by the job table, not kept again in the books

Need: the books kept a map of each open job's claimant to pass over changes that leave it as it is, beside the job table, which has the record from before the change at hand. The table now tells its listeners of both, the map is gone, and the check whether a job is over is written once instead of twice.

Behaviour stays: the same changes are passed over.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -74,9 +74,6 @@
   /** What was called gone on machines let go of since without a new baton; see {@link #hold}. */
   private final Map<String, Map<TaskId, Long>> fences = new HashMap<>();
 
-  /** Who was last seen to claim each open job; empty for nobody. */
-  private final Map<String, String> claimants = new HashMap<>();
-
   private final Map<String, Double> lookedUp = new HashMap<>();
   private final Views views;
   private final Preemption preemption;
@@ -347,16 +344,11 @@
   }
 
   /** A live record has changed; a job that must no longer run is stopped without being asked. */
-  public void jobChanged(String id, JobTable.Entry entry) {
-    boolean over = entry == null || entry.record().status() != JobRecord.Status.OPEN;
-    if (over) {
-      claimants.remove(id);
-    } else {
+  public void jobChanged(String id, JobTable.Entry before, JobTable.Entry entry) {
+    boolean over = over(entry);
+    if (!over && !over(before) && Objects.equals(before.record().claim(), entry.record().claim())) {
       // Most changes grant tasks; who is told of the job's tasks, and what they take, stays.
-      String claim = Objects.requireNonNullElse(entry.record().claim(), "");
-      if (claim.equals(claimants.put(id, claim))) {
-        return;
-      }
+      return;
     }
     for (Machine m : held.values()) {
       if (over) {
@@ -372,6 +364,10 @@
     }
   }
 
+  private static boolean over(JobTable.Entry entry) {
+    return entry == null || entry.record().status() != JobRecord.Status.OPEN;
+  }
+
   private void stopJob(Machine m, String job) {
     for (Report.Task t : m.tasks.values()) {
       if (t.id().job().equals(job) && !t.exited()) {
@@ -398,7 +394,7 @@
       Machine m = held.get(w.host());
       if (m != null) {
         JobTable.Entry job = jobs.get(w.job());
-        boolean over = job != null && job.record().status() != JobRecord.Status.OPEN;
+        boolean over = job != null && over(job);
         int priority = Math.max(0, Math.min(3, w.priority()));
         int rank = Math.max(0, Math.min(WantBook.RANKS - 1, w.rank()));
         m.book.park(from, w.job(), priority, rank, w.size(), over ? 0 : w.count(), timers.now());
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -126,12 +126,12 @@
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
     meters.gauge("dunefront.decisions.failed", loops::failures);
     jobs.listen(
-        (id, entry) -> {
+        (id, before, entry) -> {
           if (entry != null) {
             catalog.seen(entry.record().spec());
           }
         });
-    jobs.listen(claims::jobChanged);
+    jobs.listen((id, before, entry) -> claims.jobChanged(id, entry));
     jobs.listen(books::jobChanged);
     membership.onReborn(
         () -> {
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -70,7 +70,7 @@
     this.peers = peers;
     this.timers = timers;
     this.ward = ward;
-    jobs.listen((id, entry) -> ended(id));
+    jobs.listen((id, before, entry) -> ended(id));
   }
 
   // ---- submit ----
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -22,9 +22,9 @@
   /** A live record with its stamp. */
   public record Entry(JobRecord record, long stamp) {}
 
-  /** Hears of changes of live records; null when a record is gone. */
+  /** Hears of changes of live records; before is null for a new one, entry when one is gone. */
   public interface Listener {
-    void changed(String id, Entry entry);
+    void changed(String id, Entry before, Entry entry);
   }
 
   /** What a current read found; a final state has no entry. REFUSED and UNCLEAR found nothing. */
@@ -68,7 +68,7 @@
       }
     }
     for (Listener l : listeners) {
-      l.changed(id, entry);
+      l.changed(id, known, entry);
     }
   }
 
