Tests: one fake clock, one way to tell a controller something

Need: the test of the state service's client had a clock and timers of its own, the same as the in-memory world's; they are one class now. The world wrote out five times how something reaches a controller inside its lock, and twice how a request does, and a story asked the hold record for a baton that the worker shows.

No assertion is changed.

--- a/src/test/java/dev/dunefront/store/HttpStoreTest.java
+++ b/src/test/java/dev/dunefront/store/HttpStoreTest.java
@@ -6,51 +6,18 @@
 import dev.dunefront.config.BadSetting;
 import dev.dunefront.config.Settings;
 import dev.dunefront.net.Caller;
-import dev.dunefront.net.Timers;
+import dev.dunefront.net.FakeClock;
 import dev.dunefront.net.Ward;
 import dev.dunefront.wire.Doc;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 import org.junit.jupiter.api.Test;
 
 /** What goes to the state service first when there is little to spend. */
 class HttpStoreTest {
-  private record Due(double at, Runnable action) {}
-
-  private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingDouble(Due::at));
+  private final FakeClock timers = new FakeClock();
   private final List<String> sent = new ArrayList<>();
-  private double now = 100;
-
-  private final Timers timers =
-      new Timers() {
-        @Override
-        public double now() {
-          return now;
-        }
-
-        @Override
-        public long timeOfDayMs() {
-          return 0;
-        }
-
-        @Override
-        public void after(double seconds, Runnable action) {
-          due.add(new Due(now + seconds, action));
-        }
-      };
-
-  private void pass(double seconds) {
-    double until = now + seconds;
-    while (!due.isEmpty() && due.peek().at <= until) {
-      Due d = due.poll();
-      now = d.at;
-      d.action.run();
-    }
-    now = until;
-  }
 
   private HttpStore store() throws BadSetting {
     Settings settings =
@@ -113,9 +80,9 @@
       Doc value = Doc.of().put(Store.MARK, mark);
       store.commit(new Txn().when("w/x/" + i, 0).put("w/x/" + i, value), mark, done -> {});
     }
-    pass(10);
+    timers.pass(10);
     ask(store);
-    pass(4);
+    timers.pass(4);
     assertEquals(1, granted, "though there is no more than one request a second");
     assertTrue(sent.contains("/leases"));
   }
--- a/src/test/java/dev/dunefront/story/LateWordsTest.java
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -77,11 +77,9 @@
     WorkerStandIn b = w.machine("host-2", "small", "a", "node-0");
     w.pass(4);
     assertEquals("node-0", w.holder("host-2"));
-    Doc hold = w.state.value("w/h/host-2");
-    long baton = hold == null ? b.baton() : hold.count("baton");
 
     w.say("node-1", "node-0", new Message.Stop("host-1", term, "wk-1", 0, 1, 0));
-    w.say("node-1", "node-0", new Message.Start(0, "host-2", baton, 1, term, "wk-1", 0, 1));
+    w.say("node-1", "node-0", new Message.Start(0, "host-2", b.baton(), 1, term, "wk-1", 0, 1));
     w.pass(3);
     assertEquals(2, a.running().size());
     assertEquals(List.of(), b.starts());
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -5,6 +5,7 @@
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.FakeClock;
 import dev.dunefront.net.HttpServer;
 import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
@@ -26,7 +27,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
@@ -49,20 +49,12 @@
     }
   }
 
-  private record Due(double at, long order, Runnable action) {}
-
-  private final PriorityQueue<Due> due =
-      new PriorityQueue<>(
-          (a, b) -> a.at != b.at ? Double.compare(a.at, b.at) : Long.compare(a.order, b.order));
-  private double now = 100;
-
   /** Records between controllers, and reports of workers, so far. */
   int messages;
 
   int reports;
-  private long order;
 
-  final Timers timers = new FakeTimers(Runnable::run);
+  final FakeClock timers = new FakeClock();
   final StateStandIn state = new StateStandIn(timers);
   final CloudStandIn cloud = new CloudStandIn();
   final Map<String, Node> nodes = new LinkedHashMap<>();
@@ -131,38 +123,27 @@
     return this;
   }
 
-  final class FakeTimers implements Timers {
-    private final Consumer<Runnable> runner;
-
-    FakeTimers(Consumer<Runnable> runner) {
-      this.runner = runner;
-    }
-
+  /** The clock as one controller has it: what is due reaches it only while it runs. */
+  private record OwnTimers(Timers clock, Consumer<Runnable> runner) implements Timers {
     @Override
     public double now() {
-      return now;
+      return clock.now();
     }
 
     @Override
     public long timeOfDayMs() {
-      return Math.round(now * 1000) + 1_700_000_000_000L;
+      return clock.timeOfDayMs();
     }
 
     @Override
     public void after(double seconds, Runnable action) {
-      due.add(new Due(now + Math.max(0, seconds), order++, () -> runner.accept(action)));
+      clock.after(seconds, () -> runner.accept(action));
     }
   }
 
   /** Lets the time pass. */
   void pass(double seconds) {
-    double until = now + seconds;
-    while (!due.isEmpty() && due.peek().at <= until) {
-      Due d = due.poll();
-      now = d.at;
-      d.action.run();
-    }
-    now = until;
+    timers.pass(seconds);
   }
 
   private void watchOverlaps() {
@@ -170,7 +151,7 @@
     for (WorkerStandIn w : workers.values()) {
       for (String task : w.running()) {
         if (!seen.add(task)) {
-          overlaps.add(task + " at " + now);
+          overlaps.add(task + " at " + timers.now());
         }
       }
     }
@@ -197,7 +178,7 @@
       int mine = ++life;
       up = true;
       backlog = null;
-      Timers own = new FakeTimers(action -> meet(mine, action));
+      Timers own = new OwnTimers(timers, action -> meet(mine, action));
       Ward ward =
           new Ward(
               e -> {
@@ -260,6 +241,15 @@
       }
     }
 
+    /** Something is told to the controller, inside its lock. */
+    private void hear(Consumer<Daemon> what) {
+      meet(life, () -> ward().run(() -> what.accept(daemon)));
+    }
+
+    private void handle(HttpServer.Request request, HttpServer.Answer answer) {
+      meet(life, () -> daemon.handle(request, answer));
+    }
+
     /**
      * The controller stands still while its clock runs on: all that is due or arrives meanwhile
      * comes at once when it goes on. The others find its links silent after a while.
@@ -274,7 +264,7 @@
               for (Node other : nodes.values()) {
                 if (other != this && other.up) {
                   cut.add(other.name + ">" + name);
-                  other.meet(other.life, () -> other.ward().run(() -> other.daemon.gone(name)));
+                  other.hear(d -> d.gone(name));
                 }
               }
             }
@@ -309,8 +299,8 @@
         HOP_S,
         () -> {
           if (from.up && to.up) {
-            to.meet(to.life, () -> to.ward().run(() -> to.daemon.gone(from.name)));
-            from.meet(from.life, () -> from.ward().run(() -> from.daemon.reached(to.name)));
+            to.hear(d -> d.gone(from.name));
+            from.hear(d -> d.reached(to.name));
           }
         });
   }
@@ -360,8 +350,7 @@
 
   /** A record from one controller reaches another, whenever it was sent. */
   void say(String from, String to, Message message) {
-    Node n = nodes.get(to);
-    n.meet(n.life, () -> n.ward().run(() -> n.daemon.received(from, message)));
+    nodes.get(to).hear(d -> d.received(from, message));
   }
 
   private Settings settings(String name) {
@@ -470,7 +459,7 @@
     for (Node a : nodes.values()) {
       for (Node b : nodes.values()) {
         if (crosses(a.zone, b.zone) && b.up) {
-          b.meet(b.life, () -> b.ward().run(() -> b.daemon.gone(a.name)));
+          b.hear(d -> d.gone(a.name));
         }
       }
     }
@@ -541,7 +530,7 @@
     machineZones.put(host, zone);
     cloud.add(host, type, zone);
     reportsTo.put(host, firstNode);
-    answeredAt.put(host, now);
+    answeredAt.put(host, timers.now());
     timers.after(0.01, () -> report(w));
     return w;
   }
@@ -570,12 +559,12 @@
       workers.remove(w.endpoint());
       return;
     }
-    if (now - answeredAt.get(w.host()) > LEASE_S) {
+    if (timers.now() - answeredAt.get(w.host()) > LEASE_S) {
       w.newSession();
-      answeredAt.put(w.host(), now);
+      answeredAt.put(w.host(), timers.now());
     }
     Node n = nodes.get(reportsTo.get(w.host()));
-    double sent = now;
+    double sent = timers.now();
     byte[] body = w.report();
     reports++;
     boolean lostNow = silent.contains(w.host()) || !n.up || lost.test(w.endpoint(), n.name);
@@ -625,8 +614,7 @@
                     throw new AssertionError(e);
                   }
                 });
-    n.meet(
-        n.life, () -> n.daemon.handle(new HttpServer.Request("POST", "/hello", "", body), answer));
+    n.handle(new HttpServer.Request("POST", "/hello", "", body), answer);
   }
 
   /** How long a worker waits for an answer. */
@@ -656,8 +644,7 @@
             throw new AssertionError(e);
           }
         };
-    Node n = nodes.get(node);
-    n.meet(n.life, () -> n.daemon.handle(new HttpServer.Request(method, path, "", body), answer));
+    nodes.get(node).handle(new HttpServer.Request(method, path, "", body), answer);
     for (int i = 0; i < 3000 && said[0] == null; i++) {
       pass(0.002);
     }
