Renting is a duty with a term; nothing is asked of the cloud that is not on record

Its key had no term, a hire whose answer was lost was never asked again by its successor, so its machines were rented a second time until the list showed them; a deletion without an answer was forgotten; each change of holder began every patience anew; Retire named nothing.

Change: package duty. A duty's key lives under its holder's lease, and its stamp is the term, for revisions never go back. Acts go decide, record, ask, hear: the record (u/rent) is written on the condition of the duty's key at its term and of its own stamp. A successor reads it first, asks for open hires again under their names, and for open deletions only if they still stand by what is seen of the machine. Retire names the term; whoever knows a higher one refuses and says so. Duties are spread, handed over by whoever is a second late or cut off from the cloud, and at SIGTERM. Since when a machine idles is said by its holder. Fleet comes apart into Fleet, Planner, Acts, Intents, Burials, Doom.

Ruled out: a counter beside the key (two changes for each take, nothing gained over the stamp); hire names that a successor can work out (it would have to know kind and count).

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -3,6 +3,8 @@
 import dev.dunefront.claim.Desk;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
+import dev.dunefront.duty.Duties;
+import dev.dunefront.duty.Duty;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
@@ -82,6 +84,7 @@
   private final Neighbours neighbours;
   private final Reception reception;
   private final Standstill standstill;
+  private final Duties duties;
 
   private double spreadAt;
   private double strangersAt;
@@ -107,6 +110,7 @@
     this.neighbours = new Neighbours(settings, membership);
     this.reception = new Reception(desk, neighbours, this);
     this.standstill = desk.standstill();
+    this.duties = desk.duties();
     standstill.listen(reception::woken);
   }
 
@@ -444,7 +448,9 @@
     } else if (message instanceof Message.HoldSay s) {
       reception.answered(from, s);
     } else if (message instanceof Message.Retire r) {
-      retire(r.host());
+      if (duties.admits(Duty.RENT, r.term(), from)) {
+        retire(r.host());
+      }
     } else if (message instanceof Message.Cancelled c) {
       for (Machine m : held.values()) {
         stopJob(m, c.job());
--- a/src/main/java/dev/dunefront/book/Holds.java
+++ b/src/main/java/dev/dunefront/book/Holds.java
@@ -175,9 +175,9 @@
     return Doc.of().put("holder", holder).put("baton", baton).put(Store.MARK, mark);
   }
 
-  /** The record of a machine whose deletion the cloud has confirmed. */
-  public static Doc writeDead(String mark) {
-    return Doc.of().put("dead", true).put(Store.MARK, mark);
+  /** The record of a machine whose deletion the cloud has confirmed, at a time of day. */
+  public static Doc writeDead(long atMs, String mark) {
+    return Doc.of().put("dead", true).put("at", atMs).put(Store.MARK, mark);
   }
 
   void wrote(String host, Doc value, long stamp) {
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -73,6 +73,9 @@
   /** Until when it is closed because it is to be returned; 0 if it is not. */
   double retiringUntil;
 
+  /** Time of day since when nothing has run on it while it was open; 0 while that is not so. */
+  private long idleSinceMs;
+
   /** The controller to which its next report is sent, or null. */
   String sendTo;
 
@@ -128,6 +131,16 @@
     return now < retiringUntil;
   }
 
+  /** Since when it idles, in milliseconds of the day's time; 0 while it does not. */
+  long idleSince(long nowMs) {
+    if (!unfinished().isEmpty() || !open() && retiringUntil == 0) {
+      idleSinceMs = 0;
+    } else if (idleSinceMs == 0) {
+      idleSinceMs = nowMs;
+    }
+    return idleSinceMs;
+  }
+
   /** Room left on a machine of the type, or none while any task's size is unknown. */
   Size free(MachineType type, java.util.function.Function<String, Size> sizes) {
     if (type == null) {
--- a/src/main/java/dev/dunefront/book/Views.java
+++ b/src/main/java/dev/dunefront/book/Views.java
@@ -82,6 +82,7 @@
         m.open(),
         m.quarantined,
         m.retiring(timers.now()),
+        m.idleSince(timers.timeOfDayMs()),
         m.free(catalog.type(m.typeName), this::sizeOf),
         List.copyOf(m.images),
         unfinished(m, 0),
--- a/src/main/java/dev/dunefront/claim/Desk.java
+++ b/src/main/java/dev/dunefront/claim/Desk.java
@@ -3,6 +3,7 @@
 import dev.dunefront.book.Holds;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
+import dev.dunefront.duty.Duties;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Timers;
@@ -26,7 +27,8 @@
     Peers peers,
     Timers timers,
     Ward ward,
-    Standstill standstill) {
+    Standstill standstill,
+    Duties duties) {
 
   double now() {
     return timers.now();
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -6,6 +6,8 @@
 import dev.dunefront.claim.Desk;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
+import dev.dunefront.duty.Duties;
+import dev.dunefront.duty.Duty;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.fleet.Fleet;
 import dev.dunefront.job.JobApi;
@@ -59,6 +61,7 @@
   private final Loops loops;
   private final Replica replica;
   private final Membership membership;
+  private final Duties duties;
   private final Catalog catalog;
   private final JobTable jobs;
   private final Holds holds;
@@ -94,6 +97,8 @@
     // A lease is renewed four times in its life: in a shorter pause it cannot have run out.
     Standstill standstill =
         new Standstill(replica, membership, timers, ward, loops, tunables.nodeLeaseS() / 2);
+    duties =
+        new Duties(settings.node(), store, replica, membership, peers, timers, ward, standstill);
     catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica);
@@ -110,7 +115,8 @@
             peers,
             timers,
             ward,
-            standstill);
+            standstill,
+            duties);
     books = new Books(desk, caller);
     claims = new Claims(desk);
     fleet = new Fleet(desk, claims.room(), claims.urgencies(), caller);
@@ -125,6 +131,16 @@
     meters.gauge("dunefront.tasks.unstarted", claims::unstarted);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
     meters.gauge("dunefront.decisions.failed", loops::failures);
+    for (Duty d : Duty.values()) {
+      String name = "dunefront.duty." + d.label();
+      meters.gauge(name + ".held", () -> duties.held(d));
+      meters.gauge(name + ".taken", () -> duties.taken(d));
+      meters.gauge(name + ".handed.over", () -> duties.handed(d));
+      meters.gauge(name + ".refused", () -> duties.refused(d));
+      meters.gauge(name + ".longest.gap.ms", () -> duties.longestGapMs(d));
+    }
+    meters.gauge("dunefront.rent.repeated", fleet::repeated);
+    meters.gauge("dunefront.rent.dropped", fleet::dropped);
     jobs.listen(
         (id, before, entry) -> {
           if (entry != null) {
@@ -156,6 +172,11 @@
     slowTick();
   }
 
+  /** This process is about to end: hands over what only one controller may do. */
+  public void leave(Runnable then) {
+    ward.run(() -> duties.leave(then));
+  }
+
   /** Whether requests can be answered with knowledge. */
   public boolean informed() {
     return replica.ready() && catalog.known();
@@ -168,6 +189,7 @@
           // Each of its own: what fails in one must not keep the others from their turn.
           ward.run(() -> books.tick(lag.seconds()));
           ward.run(claims::tick);
+          ward.run(() -> duties.tick(lag.seconds()));
           ward.run(fleet::tick);
           loops.turned("tick", timers.now(), STALLED_S);
         });
@@ -338,8 +360,11 @@
   public void received(String from, Message m) {
     if (m instanceof Message.Demand d) {
       fleet.received(from, d);
+    } else if (m instanceof Message.DutyTerm t) {
+      duties.received(t);
     } else if (m instanceof Message.Health h) {
       books.load(from, h.held(), h.lagS());
+      duties.load(from, h.lagS());
       uses.put(from, new Store.Use(h.requests(), h.writes()));
       if (h.stateServes()) {
         servedElsewhere = timers.now();
@@ -359,6 +384,7 @@
   @Override
   public void gone(String node) {
     uses.remove(node);
+    duties.gone(node);
     books.gone(node);
     claims.gone(node);
     fleet.gone(node);
--- a/src/main/java/dev/dunefront/cli/Main.java
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -18,6 +18,8 @@
 import java.nio.file.Path;
 import java.util.UUID;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -124,10 +126,25 @@
             (w, listener) -> links[0] = new XnioPeers(settings, worker, timers, w, listener));
     links[0].start();
     thread.execute(daemon::start);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(thread, daemon)));
     double until = timers.now() + INFORMED_S;
     thread.execute(() -> listen(settings, worker, timers, buffers, daemon, until));
   }
 
+  /** How long a process that is told to end waits for the state service. */
+  private static final long LEAVE_MS = 400;
+
+  /** Hands over what only one controller may do, so that it is not vacant for a whole lease. */
+  private static void leave(XnioIoThread thread, Daemon daemon) {
+    CountDownLatch left = new CountDownLatch(1);
+    thread.execute(() -> daemon.leave(left::countDown));
+    try {
+      left.await(LEAVE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /**
    * Requests are taken once there is something to answer them with, or after a while in any case.
    * Before, each would cost a refusal out of the little processor time that reading the state
--- /dev/null
+++ b/src/main/java/dev/dunefront/duty/Post.java
@@ -0,0 +1,40 @@
+package dev.dunefront.duty;
+
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+
+/**
+ * Who has a duty, as recorded. The record lives under the holder's lease and is written only when
+ * the duty changes hands, so the stamp that the state service gave it serves as the term: revisions
+ * rise with every change and never go back, not even when the record has vanished with a lease.
+ *
+ * @param holder the incarnation that has the duty, or null while nobody has
+ * @param term the record's stamp, 0 while there is none
+ */
+record Post(String holder, long term) {
+  static final Post VACANT = new Post(null, 0);
+
+  /** A record that cannot be read has a holder whom nobody knows; it ends with its lease. */
+  static Post read(Doc value, long stamp) {
+    if (value == null) {
+      return VACANT;
+    }
+    try {
+      return new Post(value.text("inc"), stamp);
+    } catch (BadMessage e) {
+      return new Post("", stamp);
+    }
+  }
+
+  static Doc write(String incarnation, String mark) {
+    return Doc.of().put("inc", incarnation).put(dev.dunefront.store.Store.MARK, mark);
+  }
+
+  boolean vacant() {
+    return holder == null;
+  }
+
+  boolean heldBy(String incarnation) {
+    return incarnation != null && incarnation.equals(holder);
+  }
+}
--- a/src/main/java/dev/dunefront/fleet/Cloud.java
+++ b/src/main/java/dev/dunefront/fleet/Cloud.java
@@ -17,6 +17,9 @@
   private static final double CALL_S = 4;
   private static final int PAGE = 500;
 
+  /** After so many calls in a row without an answer the cloud cannot be reached from here. */
+  private static final int CUT_OFF = 2;
+
   /** The part of the cloud's rate that is used, for a former leader's calls may still count. */
   private static final double RATE_PART = 0.9;
 
@@ -58,6 +61,7 @@
   private double nextCall;
   private double calls = 1;
   private double callsAt;
+  private int unanswered;
 
   /** {@code ready} runs whenever a call is over, so that the next need not wait for a tick. */
   Cloud(Settings settings, Caller caller, Timers timers, Ward ward, Runnable ready) {
@@ -81,6 +85,11 @@
     return calls >= 1;
   }
 
+  /** Whether the cloud can be reached from here, as far as the last calls tell. */
+  boolean reachable() {
+    return unanswered < CUT_OFF;
+  }
+
   private void call(String method, String path, Doc body, Consumer<Caller.Reply> then) {
     calling = true;
     calls -= 1;
@@ -96,6 +105,7 @@
                     ward.run(
                         () -> {
                           calling = false;
+                          unanswered = reply.status() == 0 ? unanswered + 1 : 0;
                           if (reply.status() == 503 || reply.status() == 429) {
                             nextCall = Math.max(nextCall, timers.now() + 1);
                           }
--- a/src/main/java/dev/dunefront/fleet/Health.java
+++ b/src/main/java/dev/dunefront/fleet/Health.java
@@ -45,9 +45,33 @@
     this.inventory = inventory;
   }
 
-  void clear() {
-    silentSince.clear();
-    unlistedSince.clear();
+  /** Begins with what a former holder of the duty has noted: times of day, now being one. */
+  void begin(Intents left, double now, long nowMs) {
+    restore(left.silent, silentSince, now, nowMs);
+    restore(left.unlisted, unlistedSince, now, nowMs);
+  }
+
+  private static void restore(
+      Map<String, Long> from, Map<String, Double> into, double now, long nowMs) {
+    into.clear();
+    from.forEach((host, ms) -> into.put(host, Math.min(now, now - (nowMs - ms) / 1000.0)));
+  }
+
+  /** Notes since when machines are silent; says whether that has changed. */
+  boolean note(Intents into, double now, long nowMs) {
+    boolean changed = !into.silent.keySet().equals(silentSince.keySet());
+    changed |= !into.unlisted.keySet().equals(unlistedSince.keySet());
+    if (changed) {
+      keep(silentSince, into.silent, now, nowMs);
+      keep(unlistedSince, into.unlisted, now, nowMs);
+    }
+    return changed;
+  }
+
+  private static void keep(
+      Map<String, Double> from, Map<String, Long> into, double now, long nowMs) {
+    into.clear();
+    from.forEach((host, since) -> into.put(host, nowMs - Math.round((now - since) * 1000)));
   }
 
   /**
@@ -62,35 +86,38 @@
       double watchedS,
       Set<String> heardFrom,
       Set<String> unheard,
-      Map<String, String> why) {
+      Map<String, Doom> why) {
     double lease = settings.workers().leaseS();
     Set<String> silent = silentHosts(heardFrom);
     Set<String> cut = cutZones(silent);
+    // What a former holder has noted counts, but this one must have listened for a lease as well.
+    boolean listened = watchedS > lease;
+    Set<String> running = new HashSet<>();
     for (Listed l : inventory.listed()) {
       Room.Seen seen = room.get(l.host());
       MachineType type = catalog.type(l.kind().type());
       if (l.failed()) {
-        why.put(l.host(), "it failed");
+        why.put(l.host(), Doom.FAILED);
       } else if (l.booting()) {
         double patience = 30 + 4 * (type == null ? 30 : type.bootS());
         if (seen == null && now - l.since() > patience) {
-          why.put(l.host(), "it does not boot");
+          why.put(l.host(), Doom.NOT_BOOTING);
         }
       } else if (silent.contains(l.host())) {
+        running.add(l.host());
         double since = silentSince.computeIfAbsent(l.host(), h -> now);
         double patience =
             cut.contains(l.kind().zone()) ? CUT_LEASES * lease : patience(type, lease);
-        if (now - since > patience && watchedS > patience) {
-          why.put(l.host(), "it is silent");
+        if (now - since > patience && listened) {
+          why.put(l.host(), Doom.SILENT);
         }
-      } else {
-        silentSince.remove(l.host());
       }
       if (seen != null && seen.view().quarantined()) {
-        why.put(l.host(), "tasks fail on it");
+        why.put(l.host(), Doom.QUARANTINED);
       }
     }
-    unlisted(now, watchedS, unheard, why);
+    silentSince.keySet().retainAll(running);
+    unlisted(now, listened && watchedS > 2 * settings.cloudLimits().listLagS(), unheard, why);
   }
 
   /**
@@ -99,7 +126,7 @@
    * it. Only the cloud's answer to a deletion proves those tasks gone; without it they would wait
    * for ever.
    */
-  private void unlisted(double now, double watchedS, Set<String> unheard, Map<String, String> why) {
+  private void unlisted(double now, boolean watched, Set<String> unheard, Map<String, Doom> why) {
     unheard.removeIf(
         h -> inventory.isListed(h) || room.get(h) != null && room.get(h).view().settled());
     unlistedSince.keySet().retainAll(unheard);
@@ -107,8 +134,8 @@
     double patience = 2 * settings.workers().leaseS() + 3 * settings.cloudLimits().listLagS();
     for (String host : unheard) {
       double since = unlistedSince.computeIfAbsent(host, h -> now);
-      if (now - since > patience && watchedS > patience) {
-        why.put(host, "it is neither heard nor listed");
+      if (now - since > patience && watched) {
+        why.put(host, Doom.UNLISTED);
       }
     }
   }
--- a/src/main/java/dev/dunefront/fleet/Inventory.java
+++ b/src/main/java/dev/dunefront/fleet/Inventory.java
@@ -30,6 +30,12 @@
   void clear() {
     listed.clear();
     expected.clear();
+    deleting.clear();
+  }
+
+  /** Whether a machine that came by a hire has yet to show in the list. */
+  boolean isExpected(String host) {
+    return expected.containsKey(host);
   }
 
   void took(List<Listed> all, double now) {
@@ -46,8 +52,9 @@
     expected.values().removeIf(e -> now - e.at > 4 * lagS);
   }
 
-  void rented(List<String> hosts, Kind kind, double now) {
-    hosts.forEach(h -> expected.put(h, new Expected(kind, now)));
+  /** Machines that were rented then, which the list may not show yet. */
+  void expect(List<String> hosts, Kind kind, double at) {
+    hosts.forEach(h -> expected.put(h, new Expected(kind, at)));
   }
 
   void deleting(List<String> hosts) {
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -78,6 +78,8 @@
       boolean quarantined,
       /** Nothing runs on it and no room is dealt, for it is about to be returned. */
       boolean retiring,
+      /** Time of day since when nothing has run on it while it was open; 0 while that is not so. */
+      long idleSinceMs,
       Size free,
       List<String> images,
       /** Unfinished tasks on it, by priority. */
@@ -97,6 +99,7 @@
           && open == o.open
           && quarantined == o.quarantined
           && retiring == o.retiring
+          && idleSinceMs == o.idleSinceMs
           && free.equals(o.free)
           && images.equals(o.images)
           && unfinished.equals(o.unfinished)
@@ -146,6 +149,7 @@
           open,
           quarantined,
           retiring,
+          idleSinceMs,
           free,
           images,
           unfinished,
@@ -224,8 +228,14 @@
    */
   record Waiting(String job, int tasks, Map<String, Integer> zones) {}
 
-  /** A machine that is to be returned: if nothing is on it, it is closed for some seconds. */
-  record Retire(String host) implements Message {}
+  /**
+   * A machine that is to be returned: if nothing is on it, it is closed for some seconds. Names the
+   * term of the duty for which it is sent.
+   */
+  record Retire(String host, long term) implements Message {}
+
+  /** The highest term of a duty that the sender knows, told to whoever acted in a lower one. */
+  record DutyTerm(String duty, long term) implements Message {}
 
   /** What has changed in the task counts of the sender's jobs, for users who ask elsewhere. */
   record Progress(List<Count> counts) implements Message {}
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -7,6 +7,7 @@
 import dev.dunefront.peer.Message.Count;
 import dev.dunefront.peer.Message.Decline;
 import dev.dunefront.peer.Message.Demand;
+import dev.dunefront.peer.Message.DutyTerm;
 import dev.dunefront.peer.Message.Health;
 import dev.dunefront.peer.Message.Hello;
 import dev.dunefront.peer.Message.HoldAsk;
@@ -75,6 +76,7 @@
       out.writeBoolean(v.open());
       out.writeBoolean(v.quarantined());
       out.writeBoolean(v.retiring());
+      out.writeLong(v.idleSinceMs());
       writeSize(out, v.free());
       out.writeShort(v.images().size());
       for (String image : v.images()) {
@@ -162,6 +164,11 @@
     } else if (m instanceof Retire r) {
       out.writeByte(22);
       out.writeUTF(r.host());
+      out.writeLong(r.term());
+    } else if (m instanceof DutyTerm t) {
+      out.writeByte(23);
+      out.writeUTF(t.duty());
+      out.writeLong(t.term());
     } else if (m instanceof Cancelled c) {
       out.writeByte(16);
       out.writeUTF(c.job());
@@ -295,7 +302,8 @@
           case 14 -> new HoldAsk(in.readUTF());
           case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
           case 16 -> new Cancelled(in.readUTF());
-          case 22 -> new Retire(in.readUTF());
+          case 22 -> new Retire(in.readUTF(), in.readLong());
+          case 23 -> new DutyTerm(in.readUTF(), in.readLong());
           case 17 -> {
             int n = in.readInt();
             List<Waiting> all = new ArrayList<>();
@@ -345,6 +353,7 @@
     boolean open = in.readBoolean();
     boolean quarantined = in.readBoolean();
     boolean retiring = in.readBoolean();
+    long idleSinceMs = in.readLong();
     Size free = readSize(in);
     List<String> images = new ArrayList<>();
     for (int n = in.readShort(); n > 0; n--) {
@@ -375,6 +384,7 @@
         open,
         quarantined,
         retiring,
+        idleSinceMs,
         free,
         images,
         unfinished,
--- a/src/main/java/dev/dunefront/standin/CloudStandIn.java
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -19,6 +19,8 @@
   private final TreeMap<String, Doc> machines = new TreeMap<>();
   private final Map<String, List<String>> hires = new HashMap<>();
   private final Set<String> deleted = new HashSet<>();
+  private final Set<String> hidden = new HashSet<>();
+  private boolean lagging;
   private int capacity;
   private int rented;
 
@@ -27,6 +29,36 @@
     capacity = machinesLeft;
   }
 
+  /** From now on new machines are not listed before they are shown. */
+  public void lag() {
+    lagging = true;
+  }
+
+  /** The list shows a machine at last. */
+  public void show(String host) {
+    hidden.remove(host);
+  }
+
+  /** A rented machine is up. */
+  public void up(String host) {
+    Doc m = machines.get(host);
+    if (m != null) {
+      m.put("status", "running");
+    }
+  }
+
+  /** The zone of a machine, or null if there is none of the name. */
+  public String zone(String host) throws BadMessage {
+    Doc m = machines.get(host);
+    return m == null ? null : m.text("site");
+  }
+
+  /** The type of a machine, or null if there is none of the name. */
+  public String type(String host) throws BadMessage {
+    Doc m = machines.get(host);
+    return m == null ? null : m.text("flavor");
+  }
+
   /** Adds a machine that is up already. */
   public void add(String host, String type, String zone) {
     machines.put(host, machine(host, type, zone, false, "running"));
@@ -53,7 +85,14 @@
             Doc.of().put("flavors", List.of(type("small", SMALL_CPUS, 1), type("large", 16, 4.4))));
       }
       if (path.startsWith("/machines?")) {
-        return ok(Doc.of().put("hosts", new ArrayList<>(machines.values())).put("more", false));
+        List<Doc> listed = new ArrayList<>();
+        machines.forEach(
+            (host, m) -> {
+              if (!hidden.contains(host)) {
+                listed.add(m);
+              }
+            });
+        return ok(Doc.of().put("hosts", listed).put("more", false));
       }
       if (path.equals("/machines")) {
         return hire(Doc.decode(body));
@@ -82,6 +121,9 @@
       for (int i = 0; i < n; i++) {
         String host = "hired-" + ++rented;
         hosts.add(host);
+        if (lagging) {
+          hidden.add(host);
+        }
         machines.put(
             host, machine(host, d.text("flavor"), d.text("site"), d.flag("loaners"), "booting"));
       }
--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -49,6 +49,12 @@
     }
   }
 
+  /** Ends a lease before its time, and with it its keys. */
+  public void endLease(long id) {
+    leases.computeIfPresent(id, (k, until) -> Double.NEGATIVE_INFINITY);
+    expire();
+  }
+
   /** How often keys with the prefix have been put or removed so far. */
   public int written(String prefix) {
     return written.entrySet().stream()
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -130,6 +130,15 @@
     return incarnation.substring(0, Math.max(0, incarnation.lastIndexOf('#')));
   }
 
+  /** The lease under which an incarnation lives; 0 for what is none. */
+  public static long leaseOf(String incarnation) {
+    try {
+      return Long.parseLong(incarnation.substring(incarnation.lastIndexOf('#') + 1));
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
   public void start() {
     store.grantLease(
         lifeS,
--- /dev/null
+++ b/src/test/java/dev/dunefront/fleet/IntentsTest.java
@@ -0,0 +1,126 @@
+package dev.dunefront.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.fleet.Cloud.Hire;
+import dev.dunefront.peer.Message.View;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.Size;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What a holder leaves on record, and which of it its successor still does. */
+class IntentsTest {
+  private static final Kind SMALL = new Kind("small", "a", true);
+
+  private static Intents some() {
+    Intents i = new Intents();
+    i.hires.put("h-1", new Hire("h-1", SMALL, 7));
+    i.deletions.put("host-1", Doom.IDLE);
+    i.deletions.put("host-2", Doom.SILENT);
+    i.deletions.put("host-3", Doom.IDLE);
+    i.came.add(new Intents.Came(SMALL, 50_000, List.of("host-4", "host-5")));
+    i.silent.put("host-2", 12_345L);
+    i.unlisted.put("host-9", 20_000L);
+    return i;
+  }
+
+  @Test
+  void whatIsWrittenIsReadBackWithTimesInSteps() throws BadMessage {
+    Intents i = some();
+    Intents back = Intents.read(Doc.decode(i.write(16_000).encode()));
+    assertEquals(i.hires, back.hires);
+    assertEquals(i.deletions, back.deletions);
+    assertEquals(i.came, back.came);
+    assertEquals(Map.of("host-2", 10_000L), back.silent);
+    assertEquals(i.unlisted, back.unlisted);
+    assertTrue(Intents.read(null).hires.isEmpty());
+  }
+
+  /** The state service refuses larger values, and nothing would be rented any more. */
+  @Test
+  void aThousandMachinesComeAndSilentStayWithinTheLimit() throws BadMessage {
+    Intents i = some();
+    for (int hire = 0; hire < 40; hire++) {
+      List<String> hosts = new ArrayList<>();
+      for (int n = 0; n < 50; n++) {
+        hosts.add(String.format("host-%06d", hire * 50 + n));
+      }
+      i.came.add(new Intents.Came(SMALL, 60_000 + hire, hosts));
+    }
+    for (int n = 0; n < 1000; n++) {
+      i.silent.put(String.format("host-%06d", 5000 + n), n * 1000L);
+    }
+    for (int n = 0; n < 100; n++) {
+      i.deletions.put(String.format("host-%06d", 9000 + n), Doom.values()[n % 6]);
+    }
+    for (int limit : new int[] {12_000, 24_000}) {
+      Doc value = i.write(limit);
+      // Counted as the state service does, in the form of JSON, which the text is no shorter than.
+      assertTrue(value.toString().length() < limit * 1.2, value.toString().length() + " bytes");
+      Intents back = Intents.read(value);
+      assertEquals(i.deletions, back.deletions, "what is open is never left out");
+      assertEquals(i.hires, back.hires);
+      Intents.Came newest = i.came.get(i.came.size() - 1);
+      assertEquals(newest, back.came.get(back.came.size() - 1), "the newest is listed last");
+    }
+  }
+
+  private static View view(
+      boolean settled, boolean lost, boolean quarantined, boolean retiring, int running) {
+    return new View(
+        "h",
+        "t",
+        "z",
+        false,
+        1,
+        1,
+        1,
+        settled,
+        lost,
+        !retiring,
+        quarantined,
+        retiring,
+        0,
+        Size.NONE,
+        List.of(),
+        List.of(0, 0, running, 0),
+        List.of(0, 0, 0, 0),
+        List.of());
+  }
+
+  /** For each reason: nobody holds it, closed and empty, open, running, quarantined, lost. */
+  @Test
+  void aDeletionOnRecordStandsOnlyWhileNothingCanHaveBeenPlacedSince() {
+    Map<Doom, String> table =
+        Map.of(
+            Doom.IDLE, "-x---x",
+            Doom.FAILED, "xxxxxx",
+            Doom.NOT_BOOTING, "x----x",
+            Doom.SILENT, "x----x",
+            Doom.QUARANTINED, "x---xx",
+            Doom.UNLISTED, "x----x");
+    View[] views = {
+      null,
+      view(true, false, false, true, 0),
+      view(true, false, false, false, 0),
+      view(true, false, false, false, 2),
+      view(true, false, true, false, 2),
+      view(true, true, false, false, 2)
+    };
+    for (Doom why : Doom.values()) {
+      StringBuilder row = new StringBuilder();
+      for (View v : views) {
+        row.append(why.stands(v) ? 'x' : '-');
+      }
+      assertEquals(table.get(why), row.toString(), why.toString());
+    }
+    View closedButUsed = view(true, false, false, true, 1);
+    assertEquals(false, Doom.IDLE.stands(closedButUsed));
+    assertEquals(true, Doom.UNLISTED.stands(view(false, false, false, false, 1)), "never heard");
+  }
+}
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -32,6 +32,7 @@
               true,
               false,
               true,
+              6,
               new Size(1, 2, 3),
               List.of("img"),
               List.of(0, 1, 0, 2),
@@ -54,7 +55,8 @@
           new Message.Cancelled("wk-1"),
           new Message.Health(true, 1.5, 2.5, 3, 0.5),
           new Message.Preempt("h", 1, new Size(1, 2, 3), 4),
-          new Message.Retire("h"),
+          new Message.Retire("h", 4),
+          new Message.DutyTerm("rent", 5),
           new Message.Demand(
               List.of(new Message.Waiting("wk-1", 3, Map.of("z", 2))), List.of("h")));
 
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -639,14 +639,10 @@
     w.start().pass(2);
     w.submit("node-0", World.job("wk-1", 3, 4));
     w.pass(8);
-    assertEquals(1, hired(w));
+    assertEquals(1, w.hired());
     w.cloud.capacity(10);
     w.pass(14);
-    assertEquals(3, hired(w), "as many as are needed, and no more");
-  }
-
-  private static int hired(World w) {
-    return w.cloud.hires().values().stream().mapToInt(List::size).sum();
+    assertEquals(3, w.hired(), "as many as are needed, and no more");
   }
 
   @Test
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -84,6 +84,46 @@
   /** What has ever been held back: path and body. */
   final List<String> heldCalls = new ArrayList<>();
 
+  /** Hears of every call as it is made: by whom, of what path, with what body. */
+  interface Tap {
+    void called(String from, String path, String body);
+  }
+
+  Tap tap = (from, path, body) -> {};
+
+  /** What becomes of a call on its way. */
+  enum Fate {
+    ON_TIME,
+    /** It never arrives. */
+    LOST,
+    /** It is carried out, and nobody hears so. */
+    UNANSWERED,
+    /** It arrives when its sender has long given up. */
+    LATE,
+    /** It arrives, and a second time later on. */
+    TWICE
+  }
+
+  /** Decides what becomes of a call: by whom, of what path, with what body. */
+  interface Fates {
+    Fate of(String from, String path, String body);
+  }
+
+  Fates fates = (from, path, body) -> Fate.ON_TIME;
+
+  /** How late what is late arrives. */
+  static final double LATE_S = 20;
+
+  /** Keys on which conditions of transactions are passed over, as if they had been forgotten. */
+  Predicate<String> unconditional = key -> false;
+
+  /** Machines that were deleted while a task ran on them and they could be heard. */
+  final List<String> misused = new ArrayList<>();
+
+  private double bootS = Double.NaN;
+  private double listLagS;
+  private final Set<String> coming = new HashSet<>();
+
   /** Every task's machines over time must never overlap; this is what was found. */
   final List<String> overlaps = new ArrayList<>();
 
@@ -218,6 +258,7 @@
     void crash() {
       up = false;
       daemon = null;
+      cut.removeIf(link -> link.endsWith(">" + name));
       for (Node other : nodes.values()) {
         if (other != this && other.up) {
           other.ward().run(() -> other.daemon.gone(name));
@@ -225,6 +266,36 @@
       }
     }
 
+    /** The process is told to end and does so half a second later. */
+    void end() {
+      ward().run(() -> daemon.leave(() -> {}));
+      int mine = life;
+      timers.after(
+          0.5,
+          () -> {
+            if (life == mine && up) {
+              crash();
+            }
+          });
+    }
+
+    boolean up() {
+      return up;
+    }
+
+    /** Its lease ends and it does not know so. */
+    void loseLease() {
+      try {
+        Doc d = state.value("w/n/" + name);
+        if (d != null) {
+          String inc = d.text("inc");
+          state.endLease(Long.parseLong(inc.substring(inc.lastIndexOf('#') + 1)));
+        }
+      } catch (BadMessage e) {
+        throw new AssertionError(e);
+      }
+    }
+
     private Ward ward() {
       return daemon.ward();
     }
@@ -255,12 +326,15 @@
      * comes at once when it goes on. The others find its links silent after a while.
      */
     void standStill(double seconds) {
+      if (backlog != null) {
+        return;
+      }
       int mine = life;
       backlog = new ArrayList<>();
       timers.after(
           LINK_SILENCE_S,
           () -> {
-            if (life == mine && backlog != null) {
+            if (life == mine && up && backlog != null) {
               for (Node other : nodes.values()) {
                 if (other != this && other.up) {
                   cut.add(other.name + ">" + name);
@@ -405,6 +479,7 @@
       timers.after(HOP_S, () -> once.accept(new Caller.Reply(503, new byte[0], 0)));
       return;
     }
+    tap.called(from, path, text(body));
     Runnable deliver =
         () ->
             serve(
@@ -420,6 +495,17 @@
     if (lost.test(from, address)) {
       return;
     }
+    Fate fate = fates.of(from, path, text(body));
+    if (fate == Fate.LATE || fate == Fate.TWICE) {
+      timers.after(LATE_S, () -> serve(address, method, path, body, r -> {}));
+    }
+    if (fate == Fate.LOST || fate == Fate.LATE) {
+      return;
+    }
+    if (fate == Fate.UNANSWERED) {
+      timers.after(HOP_S, () -> serve(address, method, path, body, r -> {}));
+      return;
+    }
     WorkerStandIn worker = workers.get(address);
     boolean cutOff = crosses(nodes.get(from).zone, worker == null ? null : zoneOf(worker));
     if (cutOff || heldBack.test(from, address) || path.equals(heldPath)) {
@@ -491,9 +577,13 @@
   private void serve(
       String address, String method, String path, byte[] body, Consumer<Caller.Reply> then) {
     if (address.equals("10.2.0.1:1")) {
-      state.handle(method, path, body, then);
+      state.handle(method, path, path.equals("/txn") ? forgetful(body) : body, then);
     } else if (address.equals("10.2.0.2:1")) {
+      if (path.equals("/machines/delete")) {
+        noteMisuse(body);
+      }
       then.accept(cloud.handle(method, path, body));
+      bootHired();
     } else {
       WorkerStandIn w = workers.get(address);
       if (w != null && !silent.contains(w.host())) {
@@ -508,6 +598,84 @@
     }
   }
 
+  private byte[] forgetful(byte[] body) {
+    try {
+      Doc txn = Doc.decode(body);
+      List<Doc> kept = new ArrayList<>();
+      for (Doc when : txn.docs("when")) {
+        if (!unconditional.test(when.text("k"))) {
+          kept.add(when);
+        }
+      }
+      return txn.put("when", kept).encode();
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Rented machines come up after a while and are listed later still. */
+  World renting(double boot, double lag) {
+    bootS = boot;
+    listLagS = lag;
+    cloud.lag();
+    return this;
+  }
+
+  private void bootHired() {
+    if (Double.isNaN(bootS)) {
+      return;
+    }
+    for (List<String> hosts : cloud.hires().values()) {
+      for (String host : hosts) {
+        if (coming.add(host)) {
+          timers.after(listLagS, () -> cloud.show(host));
+          timers.after(bootS, () -> up(host));
+        }
+      }
+    }
+  }
+
+  private void up(String host) {
+    try {
+      String zone = cloud.zone(host);
+      if (zone != null) {
+        cloud.up(host);
+        worker(host, cloud.type(host), zone, "node-" + (coming.size() % nodes.size()));
+      }
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private void noteMisuse(byte[] body) {
+    try {
+      for (String host : Doc.decode(body).texts("hosts")) {
+        WorkerStandIn w = workers.get(host + ":9");
+        if (w != null && !silent.contains(host) && !w.running().isEmpty()) {
+          misused.add(host + " at " + timers.now());
+        }
+      }
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** How many machines were ever rented. */
+  int hired() {
+    return cloud.hires().values().stream().mapToInt(List::size).sum();
+  }
+
+  /** The controller that a key of the state service names as its incarnation, or null. */
+  String named(String key) {
+    try {
+      Doc d = state.value(key);
+      String inc = d == null ? null : d.text("inc");
+      return inc == null ? null : inc.substring(0, inc.lastIndexOf('#'));
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
   /** Somebody else writes into the state service, whatever it is. */
   void writeState(String key, Doc value) {
     Doc put = Doc.of().put("put", key).put("data", value);
@@ -525,10 +693,14 @@
   // ---- workers ----
 
   WorkerStandIn machine(String host, String type, String zone, String firstNode) {
+    cloud.add(host, type, zone);
+    return worker(host, type, zone, firstNode);
+  }
+
+  private WorkerStandIn worker(String host, String type, String zone, String firstNode) {
     WorkerStandIn w = new WorkerStandIn(host, host + ":9", type, zone);
     workers.put(w.endpoint(), w);
     machineZones.put(host, zone);
-    cloud.add(host, type, zone);
     reportsTo.put(host, firstNode);
     answeredAt.put(host, timers.now());
     timers.after(0.01, () -> report(w));
