Clean-up is a duty: what machines leave behind goes once nothing late needs it

Change: package cleanup. The records of machines whose deletion was confirmed burial_s (900 s) ago are removed, some at a time, in at most 3% of the changes, while the budget is idle, on the condition of the duty's term and of each record's stamp; nothing else says how far it has come. Machines on record that are neither heard nor listed are deleted by name, which settles what they were. A machine silent for ten leases is let go of, a holder whose record vanishes lets go as well, and what is kept by host is forgotten. A deletion that the cloud has refused outright is decided anew; one that is unclear keeps its machine closed, in the next term as well, so the late one meets nothing: in a story a task ran there and was killed by it, and was placed again 60 s later, now after seconds.

Shown: 2,000 machines that come and go in a story leave no record; a holder that was replaced removes nothing; a report that comes when all is forgotten costs time and breaks no rule. Taken out one by one, the guard, the wait, the strays, the vanished record and the forgetting each fail a story.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -61,6 +61,9 @@
 
   private static final int MAX_IMAGES = 12;
 
+  /** A machine that has been lost for so many leases is no longer held. */
+  private static final double FORGET_LEASES = 10;
+
   private final Settings settings;
   private final Tunables tunables;
   private final Membership membership;
@@ -336,7 +339,10 @@
   public void holdChanged(String host) {
     Machine m = held.get(host);
     Holds.Hold hold = holds.get(host);
-    if (m != null && hold != null && hold.stamp() > m.holdStamp && !m.raising) {
+    if (m != null && hold == null && m.holdStamp > 0 && !m.raising) {
+      // Forgotten, as machines are that are gone; nothing more can be recorded under that stamp.
+      dropHold(m, "its record has been removed");
+    } else if (m != null && hold != null && hold.stamp() > m.holdStamp && !m.raising) {
       if (hold.dead() || !holds.heldBy(settings.node(), hold) || hold.baton() != m.baton) {
         dropHold(m, hold.dead() ? "deleted" : "another controller has taken it");
       }
@@ -643,6 +649,7 @@
     if (now - strangersAt > IDLE_LOOK_S) {
       strangersAt = now;
       lookUpStrangers(now);
+      reception.forget(now);
     }
     spread(now);
   }
@@ -670,6 +677,13 @@
       m.dirty = true;
       LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
     }
+    if (m.lost && now - m.heard > lease * FORGET_LEASES) {
+      // All that ran there has been given up for gone. Should its worker come back after all it is
+      // in another session, for which no start is on its way that was meant for this one.
+      m.fence.clear();
+      dropHold(m, "it has been silent for long");
+      return;
+    }
     if (m.noticeS != null) {
       clearOut(m, m.noticeS - (now - m.noticeAt), now);
     }
--- a/src/main/java/dev/dunefront/book/Holds.java
+++ b/src/main/java/dev/dunefront/book/Holds.java
@@ -9,7 +9,9 @@
 import dev.dunefront.wire.Doc;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -31,14 +33,19 @@
   private static final long NATURAL_BATON = 1;
 
   /**
-   * Who holds a machine under which baton; {@code dead} once the cloud has confirmed its end. The
-   * stamp is 0 where there is no record.
+   * Who holds a machine under which baton; {@code dead} once the cloud has confirmed its end, at a
+   * time of day that is 0 where none was written. The stamp is 0 where there is no record.
    */
-  public record Hold(String holder, long baton, boolean dead, long stamp) {}
+  public record Hold(
+      String host, String holder, long baton, boolean dead, long deadAtMs, long stamp) {}
 
   private record Member(String node, String zone) {}
 
   private final Map<String, Hold> all = new HashMap<>();
+
+  /** Those of machines that are gone, in the order in which that was seen. */
+  private final Map<String, Hold> dead = new LinkedHashMap<>();
+
   private final Map<String, String> natural = new HashMap<>();
   private final Replica replica;
   private List<Member> roster = List.of();
@@ -50,11 +57,19 @@
     replica.listen(
         PREFIX,
         (host, value, stamp) -> {
-          if (value == null) {
+          Hold hold = value == null ? null : read(host, value, stamp);
+          if (hold == null) {
             all.remove(host);
           } else {
-            all.put(host, read(host, value, stamp));
+            all.put(host, hold);
+          }
+          if (hold != null && hold.dead) {
+            dead.put(host, hold);
+          } else {
+            dead.remove(host);
           }
+          // Worked out anew if it is asked for again; otherwise it would be kept for ever.
+          natural.remove(host);
           listener.accept(host);
         });
     replica.listen(ROSTER, (rest, value, stamp) -> enrol(value));
@@ -67,13 +82,15 @@
   private static Hold read(String host, Doc value, long stamp) {
     try {
       return new Hold(
+          host,
           value.textOr("holder", ""),
           value.countOr("baton", 0),
           value.flagOr("dead", false),
+          value.countOr("at", 0),
           stamp);
     } catch (BadMessage e) {
       LOG.log(Level.ERROR, "the hold of {0} cannot be read: {1}", host, e.getMessage());
-      return new Hold("", 0, false, stamp);
+      return new Hold(host, "", 0, false, 0, stamp);
     }
   }
 
@@ -125,6 +142,16 @@
     return PREFIX + host;
   }
 
+  /** The records of machines that are gone, oldest first. */
+  public Collection<Hold> dead() {
+    return dead.values();
+  }
+
+  /** All records there are. */
+  public Collection<Hold> recorded() {
+    return all.values();
+  }
+
   /** The record of a machine, or null. */
   public Hold get(String host) {
     return all.get(host);
@@ -137,7 +164,7 @@
       return recorded;
     }
     String holder = roster.isEmpty() ? null : natural.computeIfAbsent(host, h -> choose(h, zone));
-    return holder == null ? null : new Hold(holder + "#0", NATURAL_BATON, false, 0);
+    return holder == null ? null : new Hold(host, holder + "#0", NATURAL_BATON, false, 0, 0);
   }
 
   /** One of the machine's own zone, if there is any there: it hears it when the zone is cut off. */
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -29,6 +29,9 @@
   /** A machine that was sent to another controller and comes back this soon is taken. */
   private static final double SENT_S = 20;
 
+  /** A machine that was let go of comes within this time, or is asked after like any other. */
+  private static final double RELEASED_S = 60;
+
   private static final double ASK_S = 0.5;
 
   private final Settings settings;
@@ -58,8 +61,10 @@
   /** When a machine was last sent to another controller. */
   private final Map<String, Double> sentOn = new HashMap<>();
 
-  /** Machines that were let go of, and by whom. */
-  private final Map<String, String> released = new HashMap<>();
+  /** Machines that were let go of, by whom and when. */
+  private final Map<String, Release> released = new HashMap<>();
+
+  private record Release(String node, double at) {}
 
   private double begun;
 
@@ -91,7 +96,13 @@
 
   /** Another controller has let go of a machine. */
   void released(String host, String from) {
-    released.put(host, from);
+    released.put(host, new Release(from, timers.now()));
+  }
+
+  /** Forgets what is over: of machines that come and go only what still matters is kept. */
+  void forget(double now) {
+    sentOn.values().removeIf(at -> now - at > SENT_S);
+    released.values().removeIf(r -> now - r.at > RELEASED_S);
   }
 
   /** A controller has said whether it hears a machine. */
@@ -134,7 +145,8 @@
   private void reportOfOthers(Holds.Hold hold, Report r, Answer answer) {
     String holder = Membership.nodeOf(hold.holder());
     boolean live = membership.liveNodes().contains(holder);
-    if (holder.equals(released.get(r.host()))) {
+    Release release = released.get(r.host());
+    if (release != null && holder.equals(release.node)) {
       take(r, answer);
     } else if (live && hold.stamp() == 0 && !sentLately(r.host())) {
       // It has yet to learn who its natural holder is.
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -4,6 +4,7 @@
 import dev.dunefront.book.Holds;
 import dev.dunefront.claim.Claims;
 import dev.dunefront.claim.Desk;
+import dev.dunefront.cleanup.Cleanup;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.duty.Duties;
@@ -68,6 +69,7 @@
   private final Books books;
   private final Claims claims;
   private final Fleet fleet;
+  private final Cleanup cleanup;
   private final JobApi api;
   private final Peers peers;
   private final Meters meters = new Meters();
@@ -120,6 +122,7 @@
     books = new Books(desk, caller);
     claims = new Claims(desk);
     fleet = new Fleet(desk, claims.room(), claims.urgencies(), caller);
+    cleanup = new Cleanup(desk);
     api = new JobApi(settings, membership, jobs, claims, catalog, store, peers, timers, ward);
     holds.listen(
         host -> {
@@ -139,6 +142,7 @@
       meters.gauge(name + ".refused", () -> duties.refused(d));
       meters.gauge(name + ".longest.gap.ms", () -> duties.longestGapMs(d));
     }
+    meters.gauge("dunefront.cleanup.removed", cleanup::removed);
     meters.gauge("dunefront.rent.repeated", fleet::repeated);
     meters.gauge("dunefront.rent.dropped", fleet::dropped);
     jobs.listen(
@@ -191,6 +195,7 @@
           ward.run(claims::tick);
           ward.run(() -> duties.tick(lag.seconds()));
           ward.run(fleet::tick);
+          ward.run(cleanup::tick);
           loops.turned("tick", timers.now(), STALLED_S);
         });
     timers.after(TICK_S, this::tick);
--- a/src/main/java/dev/dunefront/config/Tunables.java
+++ b/src/main/java/dev/dunefront/config/Tunables.java
@@ -22,6 +22,7 @@
  * @param patience the part of a job's slack that it may wait for a spot machine before an ordinary
  *     one is rented for it
  * @param spare room kept ready for urgent work, as a part of what open urgent jobs take
+ * @param burialS so long after its confirmed deletion a machine's record is kept
  */
 public record Tunables(
     int reach,
@@ -36,7 +37,8 @@
     double idleBoots,
     double idleWarmS,
     double patience,
-    double spare) {
+    double spare,
+    double burialS) {
 
   /** A setting as operators name it: its default and what it may be. */
   public record Setting(double standard, double least, double most, boolean whole) {}
@@ -61,6 +63,7 @@
     all.put("idle_warm_s", new Setting(300, 0, 1_000_000, false));
     all.put("patience", new Setting(0.5, 0, 1, false));
     all.put("spare", new Setting(0.5, 0, 10, false));
+    all.put("burial_s", new Setting(900, 60, 1_000_000, false));
     return all;
   }
 
@@ -79,7 +82,8 @@
         value(changed, "idle_boots"),
         value(changed, "idle_warm_s"),
         value(changed, "patience"),
-        value(changed, "spare"));
+        value(changed, "spare"),
+        value(changed, "burial_s"));
   }
 
   private static double value(Map<String, Double> changed, String name) {
--- a/src/main/java/dev/dunefront/fleet/Acts.java
+++ b/src/main/java/dev/dunefront/fleet/Acts.java
@@ -37,7 +37,8 @@
 
   private record Rent(Hire hire) implements Act {}
 
-  private record Return(List<String> hosts) implements Act {}
+  /** {@code unclear} if it was asked for before and nobody knows what has come of that. */
+  private record Return(List<String> hosts, boolean unclear) implements Act {}
 
   private final Ledger ledger;
   private final Cloud cloud;
@@ -94,6 +95,7 @@
   /** Begins a term: reads what the holder before has left open, which comes first. */
   void begin(long term, Runnable then) {
     recorded.clear();
+    intents = new Intents();
     open = false;
     lost = false;
     dirty = false;
@@ -110,7 +112,7 @@
           if (!intents.deletions.isEmpty()) {
             List<String> hosts = List.copyOf(intents.deletions.keySet());
             inventory.deleting(hosts);
-            recorded.add(new Return(hosts));
+            recorded.add(new Return(hosts, true));
           }
           repeated += recorded.size();
           if (!recorded.isEmpty()) {
@@ -167,7 +169,7 @@
     List<String> hosts = List.copyOf(doomed.keySet());
     intents.deletions.putAll(doomed);
     inventory.deleting(hosts);
-    record(() -> recorded.add(new Return(hosts)));
+    record(() -> recorded.add(new Return(hosts, false)));
   }
 
   /** What has changed in the intents is written when nothing waits for it, and not often. */
@@ -209,7 +211,7 @@
     if (act instanceof Rent r) {
       ask(r.hire());
     } else if (act instanceof Return r) {
-      ask(r.hosts());
+      ask(r);
     }
     return act != null;
   }
@@ -240,10 +242,10 @@
         });
   }
 
-  private void ask(List<String> hosts) {
+  private void ask(Return act) {
     Map<String, Doom> still = new LinkedHashMap<>();
     List<String> over = new ArrayList<>();
-    for (String host : hosts) {
+    for (String host : act.hosts()) {
       Doom why = intents.deletions.get(host);
       Room.Seen seen = room.get(host);
       if (why != null && why.stands(seen == null ? null : seen.view())) {
@@ -261,12 +263,15 @@
     List<String> asked = List.copyOf(still.keySet());
     cloud.delete(
         asked,
-        confirmed -> {
-          if (confirmed) {
+        answer -> {
+          if (answer == Cloud.Deletion.CONFIRMED) {
             settled(asked, true);
             burials.bury(asked);
+          } else if (answer == Cloud.Deletion.REFUSED && !act.unclear()) {
+            // Nothing is on its way, so it can be decided anew.
+            settled(asked, false);
           } else {
-            recorded.add(new Return(asked));
+            recorded.add(new Return(asked, true));
           }
         });
   }
--- a/src/main/java/dev/dunefront/fleet/Cloud.java
+++ b/src/main/java/dev/dunefront/fleet/Cloud.java
@@ -165,10 +165,24 @@
         });
   }
 
-  /** Deletes machines; hears whether the cloud has confirmed it. */
-  void delete(List<String> hosts, Consumer<Boolean> then) {
+  /** What came of a deletion; REFUSED means that nothing was deleted. */
+  enum Deletion {
+    CONFIRMED,
+    REFUSED,
+    UNCLEAR
+  }
+
+  /** Deletes machines. */
+  void delete(List<String> hosts, Consumer<Deletion> then) {
     call(
-        "POST", "/machines/delete", Doc.of().put("hosts", hosts), reply -> then.accept(reply.ok()));
+        "POST",
+        "/machines/delete",
+        Doc.of().put("hosts", hosts),
+        reply ->
+            then.accept(
+                reply.ok()
+                    ? Deletion.CONFIRMED
+                    : outcome(reply) == Outcome.UNCLEAR ? Deletion.UNCLEAR : Deletion.REFUSED));
   }
 
   void hire(Hire h, Consumer<Rented> then) {
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -146,6 +146,15 @@
     }
     duties.able(Duty.RENT, cloud.reachable());
     acts.tend();
+    acts.intents()
+        .deletions
+        .forEach(
+            (host, why) -> {
+              if (why == Doom.IDLE) {
+                // Until the cloud has answered, or it would open and be used meanwhile.
+                close(host, now);
+              }
+            });
     if (!cloud.free()) {
       return;
     }
@@ -206,6 +215,15 @@
     }
   }
 
+  /** Tells a machine's holder, now and then, to close it for some seconds. */
+  private void close(String host, double now) {
+    Room.Seen seen = room.get(host);
+    if (seen != null && now - retiredAt.getOrDefault(host, Double.NEGATIVE_INFINITY) > RETIRE_S) {
+      retiredAt.put(host, now);
+      peers.send(seen.holder(), new Message.Retire(host, term));
+    }
+  }
+
   /** Machines that are to be deleted, each for a reason of its own. */
   private Map<String, Doom> doomed(Planner.Plan plan, double now) {
     Map<String, Doom> why = new HashMap<>();
@@ -213,15 +231,11 @@
     demands.values().forEach(d -> unheard.addAll(d.unheard()));
     health.check(now, now - since, demands.keySet(), unheard, why);
     for (String host : planner.idlers(plan)) {
-      Room.Seen seen = room.get(host);
-      if (seen.view().retiring()) {
+      if (room.get(host).view().retiring()) {
         why.put(host, Doom.IDLE);
-      }
-      if (now - retiredAt.getOrDefault(host, Double.NEGATIVE_INFINITY) > RETIRE_S) {
-        // Its holder closes it first; only then can nothing be placed on it any more. It is told
-        // again while the deletion is recorded and asked for, or it would open meanwhile.
-        retiredAt.put(host, now);
-        peers.send(seen.holder(), new Message.Retire(host, term));
+      } else {
+        // Its holder closes it first; only then can nothing be placed on it any more.
+        close(host, now);
       }
     }
     retiredAt.values().removeIf(at -> now - at > 10 * RETIRE_S);
--- a/src/main/java/dev/dunefront/fleet/Health.java
+++ b/src/main/java/dev/dunefront/fleet/Health.java
@@ -18,6 +18,9 @@
 
   private static final double CUT_PART = 0.3;
 
+  /** How often records are looked through for machines that are gone. */
+  private static final double STRAYS_S = 10;
+
   /** How many leases long machines in a cut zone are waited for. */
   private static final double CUT_LEASES = 10;
 
@@ -30,6 +33,11 @@
   private final Map<String, Double> silentSince = new HashMap<>();
   private final Map<String, Double> unlistedSince = new HashMap<>();
 
+  /** Machines on record that are neither heard nor listed, as of the last look. */
+  private Set<String> strays = Set.of();
+
+  private double straysAt = Double.NEGATIVE_INFINITY;
+
   Health(
       Settings settings,
       Membership membership,
@@ -117,6 +125,11 @@
       }
     }
     silentSince.keySet().retainAll(running);
+    if (now - straysAt > STRAYS_S) {
+      straysAt = now;
+      strays = strays();
+    }
+    unheard.addAll(strays);
     unlisted(now, listened && watchedS > 2 * settings.cloudLimits().listLagS(), unheard, why);
   }
 
@@ -127,8 +140,7 @@
    * for ever.
    */
   private void unlisted(double now, boolean watched, Set<String> unheard, Map<String, Doom> why) {
-    unheard.removeIf(
-        h -> inventory.isListed(h) || room.get(h) != null && room.get(h).view().settled());
+    unheard.removeIf(h -> inventory.isListed(h) || inventory.isDeleted(h) || heard(room.get(h)));
     unlistedSince.keySet().retainAll(unheard);
     // A new machine is listed within twice the lag, and listed until it is gone.
     double patience = 2 * settings.workers().leaseS() + 3 * settings.cloudLimits().listLagS();
@@ -140,6 +152,22 @@
     }
   }
 
+  /**
+   * Machines that were taken back without notice, or ended while nobody held them, leave their
+   * record behind. Once they are deleted by name it says that they are gone, and can go itself.
+   */
+  private Set<String> strays() {
+    Set<String> found = new HashSet<>();
+    for (Holds.Hold h : holds.recorded()) {
+      Room.Seen seen = room.get(h.host());
+      boolean held = seen != null && !seen.view().lost();
+      if (!h.dead() && !held && !inventory.isListed(h.host()) && !inventory.isExpected(h.host())) {
+        found.add(h.host());
+      }
+    }
+    return found;
+  }
+
   /**
    * How long a silent machine is waited for: about as long as another would take to come. What
    * fails the cloud itself lists as failed; what is silent mostly hangs or is cut off, and is back
@@ -173,6 +201,10 @@
     return cut;
   }
 
+  private static boolean heard(Room.Seen seen) {
+    return seen != null && seen.view().settled() && !seen.view().lost();
+  }
+
   /** Listed machines that should be heard and are not. */
   private Set<String> silentHosts(Set<String> heardFrom) {
     Set<String> silent = new HashSet<>();
--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -32,6 +32,7 @@
   private final Map<String, Integer> written = new HashMap<>();
   private long revision = 1;
   private long lastLease = 6;
+  private int wasted;
   private boolean out;
 
   public StateStandIn(Timers timers) {
@@ -49,6 +50,11 @@
     }
   }
 
+  /** Changes of transactions whose conditions have failed so far; the limits count them as well. */
+  public int wasted() {
+    return wasted;
+  }
+
   /** Ends a lease before its time, and with it its keys. */
   public void endLease(long id) {
     leases.computeIfPresent(id, (k, until) -> Double.NEGATIVE_INFINITY);
@@ -172,6 +178,7 @@
       }
     }
     if (!failed.isEmpty()) {
+      wasted += txn.docs("then").size();
       then.accept(reply(409, Doc.of().put("failed", failed).put("ledger_rev", revision)));
       return;
     }
