Lapsed claims are taken in batches, in the order of need, without a write in vain

Ways weighed: a coordinator that deals the jobs out (a duty more, a gap whenever it dies too, and its own part of the budget as the bound); each survivor working out the same deal from the job's name and who lives, as before, and taking its part in transactions of up to 12 records, one at a time, most urgent first. The second needs nobody and is built. Whoever comes next for a job waits while those before it are seen to get on; a job that nobody has claimed yet does not, for those before it may have no share left for it.

Without the wait, with several batches at once, or in another order a story or a table fails.

--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -11,7 +11,6 @@
 import dev.dunefront.peer.Message.View;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Store.Outcome;
-import dev.dunefront.store.Txn;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
@@ -31,13 +30,9 @@
  */
 public final class Claims {
   private static final System.Logger LOG = System.getLogger(Claims.class.getName());
-  private static final double RANK_WAIT_S = 0.4;
   private static final double REPEAT_S = 1.5;
   private static final double REVIEW_S = 0.02;
 
-  /** The answer to a write comes sooner than this, if it ever does. */
-  private static final double UNADOPTED_S = 2;
-
   private final Desk desk;
   private final Quotas quotas;
   private final Room room = new Room();
@@ -47,10 +42,7 @@
   private final Urgencies urgencies;
   private final Zones zones;
   private final Map<String, Claim> claims = new HashMap<>();
-  private final Set<String> claiming = new HashSet<>();
-
-  /** Since when a job without a live claim has been seen. */
-  private final Map<String, Double> orphans = new HashMap<>();
+  private final Takeover takeover;
 
   /** Task counts of jobs that others have claimed, as they tell. */
   private final Map<String, Counts> elsewhere = new HashMap<>();
@@ -68,6 +60,7 @@
     parking = new Parking(desk, room, quotas, urgencies, zones);
     recorder = new Recorder(desk, quotas, zones, parking, room, this);
     settling = new Settling(desk, room, urgencies, recorder);
+    takeover = new Takeover(desk, this);
   }
 
   public Room room() {
@@ -135,6 +128,11 @@
     return fitting;
   }
 
+  /** Whether this controller has the claim of a job. */
+  boolean has(String id) {
+    return claims.containsKey(id);
+  }
+
   /** Takes charge of a job whose record names this incarnation already. */
   public void adopt(JobRecord record, long stamp, boolean fresh) {
     if (claims.containsKey(record.spec().id()) || desk.membership().self() == null) {
@@ -142,7 +140,7 @@
     }
     Claim c = new Claim(record, stamp, desk.tunables().reach(), desk.now());
     claims.put(c.id(), c);
-    orphans.remove(c.id());
+    takeover.adopted(c.id());
     elsewhere.remove(c.id());
     if (fresh) {
       review(c);
@@ -235,96 +233,12 @@
     for (Claim c : List.copyOf(claims.values())) {
       drop(c);
     }
-    claiming.clear();
-  }
-
-  private void claimLapsed(double now) {
-    if (desk.membership().self() == null
-        || !desk.replica().ready()
-        || !desk.standstill().current()
-        || !desk.catalog().known()
-        || desk.store().down()) {
-      return;
-    }
-    List<JobTable.Entry> lapsed = new ArrayList<>();
-    Set<String> ids = new HashSet<>();
-    List<JobTable.Entry> ours = new ArrayList<>();
-    for (JobTable.Entry e : desk.jobs().all()) {
-      String claim = e.record().claim();
-      String id = e.record().spec().id();
-      if (claim == null || !desk.membership().alive(claim)) {
-        lapsed.add(e);
-        ids.add(id);
-      } else if (e.record().heldBy(desk.membership().self())
-          && !claims.containsKey(id)
-          && !claiming.contains(id)) {
-        ours.add(e);
-        ids.add(id);
-      }
-    }
-    orphans.keySet().retainAll(ids);
-    for (JobTable.Entry e : ours) {
-      // Accepted and claimed in one write whose answer was lost: to all others it has a living
-      // claimant, and were it not taken up here it would wait for ever.
-      if (now - orphans.computeIfAbsent(e.record().spec().id(), k -> now) > UNADOPTED_S) {
-        LOG.log(Level.INFO, "takes up {0}, whose acceptance was unclear", e.record().spec().id());
-        adopt(e.record(), e.stamp(), false);
-      }
-    }
-    lapsed.sort(
-        Comparator.comparing((JobTable.Entry e) -> e.record().spec().priority())
-            .thenComparing(JobTable.Entry::stamp));
-    for (JobTable.Entry e : lapsed) {
-      String id = e.record().spec().id();
-      double since = orphans.computeIfAbsent(id, k -> now);
-      boolean taken = e.record().term() > 0 || e.record().status() != Status.OPEN;
-      if (claiming.contains(id)
-          || claims.containsKey(id)
-          || now - since < rank(id) * RANK_WAIT_S
-          || !taken && !admits(e.record().spec())) {
-        continue;
-      }
-      claim(e);
-    }
-  }
-
-  /** This controller's place in the order in which the living ones may claim the job. */
-  private int rank(String id) {
-    int mine = (id + "@" + desk.settings().node()).hashCode() * 0x9E3779B9 >>> 1;
-    int before = 0;
-    for (String node : desk.membership().liveNodes()) {
-      if ((id + "@" + node).hashCode() * 0x9E3779B9 >>> 1 < mine) {
-        before++;
-      }
-    }
-    return before;
-  }
-
-  private void claim(JobTable.Entry e) {
-    String self = desk.membership().self();
-    JobRecord next = e.record().claimedBy(self);
-    String id = next.spec().id();
-    String mark = desk.store().newMark();
-    claiming.add(id);
-    desk.store()
-        .commit(
-            new Txn().when(JobRecord.key(id), e.stamp()).put(JobRecord.key(id), next.write(mark)),
-            mark,
-            done -> {
-              if (!self.equals(desk.membership().self())) {
-                return;
-              }
-              claiming.remove(id);
-              if (done.ok()) {
-                LOG.log(Level.INFO, "claimed {0} in term {1}", id, next.term());
-                desk.jobs().wrote(id, next, mark, done.revision());
-                adopt(next, done.revision(), false);
-              }
-            });
+    takeover.reborn();
   }
 
   /** A live record has changed; null means that it is gone. */
-  public void jobChanged(String id, JobTable.Entry entry) {
+  public void jobChanged(String id, JobTable.Entry before, JobTable.Entry entry) {
+    takeover.jobChanged(before, entry);
     if (entry == null) {
       elsewhere.remove(id);
       sized.remove(id);
@@ -473,7 +387,7 @@
   /** Called several times a second. */
   public void tick() {
     double now = desk.now();
-    claimLapsed(now);
+    takeover.tick(now);
     for (Claim c : List.copyOf(claims.values())) {
       // What cannot be done for one job is no reason to leave the others alone.
       desk.ward()
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Takeover.java
@@ -0,0 +1,229 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.job.JobRecord;
+import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.store.Membership;
+import dev.dunefront.store.Txn;
+import dev.dunefront.wire.Priority;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Takes jobs that nobody has claimed, or whose claimant is gone. All living controllers work out
+ * alike, from a job's name and who lives, in which order they may take it; so hundreds of claims
+ * that lapse at once are dealt out without anybody who deals, and without a write for it. Whoever
+ * comes first takes its part at once, the most urgent first, many in one transaction; whoever comes
+ * next waits for as long as those before it are seen to get on with theirs.
+ */
+final class Takeover {
+  private static final System.Logger LOG = System.getLogger(Takeover.class.getName());
+
+  /** How long whoever comes next waits for each before it that does not get on. */
+  static final double RANK_WAIT_S = 0.4;
+
+  /** So many records are written in one transaction at most; they are small, but not tiny. */
+  private static final int BATCH = 12;
+
+  /** The answer to a write comes sooner than this, if it ever does. */
+  private static final double UNADOPTED_S = 2;
+
+  private final Desk desk;
+  private final Claims claims;
+  private final Set<String> claiming = new HashSet<>();
+
+  /** Since when a job without a live claim has been seen. */
+  private final Map<String, Double> orphans = new HashMap<>();
+
+  /** When a controller was last seen to have taken a job from another. */
+  private final Map<String, Double> progress = new HashMap<>();
+
+  Takeover(Desk desk, Claims claims) {
+    this.desk = desk;
+    this.claims = claims;
+  }
+
+  /**
+   * A job without a live claim.
+   *
+   * @param fresh nobody has claimed it yet
+   * @param sinceS time at which that was first seen
+   * @param before controllers that may take it before this one
+   */
+  record Lapsed(
+      String id,
+      Priority priority,
+      long stamp,
+      boolean fresh,
+      double sinceS,
+      List<String> before) {}
+
+  /**
+   * Those that this controller may take now, in the order of need.
+   *
+   * @param progress when a controller was last seen to take a job
+   */
+  static List<String> due(List<Lapsed> lapsed, Map<String, Double> progress, double now) {
+    return lapsed.stream()
+        .filter(l -> now >= from(l, progress))
+        .sorted(Comparator.comparing(Lapsed::priority).thenComparing(Lapsed::stamp))
+        .map(Lapsed::id)
+        .toList();
+  }
+
+  private static double from(Lapsed l, Map<String, Double> progress) {
+    double from = l.sinceS;
+    if (!l.fresh) {
+      // A job that nobody has claimed yet may be too large for the share of those before.
+      for (String node : l.before) {
+        from = Math.max(from, progress.getOrDefault(node, from));
+      }
+    }
+    return from + l.before.size() * RANK_WAIT_S;
+  }
+
+  /** This controller has become another incarnation. */
+  void reborn() {
+    claiming.clear();
+  }
+
+  void adopted(String id) {
+    orphans.remove(id);
+  }
+
+  /** A record shows another claimant than before. */
+  void jobChanged(JobTable.Entry before, JobTable.Entry entry) {
+    String from = before == null ? null : before.record().claim();
+    String claim = entry == null ? null : entry.record().claim();
+    if (from != null && claim != null && !claim.equals(from)) {
+      progress.put(Membership.nodeOf(claim), desk.now());
+    }
+  }
+
+  /** Called several times a second. */
+  void tick(double now) {
+    String self = desk.membership().self();
+    if (self == null
+        || !desk.replica().ready()
+        || !desk.standstill().current()
+        || !desk.catalog().known()
+        || desk.store().down()) {
+      return;
+    }
+    Map<String, JobTable.Entry> lapsed = new LinkedHashMap<>();
+    List<JobTable.Entry> ours = new ArrayList<>();
+    Set<String> seen = new HashSet<>();
+    for (JobTable.Entry e : desk.jobs().all()) {
+      String claim = e.record().claim();
+      String id = e.record().spec().id();
+      if (claim == null || !desk.membership().alive(claim)) {
+        lapsed.put(id, e);
+        seen.add(id);
+      } else if (e.record().heldBy(self) && !claims.has(id) && !claiming.contains(id)) {
+        ours.add(e);
+        seen.add(id);
+      }
+    }
+    orphans.keySet().retainAll(seen);
+    for (JobTable.Entry e : ours) {
+      // Accepted and claimed in one write whose answer was lost: to all others it has a living
+      // claimant, and were it not taken up here it would wait for ever.
+      if (now - orphans.computeIfAbsent(e.record().spec().id(), k -> now) > UNADOPTED_S) {
+        LOG.log(Level.INFO, "takes up {0}, whose acceptance was unclear", e.record().spec().id());
+        claims.adopt(e.record(), e.stamp(), false);
+      }
+    }
+    if (!lapsed.isEmpty()) {
+      take(lapsed, now);
+    }
+  }
+
+  private void take(Map<String, JobTable.Entry> lapsed, double now) {
+    List<Lapsed> all = new ArrayList<>();
+    lapsed.forEach(
+        (id, e) -> {
+          double since = orphans.computeIfAbsent(id, k -> now);
+          if (!claiming.contains(id) && !claims.has(id)) {
+            Priority priority = e.record().spec().priority();
+            all.add(new Lapsed(id, priority, e.stamp(), fresh(e), since, before(id)));
+          }
+        });
+    boolean batched = !claiming.isEmpty();
+    List<JobTable.Entry> taken = new ArrayList<>();
+    for (String id : due(all, progress, now)) {
+      JobTable.Entry e = lapsed.get(id);
+      if (fresh(e)) {
+        // Never claimed: only as far as this controller's share goes.
+        if (claims.admits(e.record().spec())) {
+          write(List.of(e));
+        }
+      } else if (!batched && taken.size() < BATCH) {
+        // One batch at a time: what others have taken by then is left out of the next.
+        taken.add(e);
+      }
+    }
+    if (!taken.isEmpty()) {
+      write(taken);
+    }
+  }
+
+  private static boolean fresh(JobTable.Entry e) {
+    return e.record().term() == 0 && e.record().status() == Status.OPEN;
+  }
+
+  /** The controllers that may take the job before this one. */
+  private List<String> before(String id) {
+    int mine = draw(id, desk.settings().node());
+    List<String> before = new ArrayList<>();
+    for (String node : desk.membership().liveNodes()) {
+      if (draw(id, node) < mine) {
+        before.add(node);
+      }
+    }
+    return before;
+  }
+
+  private static int draw(String id, String node) {
+    return (id + "@" + node).hashCode() * 0x9E3779B9 >>> 1;
+  }
+
+  private void write(List<JobTable.Entry> taken) {
+    String self = desk.membership().self();
+    String mark = desk.store().newMark();
+    Txn txn = new Txn();
+    Map<String, JobRecord> next = new HashMap<>();
+    for (JobTable.Entry e : taken) {
+      JobRecord record = e.record().claimedBy(self);
+      String id = record.spec().id();
+      next.put(id, record);
+      claiming.add(id);
+      txn.when(JobRecord.key(id), e.stamp()).put(JobRecord.key(id), record.write(mark));
+    }
+    desk.store()
+        .commit(
+            txn,
+            mark,
+            done -> {
+              if (!self.equals(desk.membership().self())) {
+                return;
+              }
+              claiming.removeAll(next.keySet());
+              if (!done.ok()) {
+                return;
+              }
+              next.forEach(
+                  (id, record) -> {
+                    LOG.log(Level.INFO, "claimed {0} in term {1}", id, record.term());
+                    desk.jobs().wrote(id, record, mark, done.revision());
+                    claims.adopt(record, done.revision(), false);
+                  });
+            });
+  }
+}
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -151,7 +151,7 @@
             catalog.seen(entry.record().spec());
           }
         });
-    jobs.listen((id, before, entry) -> claims.jobChanged(id, entry));
+    jobs.listen(claims::jobChanged);
     jobs.listen(books::jobChanged);
     membership.onReborn(
         () -> {
