--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -90,6 +90,10 @@
   private final Duties duties;
 
   private double spreadAt;
+
+  /** The stamp of the roster by which machines without a record are held. */
+  private long rosterStamp;
+
   private double strangersAt;
 
   /** No earlier incarnation's offers have these numbers. */
@@ -353,6 +357,35 @@
     }
   }
 
+  /**
+   * The roster has changed: machines without a record are held by its new baton from now on, or by
+   * another controller. Nothing can be recorded any more under the old one, so what was offered
+   * runs out; what was recorded and is on its way is shown by the worker's next report or, like
+   * after a raised baton, will never be carried out.
+   */
+  private void rosterChanged() {
+    for (Machine m : List.copyOf(held.values())) {
+      if (m.holdStamp > 0 || m.holdStamp == -rosterStamp) {
+        continue;
+      }
+      Holds.Hold hold = holds.of(m.host, m.zone);
+      if (m.raising || !holds.heldBy(settings.node(), hold) || !hold.natural()) {
+        dropHold(m, "by the new roster another controller holds it");
+      } else {
+        m.baton = hold.baton();
+        m.holdStamp = hold.stamp();
+        m.settled = false;
+        m.ours = false;
+        m.doubt = false;
+        m.resumed = false;
+        m.fence.clear();
+        m.offers.clear();
+        m.dirty = true;
+        act(m);
+      }
+    }
+  }
+
   /** A live record has changed; a job that must no longer run is stopped without being asked. */
   public void jobChanged(String id, JobTable.Entry before, JobTable.Entry entry) {
     boolean over = over(entry);
@@ -642,6 +675,11 @@
     if (!standstill.current()) {
       return;
     }
+    long stamp = holds.roster().stamp();
+    if (stamp != rosterStamp) {
+      rosterStamp = stamp;
+      rosterChanged();
+    }
     for (Machine m : List.copyOf(held.values())) {
       // What cannot be done for one machine is no reason to leave the others alone.
       ward.run(() -> tick(m, now, lease));
--- a/src/main/java/dev/dunefront/book/Holds.java
+++ b/src/main/java/dev/dunefront/book/Holds.java
@@ -18,28 +18,31 @@
 
 /**
  * Who holds which machine: as recorded, or, while there is no record, by nature. Every controller
- * works out alike from the roster which of them is a machine's natural holder, under baton 1;
- * whoever else takes the machine writes a record, on the condition that there is none. So hundreds
- * of machines that come at once are held without a single write, and no more than one holds each.
+ * works out alike from the roster which of them is a machine's natural holder, under the roster's
+ * baton; whoever else takes the machine writes a record, on the condition that there is none. So
+ * hundreds of machines that come at once are held without a single write, and no more than one
+ * holds each.
  */
 public final class Holds {
   public static final String PREFIX = Replica.PREFIX + "h/";
 
   private static final System.Logger LOG = System.getLogger(Holds.class.getName());
 
-  /** The controllers among which machines are shared by nature: written once and for all. */
-  private static final String ROSTER = Replica.PREFIX + "roster";
-
-  private static final long NATURAL_BATON = 1;
+  /** The controllers among which machines are shared by nature. */
+  public static final String ROSTER = Replica.PREFIX + "roster";
 
   /**
    * Who holds a machine under which baton; {@code dead} once the cloud has confirmed its end, at a
-   * time of day that is 0 where none was written. The stamp is 0 where there is no record.
+   * time of day that is 0 where none was written. Where there is no record the stamp is that of the
+   * roster, below zero.
    */
   public record Hold(
-      String host, String holder, long baton, boolean dead, long deadAtMs, long stamp) {}
-
-  private record Member(String node, String zone) {}
+      String host, String holder, long baton, boolean dead, long deadAtMs, long stamp) {
+    /** Whether there is no record of the machine. */
+    boolean natural() {
+      return stamp < 0;
+    }
+  }
 
   private final Map<String, Hold> all = new HashMap<>();
 
@@ -48,7 +51,11 @@
 
   private final Map<String, String> natural = new HashMap<>();
   private final Replica replica;
-  private List<Member> roster = List.of();
+  private Roster roster = Roster.NONE;
+
+  /** A newer one, before all is known that was written before it. */
+  private Roster coming;
+
   private boolean establishing;
   private Consumer<String> listener = host -> {};
 
@@ -72,7 +79,7 @@
           natural.remove(host);
           listener.accept(host);
         });
-    replica.listen(ROSTER, (rest, value, stamp) -> enrol(value));
+    replica.listen(ROSTER, (rest, value, stamp) -> enrol(value, stamp));
   }
 
   /**
@@ -94,35 +101,55 @@
     }
   }
 
-  private void enrol(Doc value) {
-    if (value == null || !roster.isEmpty()) {
+  private void enrol(Doc value, long stamp) {
+    if (value == null) {
       return;
     }
     try {
-      List<Member> members = new ArrayList<>();
-      List<String> zones = value.texts("zones");
-      for (String node : value.texts("nodes")) {
-        members.add(new Member(node, zones.get(members.size())));
+      Roster next = Roster.read(value, stamp);
+      if (roster.members().isEmpty()) {
+        adopt(next);
+      } else {
+        coming = next;
       }
-      roster = members;
-    } catch (BadMessage | IndexOutOfBoundsException e) {
+    } catch (BadMessage e) {
       LOG.log(Level.ERROR, "the roster cannot be read: {0}", e.getMessage());
     }
   }
 
+  private void adopt(Roster next) {
+    roster = next;
+    natural.clear();
+    LOG.log(Level.INFO, "{0} controllers share the machines", next.members().size());
+  }
+
+  /**
+   * The roster that holds. A newer one counts once everything is known that was written before it:
+   * a machine that somebody has taken in the epoch before must not be held by nature in the next.
+   */
+  public Roster roster() {
+    if (coming != null && replica.seen() >= coming.stamp()) {
+      adopt(coming);
+      coming = null;
+    }
+    return roster;
+  }
+
+  /** Makes a write conditional on the hold of a machine being what it was at that stamp. */
+  public static Txn condition(Txn txn, String host, long stamp) {
+    return stamp < 0 ? txn.when(key(host), 0).when(ROSTER, -stamp) : txn.when(key(host), stamp);
+  }
+
   /** Writes the roster if there is none; whoever is first decides it for all. */
   public void establish(Settings settings, Store store) {
-    if (!roster.isEmpty() || establishing || !replica.ready()) {
+    if (!roster.members().isEmpty() || establishing || !replica.ready()) {
       return;
     }
     establishing = true;
-    List<Object> nodes = new ArrayList<>(List.of(settings.node()));
-    List<Object> zones = new ArrayList<>(List.of(settings.zone()));
-    for (Settings.Peer p : settings.peers()) {
-      nodes.add(p.node());
-      zones.add(p.zone());
-    }
-    Doc value = Doc.of().put("nodes", nodes).put("zones", zones);
+    List<Roster.Member> members = new ArrayList<>();
+    members.add(new Roster.Member(settings.node(), settings.zone()));
+    settings.peers().forEach(p -> members.add(new Roster.Member(p.node(), p.zone())));
+    Doc value = new Roster(members, 1, 0).write();
     store.tryTxn(
         new Txn().when(ROSTER, 0).put(ROSTER, value),
         Store.Urgency.LEASE,
@@ -163,27 +190,11 @@
     if (recorded != null) {
       return recorded;
     }
-    String holder = roster.isEmpty() ? null : natural.computeIfAbsent(host, h -> choose(h, zone));
-    return holder == null ? null : new Hold(host, holder + "#0", NATURAL_BATON, false, 0, 0);
-  }
-
-  /** One of the machine's own zone, if there is any there: it hears it when the zone is cut off. */
-  private String choose(String host, String zone) {
-    Member best = null;
-    boolean bestNear = false;
-    int bestDraw = 0;
-    for (Member m : roster) {
-      boolean near = m.zone.equals(zone);
-      int draw = (host + "@" + m.node).hashCode() * 0x9E3779B9;
-      draw ^= draw >>> 15;
-      draw *= 0x85EBCA6B;
-      if (best == null || near && !bestNear || near == bestNear && draw > bestDraw) {
-        best = m;
-        bestNear = near;
-        bestDraw = draw;
-      }
-    }
-    return best == null ? null : best.node;
+    Roster now = roster();
+    String holder = natural.computeIfAbsent(host, h -> now.holder(h, zone));
+    return holder == null
+        ? null
+        : new Hold(host, holder + "#0", now.baton(), false, 0, -now.stamp());
   }
 
   /** Whether the machine is held by this controller, in whatever incarnation. */
@@ -207,6 +218,11 @@
     return Doc.of().put("dead", true).put("at", atMs).put(Store.MARK, mark);
   }
 
+  /** The roster as it is to be recorded in the place of the present one. */
+  public static Txn change(Txn txn, Roster now, Roster next) {
+    return txn.when(ROSTER, now.stamp()).put(ROSTER, next.write());
+  }
+
   void wrote(String host, Doc value, long stamp) {
     replica.apply(key(host), value, stamp);
   }
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -60,7 +60,7 @@
     String mark = store.newMark();
     Doc value = Holds.write(self, baton, mark);
     store.commit(
-        new Txn().when(Holds.key(m.host), m.holdStamp).put(Holds.key(m.host), value),
+        Holds.condition(new Txn(), m.host, m.holdStamp).put(Holds.key(m.host), value),
         mark,
         done -> {
           m.raising = false;
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -148,7 +148,7 @@
     Release release = released.get(r.host());
     if (release != null && holder.equals(release.node)) {
       take(r, answer);
-    } else if (live && hold.stamp() == 0 && !sentLately(r.host())) {
+    } else if (live && hold.natural() && !sentLately(r.host())) {
       // It has yet to learn who its natural holder is.
       send(r.host(), holder, answer);
     } else if (live) {
@@ -269,7 +269,7 @@
     Doc value = Holds.write(self, baton, mark);
     taking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
     store.tryTxn(
-        new Txn().when(Holds.key(r.host()), hold.stamp()).put(Holds.key(r.host()), value),
+        Holds.condition(new Txn(), r.host(), hold.stamp()).put(Holds.key(r.host()), value),
         Store.Urgency.LEASE,
         done -> {
           List<Waiter> waiting = taking.remove(r.host());
--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Roster.java
@@ -0,0 +1,114 @@
+package dev.dunefront.book;
+
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The controllers among which machines without a record are shared, in an order that says nothing.
+ * Every change begins a new epoch, in which machines are held under higher batons than any that was
+ * given out in the epoch before; so a worker obeys its holder by the newest roster that it has
+ * heard of, and no other.
+ *
+ * @param epoch counts the changes, from 1
+ * @param stamp of the record; what is recorded of a machine that has no record of its own is
+ *     conditional on it
+ */
+public record Roster(List<Member> members, long epoch, long stamp) {
+  /** A controller and its zone. */
+  public record Member(String node, String zone) {}
+
+  static final Roster NONE = new Roster(List.of(), 0, 0);
+
+  /** Batons of an epoch; a machine's baton is raised far fewer times. */
+  private static final int EPOCH_BITS = 32;
+
+  /** The baton under which machines without a record are held. */
+  long baton() {
+    return (epoch - 1 << EPOCH_BITS) + 1;
+  }
+
+  static Roster read(Doc value, long stamp) throws BadMessage {
+    List<Member> members = new ArrayList<>();
+    List<String> zones = value.texts("zones");
+    for (String node : value.texts("nodes")) {
+      if (members.size() == zones.size()) {
+        throw new BadMessage("a controller without a zone");
+      }
+      members.add(new Member(node, zones.get(members.size())));
+    }
+    return new Roster(members, value.countOr("epoch", 1), stamp);
+  }
+
+  Doc write() {
+    return Doc.of()
+        .put("nodes", members.stream().map(Member::node).toList())
+        .put("zones", members.stream().map(Member::zone).toList())
+        .put("epoch", epoch);
+  }
+
+  /** The controller that holds a machine without a record, or null while there is none. */
+  String holder(String host, String zone) {
+    Member best = null;
+    boolean bestNear = false;
+    int bestDraw = 0;
+    for (Member m : members) {
+      // One of the machine's own zone, if there is any: it hears it when the zone is cut off.
+      boolean near = m.zone.equals(zone);
+      int draw = (host + "@" + m.node).hashCode() * 0x9E3779B9;
+      draw ^= draw >>> 15;
+      draw *= 0x85EBCA6B;
+      if (best == null || near && !bestNear || near == bestNear && draw > bestDraw) {
+        best = m;
+        bestNear = near;
+        bestDraw = draw;
+      }
+    }
+    return best == null ? null : best.node;
+  }
+
+  /**
+   * The roster after one controller has joined or left, or null if all is as it should be. Whoever
+   * lives belongs to it, and whoever is neither named by the settings nor has lived for a while
+   * does not. Controllers are restarted with new settings one after the other; by these two rules
+   * those with the old and those with the new ones never undo what the others have done.
+   *
+   * @param settled controllers that have lived for a while, with their zones
+   * @param present controllers that live, or have lived a while ago
+   * @param named the controllers that this one's settings name
+   */
+  public Roster next(Map<String, String> settled, Set<String> present, Set<String> named) {
+    if (members.isEmpty()) {
+      return null;
+    }
+    for (Member m : members) {
+      String zone = settled.get(m.node);
+      if (zone != null && !zone.equals(m.zone)) {
+        return with(m, new Member(m.node, zone));
+      }
+    }
+    for (String node : settled.keySet().stream().sorted().toList()) {
+      if (members.stream().noneMatch(m -> m.node.equals(node))) {
+        return with(null, new Member(node, settled.get(node)));
+      }
+    }
+    for (Member m : members) {
+      if (!present.contains(m.node) && !named.contains(m.node) && members.size() > 1) {
+        return with(m, null);
+      }
+    }
+    return null;
+  }
+
+  private Roster with(Member gone, Member come) {
+    List<Member> next = new ArrayList<>(members);
+    next.remove(gone);
+    if (come != null) {
+      next.add(come);
+    }
+    return new Roster(List.copyOf(next), epoch + 1, 0);
+  }
+}
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -30,7 +30,7 @@
 
   /** An end to be recorded; the hold's stamp is a condition of the proof, unless there is none. */
   record Ended(int number, Placement placement, End end, long holdStamp) {
-    static final long UNCONDITIONAL = -1;
+    static final long UNCONDITIONAL = Long.MIN_VALUE;
 
     boolean conditional() {
       return holdStamp != UNCONDITIONAL;
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -183,12 +183,12 @@
     Set<String> hosts = new HashSet<>();
     for (Starting s : f.starts) {
       if (hosts.add(s.placement.host())) {
-        txn.when(Holds.key(s.placement.host()), s.held.offer().holdStamp());
+        Holds.condition(txn, s.placement.host(), s.held.offer().holdStamp());
       }
     }
     for (Ended e : f.ends) {
       if (e.conditional() && hosts.add(e.placement().host())) {
-        txn.when(Holds.key(e.placement().host()), e.holdStamp());
+        Holds.condition(txn, e.placement().host(), e.holdStamp());
       }
     }
     JobRecord rewritten = null;
@@ -261,8 +261,9 @@
   private Flight plan(Claim c, Quotas.Quota quota) {
     int txnOps = desk.settings().stateLimits().txnOps();
     int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
-    // Conditions may be four times as many as changes; some are on the job, its chunks, its team.
-    int maxHosts = 4 * txnOps - maxChunks - 2;
+    // Conditions may be four times as many as changes; some are on the job, its chunks, its
+    // team, the roster.
+    int maxHosts = 4 * txnOps - maxChunks - 3;
     Map<Integer, Chunk> next = new TreeMap<>();
     List<Ended> ends = new ArrayList<>();
     List<Starting> starts = new ArrayList<>();
@@ -378,7 +379,20 @@
 
   /** Two proofs that rest on different records of one hold cannot share a transaction. */
   private static boolean agrees(Map<String, Long> stamps, String host, long stamp) {
-    return stamps.putIfAbsent(host, stamp) == null || stamps.get(host) == stamp;
+    if (stamp < 0) {
+      // Of a machine without a record: conditional on the roster as well, which has one stamp.
+      Long roster = stamps.putIfAbsent(Holds.ROSTER, stamp);
+      if (roster != null && roster != stamp) {
+        return false;
+      }
+    }
+    Long known = stamps.putIfAbsent(host, stamp);
+    return known == null || known == stamp;
+  }
+
+  /** Whether the hold of a machine is not any more what it was at that stamp. */
+  private static boolean holdFailed(Set<String> failed, String host, long stamp) {
+    return failed.contains(Holds.key(host)) || stamp < 0 && failed.contains(Holds.ROSTER);
   }
 
   private void written(
@@ -471,14 +485,17 @@
     boolean jobFailed = failed.contains(JobRecord.key(c.id()));
     boolean chunkFailed = failed.stream().anyMatch(k -> k.startsWith(Chunk.prefix(c.id())));
     for (Starting s : f.starts) {
-      if (jobFailed || chunkFailed || failed.contains(Holds.key(s.placement.host()))) {
+      if (jobFailed
+          || chunkFailed
+          || holdFailed(failed, s.placement.host(), s.held.offer().holdStamp())) {
         decline(s.held);
       } else {
         c.offers.add(s.held);
       }
     }
     for (Ended e : f.ends) {
-      boolean proofGone = e.conditional() && failed.contains(Holds.key(e.placement().host()));
+      boolean proofGone =
+          e.conditional() && holdFailed(failed, e.placement().host(), e.holdStamp());
       Live l = c.live.get(e.number());
       if (proofGone && l != null) {
         l.ending = false;
--- /dev/null
+++ b/src/main/java/dev/dunefront/cleanup/Joining.java
@@ -0,0 +1,102 @@
+package dev.dunefront.cleanup;
+
+import dev.dunefront.book.Holds;
+import dev.dunefront.book.Roster;
+import dev.dunefront.claim.Desk;
+import dev.dunefront.config.Settings;
+import dev.dunefront.duty.Duty;
+import dev.dunefront.store.Store;
+import dev.dunefront.store.Txn;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Keeps the roster of controllers, for the controller that has the duty of clean-up: lets in who
+ * has joined and strikes out who has left for good, one at a time, so that no more than one
+ * controller's part of the machines changes hands at once.
+ */
+public final class Joining {
+  private static final System.Logger LOG = System.getLogger(Joining.class.getName());
+
+  /** A controller that has lived for so long has joined. */
+  private static final double JOINED_S = 10;
+
+  /** A controller that no settings name and that has not lived for so long has left. */
+  private static final double LEFT_S = 60;
+
+  /** After a change machines find their holders within a report or two; then the next may come. */
+  private static final double PAUSE_S = 15;
+
+  private final Desk desk;
+
+  /** Since when a controller lives, and when it was last seen to live. */
+  private final Map<String, Double> liveSince = new HashMap<>();
+
+  private final Map<String, Double> liveAt = new HashMap<>();
+  private long term;
+  private double began;
+  private double next;
+
+  public Joining(Desk desk) {
+    this.desk = desk;
+  }
+
+  /** Called several times a second. */
+  public void tick() {
+    long mine = desk.duties().term(Duty.CLEANUP);
+    double now = desk.timers().now();
+    if (mine != term) {
+      term = mine;
+      began = now;
+      next = now;
+      liveSince.clear();
+      liveAt.clear();
+    }
+    if (mine == 0) {
+      return;
+    }
+    Set<String> live = desk.membership().liveNodes();
+    liveSince.keySet().retainAll(live);
+    for (String node : live) {
+      liveSince.putIfAbsent(node, now);
+      liveAt.put(node, now);
+    }
+    liveAt.values().removeIf(at -> now - at > LEFT_S);
+    if (now < next || desk.store().down()) {
+      return;
+    }
+    Map<String, String> settled = new HashMap<>();
+    liveSince.forEach(
+        (node, since) -> {
+          String zone = desk.membership().zone(node);
+          if (now - since > JOINED_S && !zone.isEmpty()) {
+            settled.put(node, zone);
+          }
+        });
+    Set<String> named = new HashSet<>(Set.of(desk.settings().node()));
+    desk.settings().peers().stream().map(Settings.Peer::node).forEach(named::add);
+    Roster roster = desk.holds().roster();
+    if (now - began < LEFT_S) {
+      // Who has not lived for a while must have been missed by this controller for as long.
+      roster.members().forEach(m -> named.add(m.node()));
+    }
+    Roster changed = roster.next(settled, liveAt.keySet(), named);
+    if (changed != null) {
+      next = now + PAUSE_S;
+      write(roster, changed, mine);
+    }
+  }
+
+  private void write(Roster now, Roster next, long inTerm) {
+    LOG.log(Level.INFO, "the roster becomes {0}, in epoch {1}", next.members(), next.epoch());
+    desk.store()
+        .tryTxn(
+            Holds.change(desk.duties().guard(Duty.CLEANUP, inTerm, new Txn()), now, next),
+            Store.Urgency.BACKGROUND,
+            // Whatever comes of it, the watch shows it, and what is left to do is seen again.
+            done -> {});
+  }
+}
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -5,6 +5,7 @@
 import dev.dunefront.claim.Claims;
 import dev.dunefront.claim.Desk;
 import dev.dunefront.cleanup.Cleanup;
+import dev.dunefront.cleanup.Joining;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.duty.Duties;
@@ -70,6 +71,7 @@
   private final Claims claims;
   private final Fleet fleet;
   private final Cleanup cleanup;
+  private final Joining joining;
   private final JobApi api;
   private final Peers peers;
   private final Meters meters = new Meters();
@@ -95,7 +97,8 @@
     peers = peersMaker.apply(ward, this);
     replica = new Replica(store, timers, ward, loops);
     membership =
-        new Membership(settings.node(), store, replica, timers, tunables.nodeLeaseS(), loops);
+        new Membership(
+            settings.node(), settings.zone(), store, replica, timers, tunables.nodeLeaseS(), loops);
     // A lease is renewed four times in its life: in a shorter pause it cannot have run out.
     Standstill standstill =
         new Standstill(replica, membership, timers, ward, loops, tunables.nodeLeaseS() / 2);
@@ -123,6 +126,7 @@
     claims = new Claims(desk);
     fleet = new Fleet(desk, claims.room(), claims.urgencies(), caller);
     cleanup = new Cleanup(desk);
+    joining = new Joining(desk);
     api = new JobApi(settings, membership, jobs, claims, catalog, store, peers, timers, ward);
     holds.listen(
         host -> {
@@ -196,6 +200,7 @@
           ward.run(() -> duties.tick(lag.seconds()));
           ward.run(fleet::tick);
           ward.run(cleanup::tick);
+          ward.run(joining::tick);
           loops.turned("tick", timers.now(), STALLED_S);
         });
     timers.after(TICK_S, this::tick);
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -23,19 +23,31 @@
   private static final System.Logger LOG = System.getLogger(Membership.class.getName());
 
   private final String node;
+  private final String zone;
   private final Store store;
   private final Replica replica;
   private final Timers timers;
   private final double lifeS;
   private final Loops loops;
   private final Map<String, String> live = new TreeMap<>();
+
+  /** The zones of living controllers, as they tell. */
+  private final Map<String, String> zones = new TreeMap<>();
+
   private Runnable reborn = () -> {};
   private long tenancy;
   private String self;
 
   public Membership(
-      String node, Store store, Replica replica, Timers timers, double lifeS, Loops loops) {
+      String node,
+      String zone,
+      Store store,
+      Replica replica,
+      Timers timers,
+      double lifeS,
+      Loops loops) {
     this.node = node;
+    this.zone = zone;
     this.store = store;
     this.replica = replica;
     this.timers = timers;
@@ -47,11 +59,13 @@
           String incarnation = null;
           try {
             incarnation = value == null ? null : value.text("inc");
+            zones.put(name, value == null ? "" : value.textOr("zone", ""));
           } catch (BadMessage e) {
             LOG.log(Level.ERROR, "the record of {0} cannot be read: {1}", name, e.getMessage());
           }
           if (incarnation == null) {
             live.remove(name);
+            zones.remove(name);
           } else {
             live.put(name, incarnation);
           }
@@ -95,7 +109,7 @@
   }
 
   private Doc value(String name) {
-    return Doc.of().put("inc", name).put(Store.MARK, store.newMark());
+    return Doc.of().put("inc", name).put("zone", zone).put(Store.MARK, store.newMark());
   }
 
   /** What to do whenever this controller has become a new incarnation. */
@@ -125,6 +139,11 @@
     return live.keySet();
   }
 
+  /** The zone of a living controller; empty while it has not told. */
+  public String zone(String name) {
+    return zones.getOrDefault(name, "");
+  }
+
   /** The controller of an incarnation; empty for what is none, which no controller is called. */
   public static String nodeOf(String incarnation) {
     return incarnation.substring(0, Math.max(0, incarnation.lastIndexOf('#')));
--- a/src/main/java/dev/dunefront/store/Replica.java
+++ b/src/main/java/dev/dunefront/store/Replica.java
@@ -60,6 +60,11 @@
     return ready;
   }
 
+  /** Every change up to this revision has been applied. */
+  public long seen() {
+    return seen;
+  }
+
   public void listen(String prefix, Listener listener) {
     listeners.put(prefix, listener);
   }
--- a/src/main/java/dev/dunefront/store/Txn.java
+++ b/src/main/java/dev/dunefront/store/Txn.java
@@ -2,17 +2,23 @@
 
 import dev.dunefront.wire.Doc;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** An atomic change: conditions on stamps, then puts and removes. */
 public final class Txn {
   private final List<Doc> when = new ArrayList<>();
   private final List<Doc> then = new ArrayList<>();
+  private final Map<String, Long> conditions = new HashMap<>();
   private String firstPut;
 
   /** Requires the key to have this stamp; 0 means that it does not exist. */
   public Txn when(String key, long stamp) {
-    when.add(Doc.of().put("k", key).put("stamp", stamp));
+    Long known = conditions.putIfAbsent(key, stamp);
+    if (known == null || known != stamp) {
+      when.add(Doc.of().put("k", key).put("stamp", stamp));
+    }
     return this;
   }
 
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -151,7 +151,7 @@
   /** A controller for each of the zones given. */
   World(List<String> zones, String teams) {
     this.teams = teams;
-    this.zones = zones;
+    this.zones = new ArrayList<>(zones);
     for (int i = 0; i < zones.size(); i++) {
       nodes.put("node-" + i, new Node("node-" + i, zones.get(i)));
     }
@@ -161,6 +161,22 @@
     this(controllers, ONE_TEAM);
   }
 
+  /** Another controller is set up; those that are started from now on know of it. */
+  Node add(String zone) {
+    String name = "node-" + zones.size();
+    zones.add(zone);
+    Node node = new Node(name, zone);
+    nodes.put(name, node);
+    return node;
+  }
+
+  /** A controller is taken out of the settings of those that are started from now on. */
+  void strike(String name) {
+    struck.add(name);
+  }
+
+  private final Set<String> struck = new HashSet<>();
+
   World start() {
     nodes.values().forEach(Node::start);
     return this;
@@ -209,6 +225,9 @@
     private int life;
     private boolean up;
 
+    /** Whom its settings name. */
+    private Set<String> knows = Set.of();
+
     /** What a controller that stands still would have done or heard meanwhile; null if it runs. */
     private List<Runnable> backlog;
 
@@ -238,6 +257,8 @@
                   deadlineS,
                   r -> meet(mine, () -> then.accept(r)));
       Settings settings = settings(name);
+      knows = new HashSet<>(Set.of(name));
+      settings.peers().forEach(p -> knows.add(p.node()));
       HttpStore store = new HttpStore(settings, caller, own, ward, name + "-" + mine);
       daemon =
           new Daemon(
@@ -251,7 +272,7 @@
               (w, l) -> new Links(this, w));
       daemon.start();
       for (Node other : nodes.values()) {
-        if (other != this && other.up) {
+        if (other != this && other.up && acquainted(this, other)) {
           link(this, other);
           link(other, this);
         }
@@ -371,6 +392,10 @@
 
   private static final double LINK_SILENCE_S = 5;
 
+  private static boolean acquainted(Node a, Node b) {
+    return a.knows.contains(b.name) && b.knows.contains(a.name);
+  }
+
   private void link(Node from, Node to) {
     timers.after(
         HOP_S,
@@ -405,6 +430,7 @@
           node.equals(self.name) ? 0 : HOP_S,
           () -> {
             if (to == null
+                || !acquainted(self, to)
                 || lost.test(self.name, node)
                 || crosses(self.zone, to.zone)
                 || cut.contains(self.name + ">" + node)) {
@@ -436,7 +462,7 @@
     toml.append("\"\nsite = \"").append(nodes.get(name).zone).append("\"\n");
     toml.append("listen = \"10.0.0.1:80\"\npeer_bind = \"10.0.0.1:81\"\n");
     for (int i = 0; i < zones.size(); i++) {
-      if (!name.equals("node-" + i)) {
+      if (!name.equals("node-" + i) && !struck.contains("node-" + i)) {
         toml.append("[[others]]\nhost_name = \"node-").append(i);
         toml.append("\"\nsite = \"").append(zones.get(i));
         toml.append("\"\naddress = \"10.0.0.9:81\"\n");
