Whoever does not know the machine types yet leaves renting to others

Change: a controller that cannot do a duty takes none. A term begins without the unanswered calls of an earlier one.

Shown: a story in which only one of three has heard the cloud, for each of them.

--- a/src/main/java/dev/dunefront/duty/Duties.java
+++ b/src/main/java/dev/dunefront/duty/Duties.java
@@ -106,7 +106,6 @@
     if (after) {
       seat.heldSince = now;
       seat.unfitSince = Double.NaN;
-      seat.unable = false;
       seat.taken++;
       LOG.log(Level.INFO, "has the duty {0} in term {1}", duty.label(), post.term());
     } else if (before) {
@@ -186,7 +185,10 @@
     lags.remove(from);
   }
 
-  /** The holder says whether it can do the duty at present, as far as the duty itself goes. */
+  /**
+   * Whether this controller can do the duty at present, as far as the duty itself goes: while it
+   * cannot it takes none, and gives away what it has.
+   */
   public void able(Duty duty, boolean able) {
     seats.get(duty).unable = !able;
   }
@@ -226,7 +228,11 @@
                   now - seat.heldSince,
                   since(seat.unfitSince, now)));
       switch (step.kind()) {
-        case TAKE -> write(duty, self);
+        case TAKE -> {
+          if (!seat.unable) {
+            write(duty, self);
+          }
+        }
         case HAND_OVER -> {
           seat.handed++;
 
--- a/src/main/java/dev/dunefront/fleet/Cloud.java
+++ b/src/main/java/dev/dunefront/fleet/Cloud.java
@@ -85,6 +85,11 @@
     return calls >= 1;
   }
 
+  /** A term begins: what was not answered in an earlier one says nothing of now. */
+  void begin() {
+    unanswered = 0;
+  }
+
   /** Whether the cloud can be reached from here, as far as the last calls tell. */
   boolean reachable() {
     return unanswered < CUT_OFF;
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -137,6 +137,8 @@
   public void tick() {
     long mine = duties.term(Duty.RENT);
     if (mine == 0 || !catalog.known()) {
+      // Whoever does not know the machine types yet leaves the duty to others.
+      duties.able(Duty.RENT, catalog.known());
       term = 0;
       return;
     }
@@ -183,6 +185,7 @@
     nextPrices = now + PRICES_S;
     nextList = 0;
     nextPlan = 0;
+    cloud.begin();
     inventory.clear();
     retiredAt.clear();
     refused.clear();
--- a/src/test/java/dev/dunefront/story/DutyTest.java
+++ b/src/test/java/dev/dunefront/story/DutyTest.java
@@ -230,6 +230,17 @@
     assertEquals(next, w.named(RENT), "and it does not go back for that");
   }
 
+  /** The cloud answers few calls a second, and some learn its machine types seconds later. */
+  @Test
+  void whoeverDoesNotKnowTheMachineTypesYetLeavesRentingToOthers() {
+    for (String knows : List.of("node-0", "node-1", "node-2")) {
+      World w = new World(3);
+      w.lost = (from, to) -> !from.equals(knows) && to.equals(CLOUD);
+      w.start().pass(2);
+      assertEquals(knows, w.named(RENT));
+    }
+  }
+
   /** Everybody is cut off from the cloud: the duty does not go round from one to the next. */
   @Test
   void aDutyThatNobodyCanDoStaysWhereItIsForAWhile() {
