A duty of an earlier life is not waited for; deletions left open wait for their machines

A record that names an earlier life of a controller that has come back is as good as none; it is replaced on the condition of its stamp.

With that the next term begins before machines have found their holders, and a deletion of an idle machine that was left open no longer stood, for nobody held it: it was dropped, and the late one met a task. It now waits for up to a lease for the machine to be held and closed.

--- a/src/main/java/dev/dunefront/duty/Duties.java
+++ b/src/main/java/dev/dunefront/duty/Duties.java
@@ -209,7 +209,8 @@
       }
       List<Election.Candidate> live = candidates();
       double now = timers.now();
-      if (seat.post.vacant() && Double.isNaN(seat.vacantSince)) {
+      boolean vacant = vacant(seat.post);
+      if (vacant && Double.isNaN(seat.vacantSince)) {
         seat.vacantSince = now;
       }
       if (!seat.unable && lagS < Election.UNFIT_LAG_S) {
@@ -221,7 +222,7 @@
           Election.next(
               new Election.Sight(
                   duty,
-                  seat.post,
+                  vacant ? Post.VACANT : seat.post,
                   self,
                   live,
                   since(seat.vacantSince, now),
@@ -244,6 +245,18 @@
     }
   }
 
+  /**
+   * Whether nobody has the duty: there is no record, or it names an earlier life of a controller
+   * that has come back before its lease ran out.
+   */
+  private boolean vacant(Post post) {
+    if (post.vacant()) {
+      return true;
+    }
+    String now = membership.incarnation(Membership.nodeOf(post.holder()));
+    return now != null && !now.equals(post.holder());
+  }
+
   private static double since(double at, double now) {
     return Double.isNaN(at) ? 0 : now - at;
   }
@@ -265,8 +278,8 @@
   }
 
   /**
-   * Names an incarnation as holder, itself or another: on the condition of what is recorded now,
-   * under the lease of the one named. If that lease has ended nothing is written.
+   * Names an incarnation as holder, itself or another: on the condition of what is recorded now, be
+   * it nothing, under the lease of the one named. If that lease has ended nothing is written.
    */
   private void write(Duty duty, String incarnation) {
     Seat seat = seats.get(duty);
--- a/src/main/java/dev/dunefront/fleet/Acts.java
+++ b/src/main/java/dev/dunefront/fleet/Acts.java
@@ -4,6 +4,7 @@
 import dev.dunefront.duty.Ledger;
 import dev.dunefront.fleet.Cloud.Hire;
 import dev.dunefront.net.Timers;
+import dev.dunefront.peer.Message.View;
 import dev.dunefront.store.Store;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
@@ -13,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * What is asked of the cloud, in the order decide, record, ask, hear. The cloud knows no terms, so
@@ -49,9 +51,14 @@
   private final Timers timers;
   private final int valueBytes;
   private final double lagS;
+  private final double leaseS;
   private final Map<Kind, Double> refused;
   private final Runnable ready;
   private final ArrayDeque<Act> recorded = new ArrayDeque<>();
+
+  /** Machines whose deletion has no answer and does not stand yet, and until when that is so. */
+  private final Map<String, Double> waiting = new TreeMap<>();
+
   private Intents intents = new Intents();
   private boolean open;
   private boolean lost;
@@ -74,6 +81,7 @@
       Timers timers,
       double valueKb,
       double lagS,
+      double leaseS,
       Map<Kind, Double> refused,
       Runnable ready) {
     this.ledger = ledger;
@@ -85,6 +93,7 @@
     this.timers = timers;
     this.valueBytes = (int) (valueKb * 1024 * VALUE_PART);
     this.lagS = lagS;
+    this.leaseS = leaseS;
     this.refused = refused;
     this.ready = ready;
   }
@@ -95,6 +104,7 @@
   /** Begins a term: reads what the holder before has left open, which comes first. */
   void begin(long term, Runnable then) {
     recorded.clear();
+    waiting.clear();
     intents = new Intents();
     open = false;
     lost = false;
@@ -205,15 +215,25 @@
         });
   }
 
-  /** Asks for what is on record, one at a time; says whether there was anything. */
+  /** Asks for what is on record, one at a time; says whether anything was asked for. */
   boolean next() {
-    Act act = recorded.poll();
-    if (act instanceof Rent r) {
-      ask(r.hire());
-    } else if (act instanceof Return r) {
-      ask(r);
+    for (Act act = recorded.poll(); act != null; act = recorded.poll()) {
+      if (act instanceof Rent r) {
+        ask(r.hire());
+        return true;
+      } else if (act instanceof Return r && ask(r)) {
+        return true;
+      }
     }
-    return act != null;
+    double now = timers.now();
+    List<String> due = new ArrayList<>();
+    waiting.forEach(
+        (host, until) -> {
+          if (now > until || !intents.deletions.get(host).mayStand(view(host))) {
+            due.add(host);
+          }
+        });
+    return !due.isEmpty() && ask(new Return(due, true));
   }
 
   private void ask(Hire h) {
@@ -242,15 +262,24 @@
         });
   }
 
-  private void ask(Return act) {
+  /** False if none of it stands any more. */
+  private boolean ask(Return act) {
+    double now = timers.now();
     Map<String, Doom> still = new LinkedHashMap<>();
     List<String> over = new ArrayList<>();
     for (String host : act.hosts()) {
       Doom why = intents.deletions.get(host);
-      Room.Seen seen = room.get(host);
-      if (why != null && why.stands(seen == null ? null : seen.view())) {
+      View view = view(host);
+      Double until = waiting.get(host);
+      if (why.stands(view)) {
         still.put(host, why);
+        waiting.remove(host);
+      } else if (act.unclear() && why.mayStand(view) && (until == null || now <= until)) {
+        // It may be on its way. After a restart of all, machines find their holders within a lease,
+        // and these close them; then nothing is there when it arrives.
+        waiting.putIfAbsent(host, now + leaseS);
       } else {
+        waiting.remove(host);
         LOG.log(Level.INFO, "does not return {0} after all", host);
         over.add(host);
       }
@@ -258,7 +287,7 @@
     dropped += over.size();
     settled(over, false);
     if (still.isEmpty()) {
-      return;
+      return false;
     }
     List<String> asked = List.copyOf(still.keySet());
     cloud.delete(
@@ -274,6 +303,12 @@
             recorded.add(new Return(asked, true));
           }
         });
+    return true;
+  }
+
+  private View view(String host) {
+    Room.Seen seen = room.get(host);
+    return seen == null ? null : seen.view();
   }
 
   private void settled(List<String> hosts, boolean confirmed) {
--- a/src/main/java/dev/dunefront/fleet/Doom.java
+++ b/src/main/java/dev/dunefront/fleet/Doom.java
@@ -32,6 +32,14 @@
     return IDLE;
   }
 
+  /**
+   * Whether the deletion may stand before long: nobody holds the machine yet, or its holder has yet
+   * to close it.
+   */
+  boolean mayStand(View view) {
+    return this == IDLE && (view == null || view.idle() && !stands(view));
+  }
+
   /**
    * Whether the deletion may be asked for, now that it is on record: by what is seen of the machine
    * at this moment, for the one that decided it may have been replaced since, and tasks may have
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -106,6 +106,7 @@
             timers,
             desk.settings().stateLimits().valueKb(),
             lagS,
+            desk.settings().workers().leaseS(),
             refused,
             this::tick);
   }
--- a/src/test/java/dev/dunefront/story/DutyTest.java
+++ b/src/test/java/dev/dunefront/story/DutyTest.java
@@ -213,6 +213,20 @@
     assertEquals(null, alone.named(RENT), "nobody is there to have it");
   }
 
+  /** It is back before its lease has run out, which in an outage it does not do at all. */
+  @Test
+  void aHolderThatComesBackInAnotherLifeIsNotWaitedFor() {
+    World w = new World(1);
+    w.start().pass(5);
+    w.nodes.get("node-0").crash();
+    w.pass(0.5);
+    w.nodes.get("node-0").start();
+    w.pass(1.5);
+    assertEquals(List.of("w/u/cleanup", "w/u/rent"), w.state.keys("w/u/"));
+    String inc = w.state.value("w/n/node-0").toString();
+    assertTrue(inc.contains(w.incarnation(RENT)), "held by the life that lives");
+  }
+
   /** Not all duties are on one controller, and a holder that cannot do its duty gives it away. */
   @Test
   void dutiesAreSpreadAndGivenAwayByWhoeverCannotDoThem() {
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -697,10 +697,15 @@
 
   /** The controller that a key of the state service names as its incarnation, or null. */
   String named(String key) {
+    String inc = incarnation(key);
+    return inc == null ? null : inc.substring(0, inc.lastIndexOf('#'));
+  }
+
+  /** The incarnation that a key names, or null. */
+  String incarnation(String key) {
     try {
       Doc d = state.value(key);
-      String inc = d == null ? null : d.text("inc");
-      return inc == null ? null : inc.substring(0, inc.lastIndexOf('#'));
+      return d == null ? null : d.text("inc");
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
