--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -17,7 +17,6 @@
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
-import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
 import dev.dunefront.wire.Order;
 import dev.dunefront.wire.Report;
@@ -56,11 +55,6 @@
   /** How long a machine that is to be returned stays closed without being told so again. */
   private static final double RETIRE_S = 8;
 
-  /** So long before a machine is taken back, what still runs on it is stopped. */
-  private static final double LAST_S = 1.5;
-
-  private static final int MAX_IMAGES = 12;
-
   /** A machine that has been lost for so many leases is no longer held. */
   private static final double FORGET_LEASES = 10;
 
@@ -79,9 +73,11 @@
   /** What was called gone on machines let go of since without a new baton; see {@link #hold}. */
   private final Map<String, Map<TaskId, Long>> fences = new HashMap<>();
 
-  private final Map<String, Double> lookedUp = new HashMap<>();
   private final Views views;
   private final Preemption preemption;
+  private final Reports reports;
+  private final Starts starts;
+  private final Upkeep upkeep;
   private final Orders orders;
 
   private final Neighbours neighbours;
@@ -113,7 +109,10 @@
     this.offers = timers.timeOfDayMs() << 16;
     this.views = new Views(desk, held);
     this.preemption = new Preemption(desk, views);
-    this.orders = new Orders(desk, caller, this);
+    this.reports = new Reports(desk);
+    this.orders = new Orders(desk, caller, this, reports);
+    this.starts = new Starts(desk, this, orders, views);
+    this.upkeep = new Upkeep(desk);
     this.neighbours = new Neighbours(settings, membership);
     this.reception = new Reception(desk, neighbours, this);
     this.standstill = desk.standstill();
@@ -202,7 +201,7 @@
     }
     m.heard = timers.now();
     if (r.newerThan(m.tenure, m.serial)) {
-      apply(m, r);
+      reports.apply(m, r);
     }
     if (m.sendTo == null && held.size() > KEEP) {
       m.sendTo = neighbours.idler();
@@ -227,94 +226,6 @@
     act(m);
   }
 
-  void apply(Machine m, Report r) {
-    if (r.tenure() > m.tenure) {
-      // The earlier session's tasks are gone, and orders for it are refused.
-      m.pending.clear();
-      m.stops.clear();
-      m.clears.clear();
-      m.offers.clear();
-      m.lost = false;
-    }
-    m.dirty |=
-        r.tenure() != m.tenure
-            || (r.noticeS() == null) != (m.noticeS == null)
-            || r.baton() == m.baton && !m.settled
-            || !m.pending.isEmpty()
-            || !sameTasks(m, r);
-    m.tenure = r.tenure();
-    m.serial = r.serial();
-    if (!r.endpoint().isEmpty()) {
-      m.endpoint = r.endpoint();
-    }
-    if (r.noticeS() != null && m.noticeS == null) {
-      LOG.log(Level.INFO, "{0} will be taken back in {1} s", m.host, r.noticeS());
-    }
-    m.noticeS = r.noticeS();
-    m.noticeAt = timers.now();
-    Map<TaskId, Report.Task> before = new HashMap<>(m.tasks);
-    m.tasks.clear();
-    for (Report.Task t : r.tasks()) {
-      m.tasks.put(t.id(), t);
-      Report.Task was = before.get(t.id());
-      if (t.exited() && t.why().equals("done") && (was == null || !was.exited())) {
-        m.blamedBy.clear();
-      }
-      if (!t.state().equals("fetching") && !t.why().equals("no_room")) {
-        JobTable.Entry job = jobs.get(t.id().job());
-        if (job != null && job.record().spec().image() != null) {
-          m.images.remove(job.record().spec().image());
-          m.images.add(job.record().spec().image());
-          if (m.images.size() > MAX_IMAGES) {
-            m.images.remove(m.images.iterator().next());
-          }
-        }
-      }
-    }
-    if (r.baton() == m.baton) {
-      m.settled = true;
-      m.ours = true;
-      // Orders sent under an earlier baton can no longer be carried out.
-      m.pending.values().removeIf(p -> p.sentUnder != 0 && p.sentUnder < m.baton);
-    }
-    m.pending
-        .entrySet()
-        .removeIf(
-            e -> {
-              Report.Task t = m.tasks.get(e.getKey());
-              return t != null && t.attempt() == e.getValue().attempt;
-            });
-    m.startedAt.keySet().removeIf(id -> !m.tasks.containsKey(id) && !m.pending.containsKey(id));
-    forget(m.stops, m, true);
-    forget(m.clears, m, false);
-  }
-
-  private static boolean sameTasks(Machine m, Report r) {
-    if (m.tasks.size() != r.tasks().size()) {
-      return false;
-    }
-    for (Report.Task t : r.tasks()) {
-      if (!t.equals(m.tasks.get(t.id()))) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  private static void forget(Map<TaskId, Machine.Wish> wishes, Machine m, boolean untilExited) {
-    wishes
-        .entrySet()
-        .removeIf(
-            e -> {
-              Report.Task t = m.tasks.get(e.getKey());
-              return t == null && !m.pending.containsKey(e.getKey())
-                  || t != null
-                      && t.attempt() != e.getValue().attempt
-                      && !m.pending.containsKey(e.getKey())
-                  || untilExited && t != null && t.exited() && t.attempt() == e.getValue().attempt;
-            });
-  }
-
   void dropHold(Machine m, String why) {
     if (held.remove(m.host, m)) {
       if (!m.fence.isEmpty()) {
@@ -455,18 +366,18 @@
         m.offers.computeIfPresent(t.offer(), (k, o) -> o.until(timers.now() + TAKING_S));
       }
     } else if (message instanceof Message.Start s) {
-      start(from, s);
+      starts.start(from, s);
     } else if (message instanceof Message.Probe p) {
-      probed(from, p);
+      starts.probed(from, p);
     } else if (message instanceof Message.Stop s) {
       Machine m = held.get(s.host());
-      if (m != null && !outdated(s.job(), s.term())) {
+      if (m != null && !starts.outdated(s.job(), s.term())) {
         m.stop(new TaskId(s.job(), s.number()), s.attempt(), s.graceS());
         act(m);
       }
     } else if (message instanceof Message.Clear c) {
       Machine m = held.get(c.host());
-      if (m != null && !outdated(c.job(), c.term())) {
+      if (m != null && !starts.outdated(c.job(), c.term())) {
         m.clears.putIfAbsent(new TaskId(c.job(), c.number()), new Machine.Wish(c.attempt(), 0));
         act(m);
       }
@@ -499,88 +410,6 @@
     }
   }
 
-  private void start(String from, Message.Start s) {
-    Machine m = held.get(s.host());
-    if (m == null) {
-      return;
-    }
-    TaskId id = new TaskId(s.job(), s.number());
-    boolean good =
-        (offered(m, from, s) || stillFits(m, s))
-            && m.baton == s.baton()
-            // Recorded for one session of the worker: a view of a later one proves it gone.
-            && m.tenure == s.tenure()
-            && !outdated(s.job(), s.term())
-            && !m.doubt
-            && !m.raising
-            && s.attempt() > m.fence.getOrDefault(id, 0L)
-            && !jobs.over(s.job());
-    if (!good) {
-      probed(from, new Message.Probe(s.host(), s.term(), s.job(), s.number(), s.attempt()));
-      return;
-    }
-    m.offers.remove(s.offer());
-    m.pending.put(id, new Machine.Pending(s.attempt()));
-    m.startedAt.put(id, timers.now());
-    m.dirty = true;
-    act(m);
-  }
-
-  /**
-   * Whether another controller is known to have claimed the job since. A claimant that stood still
-   * learns so only after it has sent what it had decided before; its successor may have been told
-   * that an attempt is gone, by a holder that has since forgotten that it said so.
-   */
-  private boolean outdated(String job, long term) {
-    JobTable.Entry e = jobs.get(job);
-    return e != null && e.record().term() > term;
-  }
-
-  private static boolean offered(Machine m, String from, Message.Start s) {
-    Machine.Offered offer = m.offers.get(s.offer());
-    return offer != null && offer.node().equals(from) && offer.job().equals(s.job());
-  }
-
-  /**
-   * Whether there is room for a start whose offer has run out. When many placements wait for the
-   * state's budget, offers run out before they are recorded; were such starts refused, each would
-   * cost the budget a lost attempt and a new one, and nothing would start at all.
-   */
-  private boolean stillFits(Machine m, Message.Start s) {
-    MachineType type = catalog.type(m.typeName);
-    Size size = views.sizeOf(s.job());
-    return type != null && size != null && m.open() && size.fits(m.free(type, views::sizeOf));
-  }
-
-  private void probed(String from, Message.Probe p) {
-    Machine m = held.get(p.host());
-    if (m == null
-        || !m.settled
-        || m.doubt
-        || m.raising
-        || m.lost
-        || !standstill.current()
-        || outdated(p.job(), p.term())) {
-      return;
-    }
-    TaskId id = new TaskId(p.job(), p.number());
-    Machine.Pending pending = m.pending.get(id);
-    Report.Task task = m.tasks.get(id);
-    if (pending != null && pending.attempt == p.attempt()
-        || task != null && task.attempt() == p.attempt()) {
-      return;
-    }
-    if (m.resumed) {
-      // Its start may have been sent before the crash: only a higher baton shuts it out.
-      orders.raise(m);
-      return;
-    }
-    // From now on this attempt is refused, should its start still be on the way here.
-    m.fence.merge(id, p.attempt(), Math::max);
-    peers.send(
-        from, new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
-  }
-
   /**
    * Closes an empty machine that is to be returned, so that no placement meets its deletion. If it
    * is not returned after all, it opens again by itself.
@@ -686,7 +515,7 @@
     }
     if (now - strangersAt > IDLE_LOOK_S) {
       strangersAt = now;
-      lookUpStrangers(now);
+      upkeep.lookUpStrangers(held.values(), now);
       reception.forget(now);
     }
     spread(now);
@@ -723,7 +552,7 @@
       return;
     }
     if (m.noticeS != null) {
-      clearOut(m, m.noticeS - (now - m.noticeAt), now);
+      upkeep.clearOut(m, m.noticeS - (now - m.noticeAt), now);
     }
     boolean waits = m.dirty || !m.pending.isEmpty() || !m.stops.isEmpty() || !m.clears.isEmpty();
     if (waits || now - m.looked > IDLE_LOOK_S) {
@@ -731,54 +560,4 @@
       act(m);
     }
   }
-
-  /**
-   * A machine will be taken back. Tasks that can save are told to, while there is time. Of the
-   * others those that will surely not be done are stopped at once, and the rest just before the
-   * end: what has exited is placed again at once, what vanishes with its machine only when its
-   * lease is over.
-   */
-  private void clearOut(Machine m, double leftS, double now) {
-    for (Report.Task t : m.tasks.values()) {
-      JobTable.Entry e = jobs.get(t.id().job());
-      if (e == null || t.exited()) {
-        continue;
-      }
-      JobSpec spec = e.record().spec();
-      boolean running = t.state().equals("running");
-      if (running && spec.checkpointS() > 0) {
-        if (leftS < spec.saveS() + settings.workers().reportS() + 1) {
-          m.stop(t.id(), t.attempt(), Math.max(spec.saveS() + 1, leftS));
-        }
-      } else if (running || t.state().equals("fetching")) {
-        double ranS = now - m.startedAt.getOrDefault(t.id(), now);
-        boolean overdue = running && ranS > spec.estimateS();
-        if (leftS < LAST_S || !overdue && spec.estimateS() - ranS > leftS) {
-          m.stop(t.id(), t.attempt(), 0);
-        }
-      }
-    }
-  }
-
-  /** Tasks of jobs that no live record names: the job is over, or news of it has yet to come. */
-  private void lookUpStrangers(double now) {
-    lookedUp.values().removeIf(at -> now - at > 10);
-    for (Machine m : held.values()) {
-      for (Report.Task t : m.tasks.values()) {
-        String job = t.id().job();
-        if (jobs.get(job) != null) {
-          continue;
-        }
-        if (jobs.finalStatus(job) != null) {
-          if (t.exited()) {
-            m.clears.putIfAbsent(t.id(), new Machine.Wish(t.attempt(), 0));
-          } else {
-            m.stop(t.id(), t.attempt(), 0);
-          }
-        } else if (lookedUp.putIfAbsent(job, now) == null) {
-          jobs.read(job, Store.Urgency.BACKGROUND, found -> {});
-        }
-      }
-    }
-  }
 }
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -33,9 +33,11 @@
   private final Timers timers;
   private final Ward ward;
   private final Books books;
+  private final Reports reports;
   private final Standstill standstill;
 
-  Orders(Desk desk, Caller caller, Books books) {
+  Orders(Desk desk, Caller caller, Books books, Reports reports) {
+    this.reports = reports;
     this.membership = desk.membership();
     this.holds = desk.holds();
     this.store = desk.store();
@@ -153,7 +155,7 @@
           return;
         }
         if (r.newerThan(m.tenure, m.serial)) {
-          books.apply(m, r);
+          reports.apply(m, r);
         }
         if (reply.status() == 409) {
           // Nothing was carried out: what was sent may be sent again, if it still makes sense.
--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Starts.java
@@ -0,0 +1,120 @@
+package dev.dunefront.book;
+
+import dev.dunefront.claim.Desk;
+import dev.dunefront.fleet.Catalog;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.net.Timers;
+import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Peers;
+import dev.dunefront.store.Standstill;
+import dev.dunefront.wire.MachineType;
+import dev.dunefront.wire.Report;
+import dev.dunefront.wire.Size;
+import dev.dunefront.wire.TaskId;
+
+/** Starts of recorded attempts, and what is said of attempts that a machine does not show. */
+final class Starts {
+  private final JobTable jobs;
+  private final Catalog catalog;
+  private final Peers peers;
+  private final Timers timers;
+  private final Standstill standstill;
+  private final Books books;
+  private final Orders orders;
+  private final Views views;
+
+  Starts(Desk desk, Books books, Orders orders, Views views) {
+    this.jobs = desk.jobs();
+    this.catalog = desk.catalog();
+    this.peers = desk.peers();
+    this.timers = desk.timers();
+    this.standstill = desk.standstill();
+    this.books = books;
+    this.orders = orders;
+    this.views = views;
+  }
+
+  /** A claimant takes an offer: its placement is recorded. */
+  void start(String from, Message.Start s) {
+    Machine m = books.held(s.host());
+    if (m == null) {
+      return;
+    }
+    TaskId id = new TaskId(s.job(), s.number());
+    boolean good =
+        (offered(m, from, s) || stillFits(m, s))
+            && m.baton == s.baton()
+            // Recorded for one session of the worker: a view of a later one proves it gone.
+            && m.tenure == s.tenure()
+            && !outdated(s.job(), s.term())
+            && !m.doubt
+            && !m.raising
+            && s.attempt() > m.fence.getOrDefault(id, 0L)
+            && !jobs.over(s.job());
+    if (!good) {
+      probed(from, new Message.Probe(s.host(), s.term(), s.job(), s.number(), s.attempt()));
+      return;
+    }
+    m.offers.remove(s.offer());
+    m.pending.put(id, new Machine.Pending(s.attempt()));
+    m.startedAt.put(id, timers.now());
+    m.dirty = true;
+    books.act(m);
+  }
+
+  /**
+   * Whether another controller is known to have claimed the job since. A claimant that stood still
+   * learns so only after it has sent what it had decided before; its successor may have been told
+   * that an attempt is gone, by a holder that has since forgotten that it said so.
+   */
+  boolean outdated(String job, long term) {
+    JobTable.Entry e = jobs.get(job);
+    return e != null && e.record().term() > term;
+  }
+
+  private static boolean offered(Machine m, String from, Message.Start s) {
+    Machine.Offered offer = m.offers.get(s.offer());
+    return offer != null && offer.node().equals(from) && offer.job().equals(s.job());
+  }
+
+  /**
+   * Whether there is room for a start whose offer has run out. When many placements wait for the
+   * state's budget, offers run out before they are recorded; were such starts refused, each would
+   * cost the budget a lost attempt and a new one, and nothing would start at all.
+   */
+  private boolean stillFits(Machine m, Message.Start s) {
+    MachineType type = catalog.type(m.typeName);
+    Size size = views.sizeOf(s.job());
+    return type != null && size != null && m.open() && size.fits(m.free(type, views::sizeOf));
+  }
+
+  /** A claimant asks whether an attempt that it does not see is surely gone. */
+  void probed(String from, Message.Probe p) {
+    Machine m = books.held(p.host());
+    if (m == null
+        || !m.settled
+        || m.doubt
+        || m.raising
+        || m.lost
+        || !standstill.current()
+        || outdated(p.job(), p.term())) {
+      return;
+    }
+    TaskId id = new TaskId(p.job(), p.number());
+    Machine.Pending pending = m.pending.get(id);
+    Report.Task task = m.tasks.get(id);
+    if (pending != null && pending.attempt == p.attempt()
+        || task != null && task.attempt() == p.attempt()) {
+      return;
+    }
+    if (m.resumed) {
+      // Its start may have been sent before the crash: only a higher baton shuts it out.
+      orders.raise(m);
+      return;
+    }
+    // From now on this attempt is refused, should its start still be on the way here.
+    m.fence.merge(id, p.attempt(), Math::max);
+    peers.send(
+        from, new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Upkeep.java
@@ -0,0 +1,76 @@
+package dev.dunefront.book;
+
+import dev.dunefront.claim.Desk;
+import dev.dunefront.config.Settings;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.store.Store;
+import dev.dunefront.wire.JobSpec;
+import dev.dunefront.wire.Report;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What is stopped on machines without a claimant's asking. */
+final class Upkeep {
+  /** So long before a machine is taken back, what still runs on it is stopped. */
+  private static final double LAST_S = 1.5;
+
+  private final Settings settings;
+  private final JobTable jobs;
+  private final Map<String, Double> lookedUp = new HashMap<>();
+
+  Upkeep(Desk desk) {
+    this.settings = desk.settings();
+    this.jobs = desk.jobs();
+  }
+
+  /**
+   * A machine will be taken back. Tasks that can save are told to, while there is time. Of the
+   * others those that will surely not be done are stopped at once, and the rest just before the
+   * end: what has exited is placed again at once, what vanishes with its machine only when its
+   * lease is over.
+   */
+  void clearOut(Machine m, double leftS, double now) {
+    for (Report.Task t : m.tasks.values()) {
+      JobTable.Entry e = jobs.get(t.id().job());
+      if (e == null || t.exited()) {
+        continue;
+      }
+      JobSpec spec = e.record().spec();
+      boolean running = t.state().equals("running");
+      if (running && spec.checkpointS() > 0) {
+        if (leftS < spec.saveS() + settings.workers().reportS() + 1) {
+          m.stop(t.id(), t.attempt(), Math.max(spec.saveS() + 1, leftS));
+        }
+      } else if (running || t.state().equals("fetching")) {
+        double ranS = now - m.startedAt.getOrDefault(t.id(), now);
+        boolean overdue = running && ranS > spec.estimateS();
+        if (leftS < LAST_S || !overdue && spec.estimateS() - ranS > leftS) {
+          m.stop(t.id(), t.attempt(), 0);
+        }
+      }
+    }
+  }
+
+  /** Tasks of jobs that no live record names: the job is over, or news of it has yet to come. */
+  void lookUpStrangers(Collection<Machine> held, double now) {
+    lookedUp.values().removeIf(at -> now - at > 10);
+    for (Machine m : held) {
+      for (Report.Task t : m.tasks.values()) {
+        String job = t.id().job();
+        if (jobs.get(job) != null) {
+          continue;
+        }
+        if (jobs.finalStatus(job) != null) {
+          if (t.exited()) {
+            m.clears.putIfAbsent(t.id(), new Machine.Wish(t.attempt(), 0));
+          } else {
+            m.stop(t.id(), t.attempt(), 0);
+          }
+        } else if (lookedUp.putIfAbsent(job, now) == null) {
+          jobs.read(job, Store.Urgency.BACKGROUND, found -> {});
+        }
+      }
+    }
+  }
+}
