Answers to acts of an earlier term change nothing in a later one

Read again: the answer to a call that went out in a term that has ended put its act back into the queue of the next, where it is on record, or no longer is. The end of a deleted machine is recorded in any case, for it is true whoever hears of it.

--- a/src/main/java/dev/dunefront/fleet/Acts.java
+++ b/src/main/java/dev/dunefront/fleet/Acts.java
@@ -60,6 +60,7 @@
   private final Map<String, Double> waiting = new TreeMap<>();
 
   private Intents intents = new Intents();
+  private long term;
   private boolean open;
   private boolean lost;
   private boolean dirty;
@@ -102,7 +103,8 @@
   static final double REFUSED_S = 12;
 
   /** Begins a term: reads what the holder before has left open, which comes first. */
-  void begin(long term, Runnable then) {
+  void begin(long inTerm, Runnable then) {
+    term = inTerm;
     recorded.clear();
     waiting.clear();
     intents = new Intents();
@@ -110,7 +112,7 @@
     lost = false;
     dirty = false;
     ledger.open(
-        term,
+        inTerm,
         value -> {
           intents = read(value);
           double now = timers.now();
@@ -237,9 +239,14 @@
   }
 
   private void ask(Hire h) {
+    long inTerm = term;
     cloud.hire(
         h,
         rented -> {
+          if (inTerm != term) {
+            // Whoever has the duty now found the hire on record, and asks under its name.
+            return;
+          }
           double now = timers.now();
           if (rented.outcome() == Cloud.Outcome.UNCLEAR) {
             // The same name asks again, so that nothing is rented twice.
@@ -290,12 +297,18 @@
       return false;
     }
     List<String> asked = List.copyOf(still.keySet());
+    long inTerm = term;
     cloud.delete(
         asked,
         answer -> {
           if (answer == Cloud.Deletion.CONFIRMED) {
-            settled(asked, true);
             burials.bury(asked);
+          }
+          if (inTerm != term) {
+            return;
+          }
+          if (answer == Cloud.Deletion.CONFIRMED) {
+            settled(asked, true);
           } else if (answer == Cloud.Deletion.REFUSED && !act.unclear()) {
             // Nothing is on its way, so it can be decided anew.
             settled(asked, false);
