A term of renting begins without what was told in an earlier one

Read again: a controller that had the duty before kept what the others had told it then, and could decide by it until they told it anew, within half a second. It is forgotten when a term begins.

--- a/src/main/java/dev/dunefront/duty/Post.java
+++ b/src/main/java/dev/dunefront/duty/Post.java
@@ -1,5 +1,6 @@
 package dev.dunefront.duty;
 
+import dev.dunefront.store.Store;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 
@@ -27,7 +28,7 @@
   }
 
   static Doc write(String incarnation, String mark) {
-    return Doc.of().put("inc", incarnation).put(dev.dunefront.store.Store.MARK, mark);
+    return Doc.of().put("inc", incarnation).put(Store.MARK, mark);
   }
 
   boolean vacant() {
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -190,7 +190,8 @@
     inventory.clear();
     retiredAt.clear();
     refused.clear();
-    demands.keySet().retainAll(membership.liveNodes());
+    // What was told in an earlier term is old; all tell the new holder within half a second.
+    demands.clear();
     acts.begin(mine, () -> health.begin(acts.intents(), timers.now(), timers.timeOfDayMs()));
   }
 
