Read again: how many tasks wait and how old a job is are each asked in one place

What waits of a job was worked out with a sentinel in Turnover; Claims answers it for jobs here and elsewhere. A job's age stood twice. Whether a fetch is too slow was worked out over all kinds of machines for every job that parks, and thrown away for all but urgent ones: they are told apart first now. Behaviour stays; the tests are as they were and green.

--- a/src/main/java/dev/dunefront/claim/Choosing.java
+++ b/src/main/java/dev/dunefront/claim/Choosing.java
@@ -171,13 +171,16 @@
    */
   double slowFetchS(Claim c) {
     Priority priority = c.spec.priority();
+    if (!priority.urgent()) {
+      return Double.POSITIVE_INFINITY;
+    }
     double quick = quickFetchS(c);
     double slow = 0;
     for (Room.Kind k : room.kinds()) {
       Fit fit = fit(c, k);
       slow = Math.max(slow, fit.ever > 0 ? fit.fetchS : 0);
     }
-    if (!priority.urgent() || slow <= quick * QUICK) {
+    if (slow <= quick * QUICK) {
       return Double.POSITIVE_INFINITY;
     }
     double most = quick * QUICK;
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -142,6 +142,11 @@
     return record.status() == JobRecord.Status.OPEN;
   }
 
+  /** How long ago the job was accepted, in seconds. */
+  double ageS(long nowMs) {
+    return (nowMs - record.acceptedMs()) / 1000.0;
+  }
+
   /** Tasks that are neither done nor placed. */
   int unstarted() {
     return open() ? spec.tasks() - busy.cardinality() : 0;
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -135,10 +135,14 @@
     return claims.containsKey(id);
   }
 
-  /** Tasks of a claimed job that are neither done nor placed, or -1 if it is not claimed here. */
-  int unstarted(String id) {
-    Claim c = claims.get(id);
-    return c == null ? -1 : c.unstarted();
+  /** Tasks of an open job that are neither done nor placed, as its claimant has told last. */
+  int unstarted(JobSpec spec) {
+    Claim c = claims.get(spec.id());
+    if (c != null) {
+      return c.unstarted();
+    }
+    Counts counts = counts(spec.id());
+    return Math.max(0, spec.tasks() - counts.done() - counts.placed());
   }
 
   /** Takes charge of a job whose record names this incarnation already. */
--- a/src/main/java/dev/dunefront/claim/GivingWay.java
+++ b/src/main/java/dev/dunefront/claim/GivingWay.java
@@ -52,7 +52,7 @@
     for (Choice ch : choices) {
       need -= ch.here() ? ch.fits() : 0;
     }
-    double ageS = (desk.timers().timeOfDayMs() - c.record.acceptedMs()) / 1000.0;
+    double ageS = c.ageS(desk.timers().timeOfDayMs());
     // Room that becomes free is mostly where the image has yet to be fetched.
     double leftS = urgencies.startSlackS(c.spec, ageS) - choosing.quickFetchS(c);
     need =
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -132,7 +132,7 @@
         want(c, host, 0);
       }
     }
-    double ageS = (desk.timers().timeOfDayMs() - c.record.acceptedMs()) / 1000.0;
+    double ageS = c.ageS(desk.timers().timeOfDayMs());
     int rank = urgencies.rank(c.spec, c.unstarted(), ageS, fetchS);
     boolean moved = rank != c.rank;
     c.rank = rank;
--- a/src/main/java/dev/dunefront/claim/Turnover.java
+++ b/src/main/java/dev/dunefront/claim/Turnover.java
@@ -2,6 +2,7 @@
 
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.job.JobTable;
+import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Size;
 import java.util.ArrayList;
@@ -81,13 +82,8 @@
       Arrays.fill(waiting, 0);
       for (JobTable.Entry e : desk.jobs().all()) {
         if (e.record().status() == Status.OPEN) {
-          String id = e.record().spec().id();
-          int own = claims.unstarted(id);
-          Claims.Counts counts = own >= 0 ? null : claims.counts(id);
-          waiting[e.record().spec().priority().ordinal()] +=
-              own >= 0
-                  ? own
-                  : Math.max(0, e.record().spec().tasks() - counts.done() - counts.placed());
+          JobSpec spec = e.record().spec();
+          waiting[spec.priority().ordinal()] += claims.unstarted(spec);
         }
       }
     }
