--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -5,6 +5,7 @@
 import dev.dunefront.config.Tunables;
 import dev.dunefront.duty.Duties;
 import dev.dunefront.duty.Duty;
+import dev.dunefront.evidence.Freshness;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
@@ -79,6 +80,8 @@
   private final Starts starts;
   private final Upkeep upkeep;
   private final Orders orders;
+  private final Listening listening;
+  private final Leaving leaving;
 
   private final Neighbours neighbours;
   private final Reception reception;
@@ -110,11 +113,13 @@
     this.views = new Views(desk, held);
     this.preemption = new Preemption(desk, views);
     this.reports = new Reports(desk);
-    this.orders = new Orders(desk, caller, this, reports);
+    this.listening = new Listening(desk, caller, this, reports);
+    this.orders = new Orders(desk, caller, this, listening);
     this.starts = new Starts(desk, this, orders, views);
     this.upkeep = new Upkeep(desk);
     this.neighbours = new Neighbours(settings, membership);
-    this.reception = new Reception(desk, neighbours, this);
+    this.leaving = new Leaving(desk, neighbours);
+    this.reception = new Reception(desk, neighbours, listening, this);
     this.standstill = desk.standstill();
     this.duties = desk.duties();
     standstill.listen(reception::woken);
@@ -131,6 +136,7 @@
   }
 
   private void taken(Report r, Answer answer) {
+    leaving.reported(r.host());
     Machine m = held.get(r.host());
     if (m != null) {
       reportOfHeld(m, r, answer);
@@ -160,7 +166,13 @@
     spreadAt = now;
     String few = neighbours.farBelow(held.size());
     for (Machine m : held.values()) {
-      if (m.settled && !m.doubt && !m.raising && !m.lost && !m.busy() && m.sendTo == null) {
+      if (m.settled
+          && !m.doubt
+          && !m.raising
+          && !m.lost
+          && m.hearing.trusted()
+          && !m.busy()
+          && m.sendTo == null) {
         m.sendTo = neighbours.better(m.zone, few);
         if (m.sendTo != null) {
           return;
@@ -194,14 +206,28 @@
       answer.send(421, null);
       return;
     }
+    Freshness.Worth worth = m.fresh.of(r);
+    if (worth == Freshness.Worth.COPY) {
+      // Nobody waits for the answer, unless the worker has begun anew.
+      answer.send(503, null, 1);
+      listening.copied(m);
+      return;
+    }
     if (m.lost && r.tenure() <= m.tenure) {
       // Its tasks have been given up for gone; nothing may renew this lease any more.
       answer.send(503, null, 1);
       return;
     }
     m.heard = timers.now();
-    if (r.newerThan(m.tenure, m.serial)) {
-      reports.apply(m, r);
+    if (worth == Freshness.Worth.NEW) {
+      listening.reported(m, r);
+    }
+    reports.reported(m, r);
+    String away = leaving.whereTo(m, held.values());
+    if (away != null) {
+      dropHold(m, "alone here, it goes to " + away);
+      reception.send(m.host, away, answer);
+      return;
     }
     if (m.sendTo == null && held.size() > KEEP) {
       m.sendTo = neighbours.idler();
@@ -211,6 +237,8 @@
       m.sendTo = null;
       if (neighbours.reachable(to)
           && !m.busy()
+          // Sent on, a machine that does not hear it would go round instead.
+          && m.hearing.trusted()
           && !m.doubt
           && !m.raising
           && !m.retiring(timers.now())) {
@@ -222,6 +250,7 @@
     if (m.doubt) {
       orders.raise(m);
     }
+    m.answered = timers.now();
     answer.send(200, Order.answer(m.baton, List.of()));
     act(m);
   }
@@ -394,7 +423,7 @@
         reception.released(u.host(), from);
       }
     } else if (message instanceof Message.HoldAsk a) {
-      reception.asked(from, a.host());
+      reception.asked(from, a);
     } else if (message instanceof Message.HoldSay s) {
       reception.answered(from, s);
     } else if (message instanceof Message.Retire r) {
@@ -428,11 +457,11 @@
     if (m == null || m.quarantined) {
       return;
     }
-    m.blamedBy.add(b.job());
-    if (m.blamedBy.size() >= 2) {
+    m.blame = m.blame.by(b.job(), b.weight());
+    if (m.blame.faulty()) {
       m.quarantined = true;
       m.dirty = true;
-      LOG.log(Level.INFO, "{0} is put in quarantine: {1} fail on it", m.host, m.blamedBy);
+      LOG.log(Level.INFO, "{0} is put in quarantine: {1} fail on it", m.host, m.blame.jobs());
       act(m);
     }
   }
@@ -496,9 +525,30 @@
     return held.size();
   }
 
+  /** Copies of old reports that have come so far. */
+  public int copies() {
+    return listening.copies();
+  }
+
+  /** How often a machine has turned out to be heard and not to hear so far. */
+  public int deafened() {
+    return listening.deafened();
+  }
+
+  /** Machines that this controller has sent away because it was alone with them so far. */
+  public int sentAway() {
+    return leaving.sent();
+  }
+
+  /** Whether neither the state service nor any other controller answers. */
+  public boolean alone() {
+    return leaving.alone();
+  }
+
   /** Called several times a second. */
   public void tick(double lateS) {
     neighbours.late(lateS);
+    listening.late(lateS);
     double now = timers.now();
     double lease = settings.workers().leaseS();
     if (!standstill.current()) {
@@ -509,6 +559,7 @@
       rosterStamp = stamp;
       rosterChanged();
     }
+    leaving.tick(now);
     for (Machine m : List.copyOf(held.values())) {
       // What cannot be done for one machine is no reason to leave the others alone.
       ward.run(() -> tick(m, now, lease));
@@ -534,6 +585,7 @@
       m.retiringUntil = 0;
       m.dirty = true;
     }
+    listening.tick(m, now);
     if (!m.lost && m.ours && now - m.heard > lease * (1 + DRIFT) + 0.3) {
       // No report of this session has been answered for longer than its lease lasts. A baton
       // raised since, which the worker may never see, changes nothing in that: a machine that
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -1,5 +1,8 @@
 package dev.dunefront.book;
 
+import dev.dunefront.evidence.Blame;
+import dev.dunefront.evidence.Freshness;
+import dev.dunefront.evidence.Hearing;
 import dev.dunefront.peer.Message.State;
 import dev.dunefront.peer.Message.TaskState;
 import dev.dunefront.peer.Message.View;
@@ -10,7 +13,6 @@
 import dev.dunefront.wire.TaskId;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -55,8 +57,19 @@
   long baton;
   long holdStamp;
   long tenure;
-  long serial = -1;
   double heard;
+
+  /** What its worker has said so far, by which copies of old reports are told from news. */
+  Freshness fresh = Freshness.NONE;
+
+  /** Whether what is said to it arrives. */
+  Hearing hearing = Hearing.GOOD;
+
+  /** It has been asked what it is at, and the answer is not here yet. */
+  boolean questioned;
+
+  /** When a report of it was last answered. */
+  double answered = Double.NEGATIVE_INFINITY;
   Double noticeS;
   double noticeAt;
   double looked;
@@ -89,7 +102,9 @@
   final Map<TaskId, Wish> clears = new HashMap<>();
   final Map<TaskId, Long> fence = new HashMap<>();
   final Map<Long, Offered> offers = new HashMap<>();
-  final Set<String> blamedBy = new HashSet<>();
+  /** Jobs that have failed on it since anything was done there. */
+  Blame blame = Blame.NONE;
+
   final Set<String> images = new LinkedHashSet<>();
   final WantBook book = new WantBook();
   boolean quarantined;
@@ -122,6 +137,7 @@
         && !quarantined
         && !doubt
         && !raising
+        && hearing.trusted()
         && noticeS == null
         && retiringUntil == 0;
   }
--- a/src/main/java/dev/dunefront/book/Neighbours.java
+++ b/src/main/java/dev/dunefront/book/Neighbours.java
@@ -48,6 +48,11 @@
     lags.remove(node);
   }
 
+  /** Whether no other controller can be heard. */
+  boolean none() {
+    return loads.isEmpty();
+  }
+
   boolean reachable(String node) {
     return loads.containsKey(node);
   }
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -1,6 +1,7 @@
 package dev.dunefront.book;
 
 import dev.dunefront.claim.Desk;
+import dev.dunefront.evidence.Freshness;
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
@@ -33,11 +34,11 @@
   private final Timers timers;
   private final Ward ward;
   private final Books books;
-  private final Reports reports;
+  private final Listening listening;
   private final Standstill standstill;
 
-  Orders(Desk desk, Caller caller, Books books, Reports reports) {
-    this.reports = reports;
+  Orders(Desk desk, Caller caller, Books books, Listening listening) {
+    this.listening = listening;
     this.membership = desk.membership();
     this.holds = desk.holds();
     this.store = desk.store();
@@ -131,6 +132,7 @@
     byte[] body = Order.direct(m.baton, m.tenure, orders);
     boolean runs = orders.stream().anyMatch(o -> o instanceof Order.Run);
     String endpoint = m.endpoint;
+    Freshness known = m.fresh;
     ward.then(
         () ->
             caller.call(
@@ -139,10 +141,10 @@
                 "/orders",
                 body,
                 ORDER_S,
-                reply -> ward.run(() -> ordered(m, runs, reply))));
+                reply -> ward.run(() -> ordered(m, known, runs, reply))));
   }
 
-  private void ordered(Machine m, boolean runs, Caller.Reply reply) {
+  private void ordered(Machine m, Freshness known, boolean runs, Caller.Reply reply) {
     m.ordering = false;
     if (books.held(m.host) != m) {
       return;
@@ -150,25 +152,24 @@
     if (reply.status() == 200 || reply.status() == 409) {
       try {
         Report r = Report.read(Doc.decode(reply.body()));
-        if (r.baton() > m.baton) {
-          books.dropHold(m, "a higher baton is out");
-          return;
-        }
-        if (r.newerThan(m.tenure, m.serial)) {
-          reports.apply(m, r);
-        }
         if (reply.status() == 409) {
           // Nothing was carried out: what was sent may be sent again, if it still makes sense.
           m.pending.values().forEach(p -> p.sentUnder = 0);
         }
+        if (!listening.answered(m, known, r)) {
+          return;
+        }
       } catch (BadMessage e) {
         LOG.log(Level.INFO, "{0} answers orders with nonsense: {1}", m.host, e.getMessage());
         m.doubt |= runs;
       }
-    } else if (runs) {
-      // The start may be carried out now, minutes later, or never.
-      m.doubt = true;
-      m.dirty = true;
+    } else {
+      if (runs) {
+        // The start may be carried out now, minutes later, or never.
+        m.doubt = true;
+        m.dirty = true;
+      }
+      listening.suspect(m, "an order had no answer");
     }
     books.act(m);
   }
--- a/src/main/java/dev/dunefront/book/Preemption.java
+++ b/src/main/java/dev/dunefront/book/Preemption.java
@@ -7,6 +7,7 @@
 import dev.dunefront.peer.Message;
 import dev.dunefront.wire.JobSpec;
 import dev.dunefront.wire.MachineType;
+import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Report;
 import dev.dunefront.wire.Size;
 import java.lang.System.Logger.Level;
@@ -24,6 +25,15 @@
   /** And only such as are at most this many times as large as what they give way to. */
   private static final int MUCH_LARGER = 2;
 
+  /**
+   * What yields is left alone for its first moments, in seconds: a start that is taken back before
+   * is none to its user, and fetching and saving would be all that it does.
+   */
+  private static final double LEAVE_S = 30;
+
+  /** What a task that saves is given on top of the time that it needs, in seconds. */
+  private static final double SAVE_MARGIN_S = 1;
+
   private final JobTable jobs;
   private final Catalog catalog;
   private final Timers timers;
@@ -45,6 +55,7 @@
     double now = timers.now();
     Size room = m.free(type, views::sizeOf);
     List<Report.Task> victims = new ArrayList<>();
+    List<Report.Task> yielding = new ArrayList<>();
     for (Report.Task t : m.tasks.values()) {
       JobTable.Entry e = jobs.get(t.id().job());
       if (e == null || t.exited()) {
@@ -53,6 +64,10 @@
       JobSpec spec = e.record().spec();
       if (m.stops.containsKey(t.id())) {
         room = room.plus(spec.size());
+      } else if (yields(spec)) {
+        if (spec.priority().ordinal() > p.priority() && ranS(m, t, now) >= LEAVE_S) {
+          yielding.add(t);
+        }
       } else if (spec.priority().ordinal() > p.priority()
           && !spec.service()
           // Once is enough: what was begun anew goes on.
@@ -63,13 +78,27 @@
       }
     }
     victims.sort(Comparator.comparingDouble(t -> -m.startedAt.get(t.id())));
-    for (Report.Task t : victims) {
+    yielding.addAll(victims);
+    for (Report.Task t : yielding) {
       if (p.size().timesIn(room) >= p.count()) {
         break;
       }
-      room = room.plus(views.sizeOf(t.id().job()));
+      JobSpec spec = jobs.get(t.id().job()).record().spec();
+      room = room.plus(spec.size());
       LOG.log(Level.DEBUG, "{0} on {1} gives way to a higher priority", t.id(), m.host);
-      m.stop(t.id(), t.attempt(), 0);
+      m.stop(t.id(), t.attempt(), yields(spec) ? spec.saveS() + SAVE_MARGIN_S : 0);
     }
   }
+
+  private static double ranS(Machine m, Report.Task t, double now) {
+    return now - m.startedAt.getOrDefault(t.id(), Double.NEGATIVE_INFINITY);
+  }
+
+  /**
+   * Whether tasks of the job give way to any other priority, however long they have run and however
+   * often: they are of the lowest, which is to have what lies idle, and keep what they have done.
+   */
+  static boolean yields(JobSpec spec) {
+    return spec.priority() == Priority.BEST_EFFORT && spec.checkpointS() > 0 && !spec.service();
+  }
 }
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -15,8 +15,10 @@
 import dev.dunefront.wire.Report;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Reports of machines that this controller does not hold yet: holds them on, takes them, or sends
@@ -43,6 +45,7 @@
   private final Timers timers;
   private final Ward ward;
   private final Neighbours neighbours;
+  private final Listening listening;
   private final Books books;
 
   private record Waiter(Report report, Answer answer) {}
@@ -53,11 +56,17 @@
   /** Reports that wait for another controller to say whether it still hears the machine. */
   private final Map<String, List<Waiter>> asking = new HashMap<>();
 
+  /** Machines that are asked what they are at, before they are taken from a living holder. */
+  private final Set<String> verifying = new HashSet<>();
+
   /** Since when a holder has left questions unanswered. */
   private final Map<String, Silence> unanswered = new HashMap<>();
 
   private record Silence(String incarnation, double since) {}
 
+  /** Since when other controllers have had no lease. */
+  private final Map<String, Double> deadSince = new HashMap<>();
+
   /** When a machine was last sent to another controller. */
   private final Map<String, Double> sentOn = new HashMap<>();
 
@@ -68,7 +77,7 @@
 
   private double begun;
 
-  Reception(Desk desk, Neighbours neighbours, Books books) {
+  Reception(Desk desk, Neighbours neighbours, Listening listening, Books books) {
     this.settings = desk.settings();
     this.membership = desk.membership();
     this.holds = desk.holds();
@@ -78,6 +87,7 @@
     this.timers = desk.timers();
     this.ward = desk.ward();
     this.neighbours = neighbours;
+    this.listening = listening;
     this.books = books;
     this.begun = timers.now();
   }
@@ -101,6 +111,13 @@
 
   /** Forgets what is over: of machines that come and go only what still matters is kept. */
   void forget(double now) {
+    for (Settings.Peer p : settings.peers()) {
+      if (membership.liveNodes().contains(p.node())) {
+        deadSince.remove(p.node());
+      } else {
+        deadSince.putIfAbsent(p.node(), now);
+      }
+    }
     sentOn.values().removeIf(at -> now - at > SENT_S);
     released.values().removeIf(r -> now - r.at > RELEASED_S);
   }
@@ -191,6 +208,11 @@
     Machine m = new Machine(r, hold.baton(), hold.stamp(), timers.now());
     m.resumed = true;
     books.hold(m);
+    if (timers.now() - begun > settings.workers().leaseS()) {
+      // In the first moments of a life all machines report here. Later an unknown one is new, or
+      // this is a copy of a report of one that is gone: it is given no work before it has answered.
+      listening.suspect(m, "it is not known here");
+    }
     books.reportOfHeld(m, r, answer);
   }
 
@@ -203,7 +225,9 @@
     String incarnation = membership.incarnation(holder);
     Silence s = unanswered.get(holder);
     if (s == null || incarnation != null && !incarnation.equals(s.incarnation)) {
-      s = new Silence(incarnation, timers.now());
+      // One whose lease has been over for a while is not about to be back.
+      double dead = incarnation == null ? deadSince.getOrDefault(holder, timers.now()) : timers.now();
+      s = new Silence(incarnation, dead);
       unanswered.put(holder, s);
     }
     return timers.now() - s.since < settings.workers().leaseS() * PATIENCE;
@@ -212,13 +236,18 @@
   /** Asks a live holder whether it hears the machine: its worker may have come for lack of that. */
   private void ask(String holder, Report r, Answer answer) {
     asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
-    peers.send(holder, new Message.HoldAsk(r.host()));
+    peers.send(holder, new Message.HoldAsk(r.host(), r.tenure(), r.serial(), r.baton()));
     timers.after(ASK_S, () -> ward.run(() -> settleAsk(r.host(), null)));
   }
 
   /** Another controller asks whether this one hears a machine. */
-  void asked(String from, String host) {
+  void asked(String from, Message.HoldAsk ask) {
+    String host = ask.host();
     Machine m = books.held(host);
+    if (m != null) {
+      listening.elsewhere(m, ask);
+      m = books.held(host);
+    }
     // A machine that this controller held before it crashed is waited for from its start on.
     Holds.Hold record = holds.get(host);
     boolean ours = m != null || record == null || holds.heldBy(settings.node(), record);
@@ -227,7 +256,10 @@
   }
 
   private void settleAsk(String host, Message.HoldSay say) {
-    List<Waiter> waiting = asking.remove(host);
+    if (verifying.contains(host)) {
+      return;
+    }
+    List<Waiter> waiting = asking.get(host);
     if (waiting == null) {
       return;
     }
@@ -236,21 +268,49 @@
         say != null && say.held() && say.heardAgoS() < settings.workers().reportS() * 1.5;
     if (say == null && hold != null && !hold.dead() && books.held(host) == null) {
       if (patient(Membership.nodeOf(hold.holder()))) {
+        asking.remove(host);
         waiting.forEach(w -> w.answer.send(503, null, 1));
         return;
       }
     }
-    for (Waiter w : waiting) {
-      if (heard && hold != null && !hold.holder().isEmpty()) {
-        redirect(w.answer, Membership.nodeOf(hold.holder()));
-      } else if (books.held(host) != null || taking.containsKey(host)) {
-        books.report(w.report, w.answer);
-      } else {
-        take(w.report, w.answer);
-      }
+    if (heard && hold != null && !hold.holder().isEmpty()) {
+      asking.remove(host);
+      waiting.forEach(w -> redirect(w.answer, Membership.nodeOf(hold.holder())));
+    } else if (books.held(host) != null || taking.containsKey(host)) {
+      asking.remove(host);
+      waiting.forEach(w -> books.report(w.report, w.answer));
+    } else {
+      verify(host, waiting.get(waiting.size() - 1).report.endpoint());
     }
   }
 
+  /**
+   * Asks a machine itself before it is taken from a holder that lives: what came may be a late copy
+   * of a report, or the machine may hear nobody and go round the controllers, and each would write
+   * its hold anew.
+   */
+  private void verify(String host, String endpoint) {
+    verifying.add(host);
+    listening.ask(
+        endpoint,
+        now -> {
+          verifying.remove(host);
+          List<Waiter> waiting = asking.remove(host);
+          if (waiting == null) {
+            return;
+          }
+          for (Waiter w : waiting) {
+            if (books.held(host) != null || taking.containsKey(host)) {
+              books.report(w.report, w.answer);
+            } else if (now == null || !now.host().equals(host)) {
+              w.answer.send(503, null, 1);
+            } else {
+              take(now, w.answer);
+            }
+          }
+        });
+  }
+
   private static void redirect(Answer answer, String node) {
     answer.send(421, Doc.of().put("overseer", node).encode());
   }
--- a/src/main/java/dev/dunefront/book/Reports.java
+++ b/src/main/java/dev/dunefront/book/Reports.java
@@ -1,6 +1,8 @@
 package dev.dunefront.book;
 
 import dev.dunefront.claim.Desk;
+import dev.dunefront.evidence.Blame;
+import dev.dunefront.evidence.Freshness;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Timers;
 import dev.dunefront.wire.Report;
@@ -22,15 +24,60 @@
     this.timers = desk.timers();
   }
 
-  /** Takes over a report that is newer than what is known. */
-  void apply(Machine m, Report r) {
+  /** Takes over a report that came by itself and is no copy of an old one. */
+  void reported(Machine m, Report r) {
+    boolean news = r.newerThan(m.fresh.tenure(), m.fresh.serial());
+    m.fresh = m.fresh.reported(r);
+    if (news) {
+      apply(m, r);
+    }
+  }
+
+  /** Takes over an answer to orders or to a question. */
+  void answered(Machine m, Report r) {
+    boolean news = r.newerThan(m.fresh.tenure(), m.fresh.serial());
+    m.fresh = m.fresh.answered(r);
+    if (news) {
+      apply(m, r);
+    }
+  }
+
+  /**
+   * The worker has begun anew, perhaps in a lower session: what it had is gone, but for its former
+   * sessions' numbers, which it may use again. So its baton has to be raised before anything is
+   * sent to it or called gone.
+   */
+  void begunAnew(Machine m, Report r) {
+    LOG.log(Level.INFO, "{0} has begun anew, in session {1}", m.host, r.tenure());
+    m.fresh = Freshness.NONE.answered(r);
+    m.tenure = 0;
+    m.settled = false;
+    m.doubt = true;
+    apply(m, r);
+    m.settled = false;
+  }
+
+  /** Another controller has seen the worker in a later session: what ran in the earlier is gone. */
+  void laterSession(Machine m, long tenure) {
+    m.fresh = new Freshness(tenure, -1, -1, m.fresh.baton());
+    m.tenure = tenure;
+    endSession(m);
+    m.tasks.clear();
+    m.dirty = true;
+  }
+
+  private static void endSession(Machine m) {
+    // The earlier session's tasks are gone, and orders for it are refused.
+    m.pending.clear();
+    m.stops.clear();
+    m.clears.clear();
+    m.offers.clear();
+    m.lost = false;
+  }
+
+  private void apply(Machine m, Report r) {
     if (r.tenure() > m.tenure) {
-      // The earlier session's tasks are gone, and orders for it are refused.
-      m.pending.clear();
-      m.stops.clear();
-      m.clears.clear();
-      m.offers.clear();
-      m.lost = false;
+      endSession(m);
     }
     m.dirty |=
         r.tenure() != m.tenure
@@ -39,7 +86,6 @@
             || !m.pending.isEmpty()
             || !sameTasks(m, r);
     m.tenure = r.tenure();
-    m.serial = r.serial();
     if (!r.endpoint().isEmpty()) {
       m.endpoint = r.endpoint();
     }
@@ -54,7 +100,7 @@
       m.tasks.put(t.id(), t);
       Report.Task was = before.get(t.id());
       if (t.exited() && t.why().equals("done") && (was == null || !was.exited())) {
-        m.blamedBy.clear();
+        m.blame = Blame.NONE;
       }
       if (!t.state().equals("fetching") && !t.why().equals("no_room")) {
         JobTable.Entry job = jobs.get(t.id().job());
--- a/src/main/java/dev/dunefront/book/Views.java
+++ b/src/main/java/dev/dunefront/book/Views.java
@@ -82,6 +82,7 @@
         m.open(),
         m.quarantined,
         m.retiring(timers.now()),
+        m.hearing.deaf(),
         m.idleSince(timers.timeOfDayMs()),
         m.free(catalog.type(m.typeName), this::sizeOf),
         List.copyOf(m.images),
@@ -90,12 +91,17 @@
         List.of());
   }
 
-  /** Unfinished tasks that have started since then, by priority. */
+  /**
+   * Unfinished tasks, by priority; if a time is given only those that may give way, for they have
+   * started since or lose nothing by it.
+   */
   private List<Integer> unfinished(Machine m, double since) {
     int[] n = new int[Priority.values().length];
     for (TaskId id : m.unfinished()) {
       JobTable.Entry e = jobs.get(id.job());
-      if (since == 0 || m.startedAt.getOrDefault(id, 0.0) > since) {
+      if (since == 0
+          || m.startedAt.getOrDefault(id, 0.0) > since
+          || e != null && Preemption.yields(e.record().spec())) {
         n[e == null ? 0 : e.record().spec().priority().ordinal()]++;
       }
     }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -80,7 +79,10 @@
   final Map<String, Integer> parked = new HashMap<>();
 
   final Map<String, Double> avoid = new HashMap<>();
-  final Set<String> failedOn = new HashSet<>();
+
+  /** On which machines its tasks have failed, and since when. */
+  final Map<String, Double> failedOn = new HashMap<>();
+
 
   /** What each kind of machine is to this job, by the kind's index. */
   final List<Choosing.Fit> fits = new ArrayList<>();
@@ -123,6 +125,9 @@
   int preempted;
   int failures;
 
+  /** A task has been done, as far as this claim has seen; perhaps not recorded yet. */
+  boolean ran;
+
   Claim(JobRecord record, long stamp, int reach, double now) {
     this.record = record;
     this.spec = record.spec();
@@ -160,7 +165,12 @@
 
   /** A job whose tasks fail wherever they run, as far as has been seen. */
   boolean suspect() {
-    return failedOn.size() >= 2 && done == 0;
+    return failedOn.size() >= 2 && !runs();
+  }
+
+  /** Whether a task of it has ever been done, recorded or about to be. */
+  boolean runs() {
+    return ran || done > 0;
   }
 
   void install(int index, Chunk chunk) {
--- a/src/main/java/dev/dunefront/claim/GivingWay.java
+++ b/src/main/java/dev/dunefront/claim/GivingWay.java
@@ -2,13 +2,15 @@
 
 import dev.dunefront.claim.Choosing.Choice;
 import dev.dunefront.peer.Message;
+import dev.dunefront.peer.Message.View;
 import dev.dunefront.wire.Priority;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Queue;
 
 /**
- * Asks holders to stop young tasks of lower priority, for urgent ones that would start too late.
+ * Asks holders to stop young tasks of lower priority, for urgent ones that would start too late,
+ * and tasks of the lowest priority, which have what lies idle, for whatever waits for room.
  */
 final class GivingWay {
   private static final double PREEMPT_AFTER_S = 0.1;
@@ -30,12 +32,21 @@
     this.turnover = turnover;
   }
 
+  private static boolean noneYields(List<Choice> choices) {
+    for (Choice ch : choices) {
+      if (ch.full() && ch.seen().view().yielding() > 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /**
    * Room for urgent tasks that would start too late is made where less urgent ones have just begun.
    */
   void ask(Claim c, List<Choice> choices, int wanted, double now) {
     Priority priority = c.spec.priority();
-    if (!priority.urgent()
+    if (priority == Priority.BEST_EFFORT
         || now - c.unservedSince < PREEMPT_AFTER_S
         || now - c.preemptedAt < PREEMPT_AGAIN_S) {
       return;
@@ -52,23 +63,29 @@
     for (Choice ch : choices) {
       need -= ch.here() ? ch.fits() : 0;
     }
-    double ageS = c.ageS(desk.timers().timeOfDayMs());
-    // Room that becomes free is mostly where the image has yet to be fetched.
-    double leftS = urgencies.startSlackS(c.spec, ageS) - choosing.quickFetchS(c);
-    need =
-        Turnover.shortage(
-                need,
-                turnover.waiting(priority),
-                turnover.slotsPerS(c.size, choosing.fits(c)),
-                leftS)
-            - c.preempted;
+    if (priority.urgent() && noneYields(choices)) {
+      double ageS = c.ageS(desk.timers().timeOfDayMs());
+      // Room that becomes free is mostly where the image has yet to be fetched.
+      double leftS = urgencies.startSlackS(c.spec, ageS) - choosing.quickFetchS(c);
+      need =
+          Turnover.shortage(
+              need,
+              turnover.waiting(priority),
+              turnover.slotsPerS(c.size, choosing.fits(c)),
+              leftS);
+    }
+    need -= c.preempted;
     Queue<Choice> best = new PriorityQueue<>(need > 0 ? choices : List.of());
     for (Choice ch = best.poll(); ch != null; ch = best.poll()) {
       if (need <= 0) {
         break;
       }
-      int n = Math.min(need, ch.seen().view().youngBelow(priority));
-      if (ch.full() && n > 0 && now - ch.seen().at() < YOUNG_S) {
+      // Who is not urgent asks for what yields alone; of that there is as long as it is shown.
+      boolean fresh = now - ch.seen().at() < YOUNG_S && priority.urgent();
+      View view = ch.seen().view();
+      int n = Math.min(ch.ever(), fresh ? view.youngBelow(priority) : view.yielding());
+      n = Math.min(need, n);
+      if (ch.full() && n > 0) {
         need -= n;
         c.preempted += n;
         c.preemptedAt = now;
--- a/src/main/java/dev/dunefront/claim/Settling.java
+++ b/src/main/java/dev/dunefront/claim/Settling.java
@@ -180,6 +180,7 @@
     double now = desk.now();
     String host = l.placement.host();
     if (end == End.DONE) {
+      ran(c, now);
       turnover.ended(host, c.size, now);
       if (l.runningSince > 0) {
         urgencies.ran(c.spec, now - l.runningSince);
@@ -192,15 +193,42 @@
     }
   }
 
+  private void blame(Claim c, String host, int weight) {
+    Room.Seen s = room.get(host);
+    if (s != null) {
+      desk.peers().send(s.holder(), new Message.Blame(host, c.id(), weight));
+    }
+  }
+
+  /**
+   * A task of a job has been done: what failed of it before speaks against the machines that it
+   * failed on, and it need not wait for its next try any longer.
+   */
+  private void ran(Claim c, double now) {
+    if (c.runs()) {
+      return;
+    }
+    c.ran = true;
+    if (!c.failedOn.isEmpty()) {
+      c.notBefore = Math.min(c.notBefore, now);
+      c.failedOn.keySet().forEach(h -> blame(c, h, Message.Blame.PROVEN));
+    }
+  }
+
   private void failed(Claim c, int number, String host, double now) {
     c.failures++;
-    boolean first = c.failedOn.add(host);
+    Double before = c.failedOn.putIfAbsent(host, now);
+    boolean first = before == null;
     c.avoid.put(host, now + 4 * AVOID_S);
-    if (first && (c.done > 0 || c.failedOn.size() == 1)) {
-      Room.Seen s = room.get(host);
-      if (s != null) {
-        desk.peers().send(s.holder(), new Message.Blame(host, c.id()));
-      }
+    if (first && c.runs()) {
+      blame(c, host, Message.Blame.PROVEN);
+    } else if (first && !c.suspect()) {
+      blame(c, host, Message.Blame.UNPROVEN);
+    } else if (!c.suspect() && now - before >= 4 * AVOID_S) {
+      // Tried again on the one machine that there is: that says as much as once among others.
+      blame(c, host, Message.Blame.PROVEN);
+    } else if (first) {
+      c.failedOn.keySet().forEach(h -> blame(c, h, Message.Blame.WITHDRAWN));
     }
     if (c.suspect()) {
       // Fails everywhere: it is tried again ever more rarely, one task at a time.
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -13,6 +13,7 @@
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.fleet.Fleet;
 import dev.dunefront.job.JobApi;
+import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.metrics.Meters;
 import dev.dunefront.net.Caller;
@@ -26,6 +27,7 @@
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
+import dev.dunefront.store.Proofs;
 import dev.dunefront.store.Replica;
 import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
@@ -127,7 +129,17 @@
     fleet = new Fleet(desk, claims.room(), claims.urgencies(), caller);
     cleanup = new Cleanup(desk);
     joining = new Joining(desk);
-    api = new JobApi(settings, membership, jobs, claims, catalog, store, peers, timers, ward);
+    Proofs proofs = new Proofs(store, replica, timers, ward, JobRecord.PREFIX);
+    api =
+        new JobApi(
+            settings, membership, jobs, claims, catalog, store, proofs, peers, timers, ward);
+    meters.gauge("dunefront.polls.waiting", proofs::waiting);
+    meters.gauge("dunefront.polls.oldest.ms", () -> (int) Math.round(proofs.oldestS() * 1000));
+    meters.gauge("dunefront.polls.proofs", proofs::made);
+    meters.gauge("dunefront.reports.copies", books::copies);
+    meters.gauge("dunefront.machines.deafened", books::deafened);
+    meters.gauge("dunefront.machines.sent.away", books::sentAway);
+    meters.gauge("dunefront.alone", () -> books.alone() ? 1 : 0);
     holds.listen(
         host -> {
           books.holdChanged(host);
@@ -266,7 +278,9 @@
     if (stalled != null) {
       return false;
     }
-    boolean refusedAlone = store.down() && timers.now() - servedElsewhere < HEALTH_S;
+    // Lost by all others as well as by the state service, it cannot hear that they are served.
+    boolean refusedAlone =
+        store.down() && (timers.now() - servedElsewhere < HEALTH_S || books.alone());
     return !refusedAlone
         && !books.overloaded()
         && replica.ready()
--- a/src/main/java/dev/dunefront/fleet/Doom.java
+++ b/src/main/java/dev/dunefront/fleet/Doom.java
@@ -8,6 +8,7 @@
   FAILED("it failed"),
   NOT_BOOTING("it does not boot"),
   SILENT("it is silent"),
+  DEAF("it is heard but does not hear"),
   QUARANTINED("tasks fail on it"),
   UNLISTED("it is neither heard nor listed");
 
@@ -61,6 +62,7 @@
       // The cloud itself says so, and lists nothing that still runs as failed.
       case FAILED -> true;
       case UNLISTED -> !view.settled();
+      case DEAF -> view.deaf();
       case NOT_BOOTING, SILENT -> false;
     };
   }
--- a/src/main/java/dev/dunefront/fleet/Health.java
+++ b/src/main/java/dev/dunefront/fleet/Health.java
@@ -32,6 +32,7 @@
   private final Inventory inventory;
   private final Map<String, Double> silentSince = new HashMap<>();
   private final Map<String, Double> unlistedSince = new HashMap<>();
+  private final Map<String, Double> deafSince = new HashMap<>();
 
   /** Machines on record that are neither heard nor listed, as of the last look. */
   private Set<String> strays = Set.of();
@@ -125,6 +126,7 @@
       }
     }
     silentSince.keySet().retainAll(running);
+    deaf(now, lease, listened, why);
     if (now - straysAt > STRAYS_S) {
       straysAt = now;
       strays = strays();
@@ -133,6 +135,27 @@
     unlisted(now, listened && watchedS > 2 * settings.cloudLimits().listLagS(), unheard, why);
   }
 
+  /**
+   * Machines that are heard but do not hear are of no more use than silent ones, and are waited for
+   * as long; but they say nothing of their zone, which is heard. How long that has been so is not
+   * handed over: whoever has the duty next waits anew.
+   */
+  private void deaf(double now, double lease, boolean listened, Map<String, Doom> why) {
+    Set<String> deaf = new HashSet<>();
+    for (Room.Seen seen : room.all()) {
+      if (seen.view().deaf()) {
+        String host = seen.view().host();
+        deaf.add(host);
+        double since = deafSince.computeIfAbsent(host, h -> now);
+        double patience = patience(catalog.type(seen.view().type()), lease);
+        if (now - since > patience && listened) {
+          why.put(host, Doom.DEAF);
+        }
+      }
+    }
+    deafSince.keySet().retainAll(deaf);
+  }
+
   /**
    * Machines that nobody hears and that are no longer listed are gone, yet somebody has tasks
    * placed on them: the holder ended together with the machine, and its next life never heard of
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -10,6 +10,7 @@
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
+import dev.dunefront.store.Proofs;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Store.Outcome;
 import dev.dunefront.store.Store.Urgency;
@@ -27,8 +28,9 @@
 import java.util.Optional;
 
 /**
- * The users' requests. Nothing is said before it is written, and what may still change is read anew
- * for every answer. What cannot be served is refused at once.
+ * The users' requests. Nothing is said before it is written, and what may still change is proven
+ * anew for every answer: what changes it is based on a read, what only asks on a proof that is
+ * shared ({@link Proofs}). What cannot be served is refused at once.
  */
 public final class JobApi {
   private static final System.Logger LOG = System.getLogger(JobApi.class.getName());
@@ -48,6 +50,12 @@
   private final Timers timers;
   private final Ward ward;
 
+  /** Questions about jobs that are not in the replica cost a read each; so many at a time. */
+  private static final int MOST_READ = 32;
+
+  private final Proofs proofs;
+  private int reading;
+
   /** Who waits for the end of a cancelled job. */
   private final Map<String, List<Answer>> ends = new HashMap<>();
 
@@ -58,6 +66,7 @@
       Claims claims,
       Catalog catalog,
       Store store,
+      Proofs proofs,
       Peers peers,
       Timers timers,
       Ward ward) {
@@ -70,6 +79,7 @@
     this.peers = peers;
     this.timers = timers;
     this.ward = ward;
+    this.proofs = proofs;
     jobs.listen((id, before, entry) -> ended(id));
   }
 
@@ -195,18 +205,39 @@
       again(answer);
       return;
     }
-    jobs.read(
-        id,
-        Urgency.USER,
-        found -> {
-          switch (found.outcome()) {
-            case OK -> answer.send(200, status(id, found.status(), found.entry()));
-            case MISSING -> answer.send(404, error("no such job"));
-            default -> again(answer);
+    proofs.await(
+        proven -> {
+          if (!proven) {
+            again(answer);
+            return;
+          }
+          JobTable.Found live = jobs.shown(id);
+          if (live != null) {
+            polled(id, live, answer);
+          } else if (reading >= MOST_READ) {
+            again(answer);
+          } else {
+            // Over and forgotten here, or never submitted.
+            reading++;
+            jobs.readEnded(
+                id,
+                Urgency.CORE,
+                found -> {
+                  reading--;
+                  polled(id, found, answer);
+                });
           }
         });
   }
 
+  private void polled(String id, JobTable.Found found, Answer answer) {
+    switch (found.outcome()) {
+      case OK -> answer.send(200, status(id, found.status(), found.entry()));
+      case MISSING -> answer.send(404, error("no such job"));
+      default -> again(answer);
+    }
+  }
+
   // ---- cancel ----
 
   /**
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -129,10 +129,10 @@
               then.accept(new Found(Outcome.OK, e, saidOf(e.record)));
             } else {
               // Removed while the read was under way.
-              readFinal(id, urgency, then);
+              readEnded(id, urgency, then);
             }
           } else if (got.outcome() == Outcome.MISSING) {
-            readFinal(id, urgency, then);
+            readEnded(id, urgency, then);
           } else {
             then.accept(new Found(got.outcome(), null, null));
           }
@@ -144,7 +144,18 @@
     return record.status() == Status.CANCELLED ? Status.OPEN : record.status();
   }
 
-  private void readFinal(String id, Urgency urgency, Consumer<Found> then) {
+  /** What the replica shows of a job, or null if nothing: then it is over, or was never accepted. */
+  Found shown(String id) {
+    Status known = finals.get(id);
+    if (known != null) {
+      return new Found(Outcome.OK, live.get(id), known);
+    }
+    Entry e = live.get(id);
+    return e == null ? null : new Found(Outcome.OK, e, saidOf(e.record));
+  }
+
+  /** Reads the final state of a job that is known not to be live. */
+  void readEnded(String id, Urgency urgency, Consumer<Found> then) {
     store.get(
         JobRecord.finalKey(id),
         urgency,
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -78,13 +78,15 @@
       boolean quarantined,
       /** Nothing runs on it and no room is dealt, for it is about to be returned. */
       boolean retiring,
+      /** Its reports come, but nothing that is said to it arrives. */
+      boolean deaf,
       /** Time of day since when nothing has run on it while it was open; 0 while that is not so. */
       long idleSinceMs,
       Size free,
       List<String> images,
       /** Unfinished tasks on it, by priority. */
       List<Integer> unfinished,
-      /** Those of them that began so recently that they may give way. */
+      /** Those of them that may give way: they began just now, or yield to whatever comes. */
       List<Integer> young,
       List<TaskState> tasks)
       implements Message {
@@ -99,6 +101,7 @@
           && open == o.open
           && quarantined == o.quarantined
           && retiring == o.retiring
+          && deaf == o.deaf
           && idleSinceMs == o.idleSinceMs
           && free.equals(o.free)
           && images.equals(o.images)
@@ -115,6 +118,12 @@
       return n;
     }
 
+    /** How many tasks of the lowest priority may give way. */
+    public int yielding() {
+      int lowest = Priority.BEST_EFFORT.ordinal();
+      return lowest < young.size() ? young.get(lowest) : 0;
+    }
+
     /** Whether urgent tasks are on it. */
     public boolean runsUrgent() {
       for (Priority p : Priority.values()) {
@@ -149,6 +158,7 @@
           open,
           quarantined,
           retiring,
+          deaf,
           idleSinceMs,
           free,
           images,
@@ -205,11 +215,22 @@
   /** The end of the attempt is recorded; the worker may forget it. */
   record Clear(String host, long term, String job, int number, long attempt) implements Message {}
 
-  /** The task failed where others of its job did not. */
-  record Blame(String host, String job) implements Message {}
+  /**
+   * Tasks of the job have failed on the machine. With a weight of {@link #PROVEN} the job runs
+   * elsewhere; with {@link #UNPROVEN} nothing of it has been done yet; with {@link #WITHDRAWN} it
+   * fails wherever it runs, and says nothing of the machine.
+   */
+  record Blame(String host, String job, int weight) implements Message {
+    public static final int WITHDRAWN = 0;
+    public static final int UNPROVEN = 1;
+    public static final int PROVEN = 2;
+  }
 
-  /** A machine that the receiver holds has reported here: does the receiver still hear it? */
-  record HoldAsk(String host) implements Message {}
+  /**
+   * A machine that the receiver holds has reported here, in this session with this serial and
+   * having seen this baton: does the receiver still hear it?
+   */
+  record HoldAsk(String host, long tenure, long serial, long baton) implements Message {}
 
   record HoldSay(String host, boolean held, double heardAgoS) implements Message {}
 
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -76,6 +76,7 @@
       out.writeBoolean(v.open());
       out.writeBoolean(v.quarantined());
       out.writeBoolean(v.retiring());
+      out.writeBoolean(v.deaf());
       out.writeLong(v.idleSinceMs());
       writeSize(out, v.free());
       out.writeShort(v.images().size());
@@ -153,9 +154,13 @@
       out.writeByte(13);
       out.writeUTF(b.host());
       out.writeUTF(b.job());
+      out.writeByte(b.weight());
     } else if (m instanceof HoldAsk a) {
       out.writeByte(14);
       out.writeUTF(a.host());
+      out.writeLong(a.tenure());
+      out.writeLong(a.serial());
+      out.writeLong(a.baton());
     } else if (m instanceof HoldSay s) {
       out.writeByte(15);
       out.writeUTF(s.host());
@@ -299,8 +304,8 @@
                   in.readDouble());
           case 12 ->
               new Clear(in.readUTF(), in.readLong(), in.readUTF(), in.readInt(), in.readLong());
-          case 13 -> new Blame(in.readUTF(), in.readUTF());
-          case 14 -> new HoldAsk(in.readUTF());
+          case 13 -> new Blame(in.readUTF(), in.readUTF(), in.readByte());
+          case 14 -> new HoldAsk(in.readUTF(), in.readLong(), in.readLong(), in.readLong());
           case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
           case 16 -> new Cancelled(in.readUTF());
           case 22 -> new Retire(in.readUTF(), in.readLong());
@@ -354,6 +359,7 @@
     boolean open = in.readBoolean();
     boolean quarantined = in.readBoolean();
     boolean retiring = in.readBoolean();
+    boolean deaf = in.readBoolean();
     long idleSinceMs = in.readLong();
     Size free = readSize(in);
     List<String> images = new ArrayList<>();
@@ -385,6 +391,7 @@
         open,
         quarantined,
         retiring,
+        deaf,
         idleSinceMs,
         free,
         images,
--- a/src/main/java/dev/dunefront/standin/WorkerStandIn.java
+++ b/src/main/java/dev/dunefront/standin/WorkerStandIn.java
@@ -134,6 +134,14 @@
     tasks.clear();
   }
 
+  /** It begins anew, as after a restart of its machine: whatever it knew is forgotten. */
+  public void beginAnew() {
+    tenure = 1;
+    serial = 0;
+    baton = 0;
+    tasks.clear();
+  }
+
   public List<String> running() {
     return tasks.entrySet().stream()
         .filter(e -> !e.getValue().state.equals("exited"))
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -23,6 +23,10 @@
   private static final double USER_QUEUE_S = 1.0;
   private static final double QUEUE_S = 3.0;
   private static final double PROBE_S = 0.3;
+  private static final double PROBE_CALL_S = 0.8;
+
+  /** A request with a later deadline waits for changes, and may rightly have no answer for long. */
+  private static final double LONGEST_READ_S = CALL_S * 2;
 
   /** How many seconds' worth may be saved up. */
   private static final double BURST = 0.8;
@@ -47,6 +51,13 @@
   private double askedSince;
   private boolean pumping;
   private boolean down;
+
+  /** When anything was last answered. */
+  private double answered = Double.NEGATIVE_INFINITY;
+
+  /** A request has had no answer, nor has any that was sent after it. */
+  private boolean silent;
+
   private boolean probing;
   private long marks;
 
@@ -72,7 +83,12 @@
 
   @Override
   public boolean down() {
-    return down;
+    return down || silent;
+  }
+
+  @Override
+  public boolean silent() {
+    return silent;
   }
 
   @Override
@@ -360,54 +376,75 @@
                   new Waiting(
                       timers.now() + wait,
                       changes,
-                      () ->
-                          caller.call(
-                              address,
-                              method,
-                              path,
-                              body,
-                              deadlineS,
-                              r -> {
-                                note(r);
-                                guarded.accept(r);
-                              }),
+                      () -> {
+                        double sent = timers.now();
+                        caller.call(
+                            address,
+                            method,
+                            path,
+                            body,
+                            deadlineS,
+                            r -> {
+                              ward.run(() -> note(r, sent, deadlineS > LONGEST_READ_S));
+                              guarded.accept(r);
+                            });
+                      },
                       () -> guarded.accept(new Reply(429, new byte[0], 0))));
           pump();
         });
   }
 
-  private void note(Reply reply) {
-    if (reply.status() == 503) {
-      down = true;
-      probe();
-    } else if (reply.status() > 0 && reply.status() != 429) {
-      down = false;
+  /** Hears of an answer, or that there was none to a request that may not wait for changes. */
+  private void note(Reply reply, double sent, boolean waits) {
+    if (reply.status() > 0) {
+      answered = timers.now();
+      silent = false;
+      if (reply.status() == 503) {
+        down = true;
+        probe(PROBE_S);
+      } else if (reply.status() != 429) {
+        down = false;
+      }
+    } else if (!waits && answered < sent) {
+      probe(0);
     }
   }
 
-  /** In an outage a single small read goes out now and then, so that its end is noticed at once. */
-  private void probe() {
+  /**
+   * In an outage a single small read goes out now and then, so that its end is noticed at once. One
+   * goes out as well when a request has no answer: a controller that has lost the state service
+   * alone is told nothing by it, and were that not noticed each user would wait in vain. One lost
+   * answer says little, for this controller itself may be slow; two in a row are believed.
+   */
+  private void probe(double pauseS) {
     if (probing) {
       return;
     }
     probing = true;
     timers.after(
-        PROBE_S,
-        () ->
-            caller.call(
-                address,
-                "GET",
-                "/keys/probe",
-                null,
-                CALL_S,
-                r -> {
-                  probing = false;
-                  if (r.status() == 0) {
-                    probe();
-                  } else {
-                    note(r);
-                  }
-                }));
+        pauseS,
+        () -> {
+          double sent = timers.now();
+          caller.call(
+              address,
+              "GET",
+              "/keys/probe",
+              null,
+              PROBE_CALL_S,
+              r ->
+                  ward.run(
+                      () -> {
+                        probing = false;
+                        if (r.status() > 0) {
+                          note(r, sent, false);
+                        } else if (answered < sent) {
+                          silent = true;
+                          probe(PROBE_S);
+                        } else if (down) {
+                          probe(PROBE_S);
+                        }
+                      }));
+        });
   }
 
   private void pump() {
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -81,9 +81,15 @@
   /** Shares the common budget with the other living controllers by what each asks for. */
   void share(Use own, Collection<Use> others);
 
-  /** Whether the service refused the last request that it answered. */
+  /**
+   * Whether the service refused the last request that it answered, or answers nothing: whoever
+   * asks for something now need not wait for it.
+   */
   boolean down();
 
+  /** Whether the service answers nothing. */
+  boolean silent();
+
   /** A mark that nobody has used before. */
   String newMark();
 }
--- /dev/null
+++ b/src/test/java/dev/dunefront/evidence/EvidenceTest.java
@@ -0,0 +1,130 @@
+package dev.dunefront.evidence;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.evidence.Alone.Step;
+import dev.dunefront.evidence.Freshness.Worth;
+import dev.dunefront.wire.Report;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Tables of what is believed. */
+class EvidenceTest {
+  private static Report report(long tenure, long serial, long baton) {
+    return new Report("h", "h:9", "t", "a", false, tenure, serial, baton, null, List.of());
+  }
+
+  @Test
+  void whatAReportIsWorth() {
+    // Session 3, serial 40 from an answer to orders, 38 from a report, baton 7 shown.
+    Freshness known = new Freshness(3, 40, 38, 7);
+    assertEquals(Worth.NEW, known.of(report(3, 41, 7)));
+    assertEquals(Worth.NEW, known.of(report(4, 1, 7)));
+    assertEquals(Worth.NEW, known.of(report(3, 41, 8)));
+    assertEquals(Worth.OVERTAKEN, known.of(report(3, 39, 7)), "the answer to orders came first");
+    assertEquals(Worth.COPY, known.of(report(3, 38, 7)));
+    assertEquals(Worth.COPY, known.of(report(3, 2, 7)));
+    assertEquals(Worth.COPY, known.of(report(2, 99, 7)));
+    assertEquals(Worth.COPY, known.of(report(4, 1, 6)), "it has shown a higher baton since");
+    assertEquals(Worth.NEW, Freshness.NONE.of(report(1, 1, 0)));
+  }
+
+  @Test
+  void onlyAnAnswerToAQuestionShowsThatAWorkerHasBegunAnew() {
+    Freshness known = new Freshness(3, 40, 38, 7);
+    assertFalse(known.begunAnew(report(3, 41, 7)));
+    assertFalse(known.begunAnew(report(5, 1, 8)));
+    assertTrue(known.begunAnew(report(1, 2, 0)));
+    assertTrue(known.begunAnew(report(3, 5, 7)));
+    assertTrue(known.begunAnew(report(3, 50, 6)), "no worker forgets a baton");
+    assertFalse(Freshness.NONE.begunAnew(report(1, 1, 0)));
+  }
+
+  /** Any multiset of copies, added anywhere to any history, changes nothing that is believed. */
+  @Property(tries = 500, seed = "28")
+  void copiesChangeNothing(
+      @ForAll @Size(max = 40) List<@IntRange(max = 3) Integer> steps,
+      @ForAll @Size(max = 60) List<@IntRange(max = 1000) Integer> copies) {
+    List<Report> history = new ArrayList<>();
+    long tenure = 1;
+    long serial = 0;
+    long baton = 1;
+    for (int step : steps) {
+      tenure += step == 3 ? 1 : 0;
+      serial = step == 3 ? 1 : serial + 1 + step;
+      baton += step == 2 ? 1 : 0;
+      history.add(report(tenure, serial, baton));
+    }
+    Freshness without = Freshness.NONE;
+    Freshness with = Freshness.NONE;
+    int next = 0;
+    for (int i = 0; i < history.size(); i++) {
+      without = without.reported(history.get(i));
+      assertEquals(Worth.NEW, with.of(history.get(i)));
+      with = with.reported(history.get(i));
+      for (int n = 0; n < 3 && next < copies.size(); n++, next++) {
+        Report copy = history.get(copies.get(next) % (i + 1));
+        assertEquals(Worth.COPY, with.of(copy));
+      }
+      assertEquals(without, with);
+    }
+  }
+
+  @Test
+  void aMachineThatFlapsIsTrustedMoreSlowly() {
+    Hearing h = Hearing.GOOD;
+    double now = 100;
+    double before = 0;
+    for (int lapse = 1; lapse <= 4; lapse++) {
+      h = h.suspected(now);
+      assertFalse(h.trusted());
+      assertTrue(h.asks(now));
+      h = h.asked(now, 1).unanswered(now + 1);
+      assertTrue(h.deaf());
+      assertFalse(h.asks(now + 1.5), "it is not asked all the time");
+      assertTrue(h.asks(now + 2.5));
+      h = h.answered(now + 3);
+      assertFalse(h.trusted());
+      assertFalse(h.deaf());
+      double waited = 0;
+      while (!h.trusted()) {
+        waited += 0.5;
+        h = h.passed(now + 3 + waited, 2, 20);
+      }
+      assertTrue(waited > before, "longer than the last time");
+      before = waited;
+      now += 60;
+    }
+    assertEquals(Hearing.GOOD, h.passed(now + 1000, 2, 20), "what was long ago is forgiven");
+  }
+
+  @Test
+  void whoWasOnlySuspectedIsTrustedAtOnce() {
+    Hearing h = Hearing.GOOD.suspected(5).asked(5, 1).answered(5.01);
+    assertTrue(h.trusted());
+    assertEquals(0, h.lapses());
+  }
+
+  @Test
+  void whoIsAloneSendsOneAheadAndTheOthersOnlyIfItStaysAway() {
+    Alone a = Alone.NOT.passed(10, true, 4, 20);
+    assertEquals(Step.STAY, a.passed(15, true, 4, 20).step());
+    a = a.passed(21, true, 4, 20);
+    assertEquals(Step.TRY, a.step());
+    a = a.sent("h", 21);
+    assertEquals(Step.WAIT, a.passed(30, true, 4, 20).step());
+    Alone back = a.reported("h", 40);
+    assertEquals(Step.STAY, back.step());
+    assertEquals(Step.STAY, back.passed(55, true, 4, 20).step(), "the next trial waits longer");
+    assertEquals(Step.GO, a.passed(44, true, 4, 20).step());
+    assertEquals(Alone.NOT, a.passed(30, false, 4, 20), "somebody is heard again");
+    assertEquals(Alone.NOT, Alone.NOT.passed(10, true, 0, 20), "there is nobody else");
+  }
+}
--- a/src/test/java/dev/dunefront/fleet/IntentsTest.java
+++ b/src/test/java/dev/dunefront/fleet/IntentsTest.java
@@ -85,6 +85,7 @@
         !retiring,
         quarantined,
         retiring,
+        false,
         0,
         Size.NONE,
         List.of(),
@@ -102,6 +103,7 @@
             Doom.FAILED, "xxxxxx",
             Doom.NOT_BOOTING, "x----x",
             Doom.SILENT, "x----x",
+            Doom.DEAF, "x----x",
             Doom.QUARANTINED, "x---xx",
             Doom.UNLISTED, "x----x");
     View[] views = {
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/AloneTest.java
@@ -0,0 +1,131 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A controller that has lost the state service and the other controllers, but not its workers. */
+class AloneTest {
+  private static final String STATE = "10.2.0.1:1";
+
+  private static World world(List<String> zones) {
+    World w = new World(zones, World.ONE_TEAM);
+    w.start().pass(2);
+    for (int i = 0; i < 12; i++) {
+      w.machine("host-" + i, "small", zones.get(i % zones.size()), "node-" + i % zones.size());
+    }
+    w.pass(6);
+    return w;
+  }
+
+  /** What it hears and says is lost, but for its workers and users; its links fall silent. */
+  private static void cutOff(World w, String node) {
+    w.lost =
+        (from, to) ->
+            from.equals(node) && (to.equals(STATE) || to.startsWith("node-"))
+                || to.equals(node) && from.startsWith("node-");
+    // An open watch is cut off as well.
+    w.unanswered = (from, to) -> from.equals(node) && to.equals(STATE);
+    w.timers.after(5, () -> w.linksSilent(node));
+  }
+
+  private static long heldBy(World w, String node) {
+    return w.workers.values().stream().filter(m -> w.holder(m.host()).equals(node)).count();
+  }
+
+  /**
+   * It would renew their leases for ever, nobody outside could prove anything gone, and what ends
+   * there would never be recorded.
+   */
+  @Test
+  void itsWorkersGoToOthersAndNothingTheyRunIsLost() {
+    World w = world(List.of("a", "a", "a"));
+    for (int i = 0; i < 3; i++) {
+      assertEquals(201, w.submit("node-" + i, World.job("wk-" + i, 10, 1)).status());
+    }
+    w.pass(3);
+    assertEquals(30, w.running());
+    assertTrue(heldBy(w, "node-0") > 0);
+    cutOff(w, "node-0");
+    w.pass(6);
+    assertEquals(503, w.ask("node-0", "GET", "/up", new byte[0]).status(), "users go elsewhere");
+    assertEquals(503, w.submit("node-0", World.job("wk-9", 1, 1)).status(), "and are told at once");
+    w.pass(30);
+    assertEquals(0, heldBy(w, "node-0"));
+    assertEquals(30, w.running(), "no lease ran out");
+    w.finishAll();
+    w.pass(6);
+    for (int i = 0; i < 3; i++) {
+      assertEquals("done", w.poll("node-1", "wk-" + i).state(), "what ends is recorded");
+    }
+    int starts = w.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    assertEquals(30, starts, "nothing ran again");
+    w.lost = (from, to) -> false;
+    w.unanswered = (from, to) -> false;
+    w.linksBack("node-0");
+    w.pass(8);
+    assertEquals(200, w.ask("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(List.of(), w.dayEnds());
+  }
+
+  /** Behind a cut with its zone it looks the same to it: there its workers reach nobody else. */
+  @Test
+  void behindACutItsWorkersComeBackAndStay() {
+    World w = world(List.of("a", "b", "b"));
+    assertEquals(201, w.submit("node-1", World.job("wk-1", 40, 1)).status());
+    w.pass(3);
+    int inside =
+        w.workers.values().stream()
+            .filter(m -> w.zoneOf(m).equals("a"))
+            .mapToInt(m -> m.running().size())
+            .sum();
+    assertTrue(inside > 0);
+    w.cut("a");
+    w.pass(6 * World.LEASE_S);
+    int left =
+        w.workers.values().stream()
+            .filter(m -> w.zoneOf(m).equals("a"))
+            .mapToInt(m -> m.running().size())
+            .sum();
+    assertTrue(inside - left <= 4, "no more is lost than what ran on the machine sent ahead");
+    w.heal();
+    w.pass(4);
+    assertEquals(List.of(), w.dayEnds());
+  }
+
+  /** It comes back while half of its machines have gone, and while none has. */
+  @Test
+  void itReturnsWhateverOthersHaveTakenMeanwhile() {
+    for (double cutS : new double[] {2, 5, 8, 14, 18, 22, 60, 120}) {
+      World w = world(List.of("a", "a", "a"));
+      assertEquals(201, w.submit("node-0", World.job("wk-0", 14, 1)).status());
+      assertEquals(201, w.submit("node-1", World.job("wk-1", 14, 1)).status());
+      w.pass(3);
+      cutOff(w, "node-0");
+      w.pass(cutS);
+      w.lost = (from, to) -> false;
+      w.unanswered = (from, to) -> false;
+      w.linksBack("node-0");
+      w.pass(1);
+      assertNotEquals(0, w.running());
+      assertEquals(List.of(), w.dayEnds(), "cut for " + cutS + " s");
+    }
+  }
+
+  /** An outage of the state service that all share is no reason to send anybody away. */
+  @Test
+  void inAnOutageForAllEverybodyStays() {
+    World w = world(List.of("a", "a", "a"));
+    long held = heldBy(w, "node-0");
+    w.lost = (from, to) -> to.equals(STATE);
+    w.pass(8 * World.LEASE_S);
+    assertEquals(held, heldBy(w, "node-0"));
+    w.lost = (from, to) -> false;
+    w.pass(5);
+    assertEquals(201, w.submit("node-0", World.job("wk-0", 14, 1)).status());
+    assertEquals(List.of(), w.dayEnds());
+  }
+}
