--- a/src/main/java/dev/dunefront/book/Leaving.java
+++ b/src/main/java/dev/dunefront/book/Leaving.java
@@ -38,7 +38,9 @@
     this.neighbours = neighbours;
     // Those of this zone first: they hear its machines when it is cut off.
     settings.peers().stream()
-        .sorted((a, b) -> Boolean.compare(b.zone().equals(settings.zone()), a.zone().equals(settings.zone())))
+        .sorted(
+            (a, b) ->
+                Boolean.compare(b.zone().equals(settings.zone()), a.zone().equals(settings.zone())))
         .forEach(p -> others.add(p.node()));
   }
 
--- a/src/main/java/dev/dunefront/book/Listening.java
+++ b/src/main/java/dev/dunefront/book/Listening.java
@@ -27,7 +27,9 @@
   /** A controller whose timers are later than this, in seconds, may have been too slow to hear. */
   private static final double SLOW_S = 0.4;
 
-  /** A worker that had no answer tries elsewhere after so long, in seconds, and a bit for the way. */
+  /**
+   * A worker that had no answer tries elsewhere after so long, in seconds, and a bit for the way.
+   */
   private static final double ELSEWHERE_S = 6;
 
   private final Settings settings;
@@ -155,8 +157,7 @@
   /** Time has passed. */
   void tick(Machine m, double now) {
     if (!m.hearing.trusted()) {
-      m.hearing =
-          m.hearing.passed(now, settings.workers().reportS(), settings.workers().leaseS());
+      m.hearing = m.hearing.passed(now, settings.workers().reportS(), settings.workers().leaseS());
       m.dirty |= m.hearing.trusted();
     }
   }
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -70,6 +70,7 @@
 
   /** When a report of it was last answered. */
   double answered = Double.NEGATIVE_INFINITY;
+
   Double noticeS;
   double noticeAt;
   double looked;
@@ -102,6 +103,7 @@
   final Map<TaskId, Wish> clears = new HashMap<>();
   final Map<TaskId, Long> fence = new HashMap<>();
   final Map<Long, Offered> offers = new HashMap<>();
+
   /** Jobs that have failed on it since anything was done there. */
   Blame blame = Blame.NONE;
 
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -226,7 +226,8 @@
     Silence s = unanswered.get(holder);
     if (s == null || incarnation != null && !incarnation.equals(s.incarnation)) {
       // One whose lease has been over for a while is not about to be back.
-      double dead = incarnation == null ? deadSince.getOrDefault(holder, timers.now()) : timers.now();
+      double dead =
+          incarnation == null ? deadSince.getOrDefault(holder, timers.now()) : timers.now();
       s = new Silence(incarnation, dead);
       unanswered.put(holder, s);
     }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -83,7 +83,6 @@
   /** On which machines its tasks have failed, and since when. */
   final Map<String, Double> failedOn = new HashMap<>();
 
-
   /** What each kind of machine is to this job, by the kind's index. */
   final List<Choosing.Fit> fits = new ArrayList<>();
 
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -131,8 +131,7 @@
     joining = new Joining(desk);
     Proofs proofs = new Proofs(store, replica, timers, ward, JobRecord.PREFIX);
     api =
-        new JobApi(
-            settings, membership, jobs, claims, catalog, store, proofs, peers, timers, ward);
+        new JobApi(settings, membership, jobs, claims, catalog, store, proofs, peers, timers, ward);
     meters.gauge("dunefront.polls.waiting", proofs::waiting);
     meters.gauge("dunefront.polls.oldest.ms", () -> (int) Math.round(proofs.oldestS() * 1000));
     meters.gauge("dunefront.polls.proofs", proofs::made);
--- a/src/main/java/dev/dunefront/evidence/Alone.java
+++ b/src/main/java/dev/dunefront/evidence/Alone.java
@@ -26,7 +26,9 @@
     GO
   }
 
-  /** How long a worker tries one controller: it waits 4 s for an answer, and 1 s before the next. */
+  /**
+   * How long a worker tries one controller: it waits 4 s for an answer, and 1 s before the next.
+   */
   private static final double ROUND_S = 5;
 
   /** The part of a worker's lease for which being alone is borne. */
--- a/src/main/java/dev/dunefront/evidence/Freshness.java
+++ b/src/main/java/dev/dunefront/evidence/Freshness.java
@@ -43,8 +43,7 @@
   /** A report has been taken that was no copy. */
   public Freshness reported(Report r) {
     Freshness next = answered(r);
-    return new Freshness(
-        next.tenure, next.serial, Math.max(r.serial(), next.reported), next.baton);
+    return new Freshness(next.tenure, next.serial, Math.max(r.serial(), next.reported), next.baton);
   }
 
   /** An answer to orders or to a question has been taken. */
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -144,7 +144,9 @@
     return record.status() == Status.CANCELLED ? Status.OPEN : record.status();
   }
 
-  /** What the replica shows of a job, or null if nothing: then it is over, or was never accepted. */
+  /**
+   * What the replica shows of a job, or null if nothing: then it is over, or was never accepted.
+   */
   Found shown(String id) {
     Status known = finals.get(id);
     if (known != null) {
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -82,8 +82,8 @@
   void share(Use own, Collection<Use> others);
 
   /**
-   * Whether the service refused the last request that it answered, or answers nothing: whoever
-   * asks for something now need not wait for it.
+   * Whether the service refused the last request that it answered, or answers nothing: whoever asks
+   * for something now need not wait for it.
    */
   boolean down();
 
--- a/src/test/java/dev/dunefront/story/DayEndTest.java
+++ b/src/test/java/dev/dunefront/story/DayEndTest.java
@@ -243,11 +243,15 @@
     }
     w.pass(2);
     int[] reads = new int[1];
-    w.tap = (from, path, body) -> reads[0] += path.startsWith("/keys/w/") || path.contains("prefix=w/j") ? 1 : 0;
+    w.tap =
+        (from, path, body) ->
+            reads[0] += path.startsWith("/keys/w/") || path.contains("prefix=w/j") ? 1 : 0;
     int[] answered = new int[1];
     for (int i = 0; i < 1000; i++) {
       String id = "wk-" + i % 20;
-      w.nodes.get("node-" + i % 3).request("GET", "/v1/jobs/" + id, said -> answered[0] += said == 200 ? 1 : 0);
+      w.nodes
+          .get("node-" + i % 3)
+          .request("GET", "/v1/jobs/" + id, said -> answered[0] += said == 200 ? 1 : 0);
       w.pass(0.002);
     }
     w.pass(1);
@@ -257,8 +261,8 @@
   }
 
   /**
-   * Nobody is told something older than another controller has told before, though the watch of
-   * the one that is asked is lost, or its answers come late.
+   * Nobody is told something older than another controller has told before, though the watch of the
+   * one that is asked is lost, or its answers come late.
    */
   @Property(tries = 60, seed = "27", shrinking = ShrinkingMode.BOUNDED)
   void noOlderAnswerFollowsWhateverBecomesOfTheWatch(
--- a/src/test/java/dev/dunefront/story/HearingTest.java
+++ b/src/test/java/dev/dunefront/story/HearingTest.java
@@ -95,7 +95,9 @@
     while (w.timers.now() - since < 10 * World.LEASE_S) {
       w.pass(0.5);
       Set<String> elsewhere = new HashSet<>();
-      w.workers.values().stream().filter(m -> m != dead).forEach(m -> elsewhere.addAll(m.running()));
+      w.workers.values().stream()
+          .filter(m -> m != dead)
+          .forEach(m -> elsewhere.addAll(m.running()));
       if (elsewhere.containsAll(lost)) {
         break;
       }
