--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -3,8 +3,6 @@
 import dev.dunefront.claim.Desk;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
-import dev.dunefront.duty.Duties;
-import dev.dunefront.duty.Duty;
 import dev.dunefront.evidence.Freshness;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobRecord;
@@ -18,12 +16,11 @@
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
-import dev.dunefront.wire.MachineType;
 import dev.dunefront.wire.Order;
 import dev.dunefront.wire.Report;
-import dev.dunefront.wire.Size;
 import dev.dunefront.wire.TaskId;
 import java.lang.System.Logger.Level;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -41,21 +38,12 @@
   /** A controller that is behind keeps at least so many machines. */
   private static final int KEEP = 5;
 
-  /** How often a machine is let go of for another controller, when the budget is idle. */
-  private static final double SPREAD_S = 0.5;
-
-  /** How long room is kept for an offer that is being taken. */
-  private static final double TAKING_S = 15;
-
   /** How often a machine is looked at on which nothing is known to wait. */
   private static final double IDLE_LOOK_S = 1;
 
   /** Steady clocks differ by this part at most. */
   private static final double DRIFT = 0.001;
 
-  /** How long a machine that is to be returned stays closed without being told so again. */
-  private static final double RETIRE_S = 8;
-
   /** A machine that has been lost for so many leases is no longer held. */
   private static final double FORGET_LEASES = 10;
 
@@ -86,18 +74,14 @@
   private final Neighbours neighbours;
   private final Reception reception;
   private final Standstill standstill;
-  private final Duties duties;
-
-  private double spreadAt;
+  private final Dealing dealing;
+  private final Inbox inbox;
 
   /** The stamp of the roster by which machines without a record are held. */
   private long rosterStamp;
 
   private double strangersAt;
 
-  /** No earlier incarnation's offers have these numbers. */
-  private long offers;
-
   public Books(Desk desk, Caller caller) {
     this.settings = desk.settings();
     this.tunables = desk.tunables();
@@ -109,7 +93,6 @@
     this.peers = desk.peers();
     this.timers = desk.timers();
     this.ward = desk.ward();
-    this.offers = timers.timeOfDayMs() << 16;
     this.views = new Views(desk, held);
     this.preemption = new Preemption(desk, views);
     this.reports = new Reports(desk);
@@ -121,7 +104,8 @@
     this.leaving = new Leaving(desk, neighbours);
     this.reception = new Reception(desk, neighbours, listening, this);
     this.standstill = desk.standstill();
-    this.duties = desk.duties();
+    this.dealing = new Dealing(desk, neighbours, views);
+    this.inbox = new Inbox(desk, this, starts, preemption, reception, upkeep);
     standstill.listen(reception::woken);
   }
 
@@ -155,32 +139,6 @@
     return neighbours.idler() != null;
   }
 
-  /**
-   * Lets go of a machine that another controller should hold: one of its own zone, or of ours that
-   * has far fewer. It comes back to nobody's harm: its report finds the other, which takes it.
-   */
-  private void spread(double now) {
-    if (now - spreadAt < SPREAD_S || store.down() || store.writeDelayS() > 0) {
-      return;
-    }
-    spreadAt = now;
-    String few = neighbours.farBelow(held.size());
-    for (Machine m : held.values()) {
-      if (m.settled
-          && !m.doubt
-          && !m.raising
-          && !m.lost
-          && m.hearing.trusted()
-          && !m.busy()
-          && m.sendTo == null) {
-        m.sendTo = neighbours.better(m.zone, few);
-        if (m.sendTo != null) {
-          return;
-        }
-      }
-    }
-  }
-
   /** The machine, if this controller holds it, or null. */
   Machine held(String host) {
     return held.get(host);
@@ -339,7 +297,7 @@
       }
       if (m.has(id)) {
         if (entry != null && entry.record().status() == JobRecord.Status.CANCELLED) {
-          stopJob(m, id);
+          upkeep.stopJob(m, id);
         }
         m.dirty = true;
         act(m);
@@ -347,123 +305,19 @@
     }
   }
 
-  private static boolean over(JobTable.Entry entry) {
-    return entry == null || entry.record().status() != JobRecord.Status.OPEN;
+  /** All machines that this controller holds. */
+  Collection<Machine> all() {
+    return held.values();
   }
 
-  private void stopJob(Machine m, String job) {
-    for (Report.Task t : m.tasks.values()) {
-      if (t.id().job().equals(job) && !t.exited()) {
-        m.stop(t.id(), t.attempt(), 0);
-      }
-    }
-    for (var e : Map.copyOf(m.pending).entrySet()) {
-      if (e.getKey().job().equals(job)) {
-        if (e.getValue().sentUnder == 0) {
-          m.pending.remove(e.getKey());
-          m.fence.merge(e.getKey(), e.getValue().attempt, Math::max);
-          m.dirty = true;
-        } else {
-          m.stop(e.getKey(), e.getValue().attempt, 0);
-        }
-      }
-    }
+  static boolean over(JobTable.Entry entry) {
+    return entry == null || entry.record().status() != JobRecord.Status.OPEN;
   }
 
   // ---- messages ----
 
   public void received(String from, Message message) {
-    if (message instanceof Message.Want w) {
-      Machine m = held.get(w.host());
-      if (m != null) {
-        JobTable.Entry job = jobs.get(w.job());
-        boolean over = job != null && over(job);
-        int priority = Math.max(0, Math.min(3, w.priority()));
-        int rank = Math.max(0, Math.min(WantBook.RANKS - 1, w.rank()));
-        m.book.park(from, w.job(), priority, rank, w.size(), over ? 0 : w.count(), timers.now());
-        act(m);
-      }
-    } else if (message instanceof Message.Decline d) {
-      Machine m = held.get(d.host());
-      if (m != null && m.offers.remove(d.offer()) != null) {
-        m.dirty = true;
-        act(m);
-      }
-    } else if (message instanceof Message.Taking t) {
-      Machine m = held.get(t.host());
-      if (m != null) {
-        m.offers.computeIfPresent(t.offer(), (k, o) -> o.until(timers.now() + TAKING_S));
-      }
-    } else if (message instanceof Message.Start s) {
-      starts.start(from, s);
-    } else if (message instanceof Message.Probe p) {
-      starts.probed(from, p);
-    } else if (message instanceof Message.Stop s) {
-      Machine m = held.get(s.host());
-      if (m != null && !starts.outdated(s.job(), s.term())) {
-        m.stop(new TaskId(s.job(), s.number()), s.attempt(), s.graceS());
-        act(m);
-      }
-    } else if (message instanceof Message.Clear c) {
-      Machine m = held.get(c.host());
-      if (m != null && !starts.outdated(c.job(), c.term())) {
-        m.clears.putIfAbsent(new TaskId(c.job(), c.number()), new Machine.Wish(c.attempt(), 0));
-        act(m);
-      }
-    } else if (message instanceof Message.Preempt p) {
-      Machine m = held.get(p.host());
-      if (m != null) {
-        preemption.stopYoung(m, p);
-        act(m);
-      }
-    } else if (message instanceof Message.Blame b) {
-      blamed(b);
-    } else if (message instanceof Message.Unheld u) {
-      if (!from.equals(settings.node())) {
-        reception.released(u.host(), from);
-      }
-    } else if (message instanceof Message.HoldAsk a) {
-      reception.asked(from, a);
-    } else if (message instanceof Message.HoldSay s) {
-      reception.answered(from, s);
-    } else if (message instanceof Message.Retire r) {
-      if (duties.admits(Duty.RENT, r.term(), from)) {
-        retire(r.host());
-      }
-    } else if (message instanceof Message.Cancelled c) {
-      for (Machine m : held.values()) {
-        stopJob(m, c.job());
-        m.book.dropJob(c.job());
-        act(m);
-      }
-    }
-  }
-
-  /**
-   * Closes an empty machine that is to be returned, so that no placement meets its deletion. If it
-   * is not returned after all, it opens again by itself.
-   */
-  private void retire(String host) {
-    Machine m = held.get(host);
-    if (m != null && !m.busy() && m.unfinished().isEmpty()) {
-      m.dirty |= !m.retiring(timers.now());
-      m.retiringUntil = timers.now() + RETIRE_S;
-      act(m);
-    }
-  }
-
-  private void blamed(Message.Blame b) {
-    Machine m = held.get(b.host());
-    if (m == null || m.quarantined) {
-      return;
-    }
-    m.blame = m.blame.by(b.job(), b.weight());
-    if (m.blame.faulty()) {
-      m.quarantined = true;
-      m.dirty = true;
-      LOG.log(Level.INFO, "{0} is put in quarantine: {1} fail on it", m.host, m.blame.jobs());
-      act(m);
-    }
+    inbox.received(from, message);
   }
 
   /** A controller's link is gone, and with it all that it wanted. */
@@ -490,7 +344,7 @@
     if (held.get(m.host) != m) {
       return;
     }
-    deal(m);
+    dealing.deal(m);
     orders.give(m);
     if (m.dirty) {
       m.dirty = false;
@@ -498,27 +352,6 @@
     }
   }
 
-  private void deal(Machine m) {
-    if (!m.open() || m.book.isEmpty() || !standstill.current()) {
-      return;
-    }
-    MachineType type = catalog.type(m.typeName);
-    if (type == null) {
-      return;
-    }
-    Size free = m.free(type, views::sizeOf);
-    double gatherBefore = timers.now() - tunables.gatherTicks() * tunables.tickS();
-    WantBook.Want w;
-    while ((w = m.book.take(free, type.size(), gatherBefore)) != null) {
-      long offer = ++offers;
-      m.offers.put(
-          offer, new Machine.Offered(w.node, w.job, w.size, timers.now() + tunables.offerWaitS()));
-      free = free.minus(w.size);
-      m.dirty = true;
-      peers.send(w.node, new Message.Offer(offer, m.host, w.job, m.baton, m.holdStamp, m.tenure));
-    }
-  }
-
   // ---- time ----
 
   public int heldMachines() {
@@ -569,7 +402,7 @@
       upkeep.lookUpStrangers(held.values(), now);
       reception.forget(now);
     }
-    spread(now);
+    dealing.spread(held.values(), now);
   }
 
   private void tick(Machine m, double now, double lease) {
--- /dev/null
+++ b/src/main/java/dev/dunefront/book/Inbox.java
@@ -0,0 +1,144 @@
+package dev.dunefront.book;
+
+import dev.dunefront.claim.Desk;
+import dev.dunefront.config.Settings;
+import dev.dunefront.duty.Duties;
+import dev.dunefront.duty.Duty;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.net.Timers;
+import dev.dunefront.peer.Message;
+import dev.dunefront.wire.TaskId;
+import java.lang.System.Logger.Level;
+
+/** What other controllers say that concerns held machines. */
+final class Inbox {
+  private static final System.Logger LOG = System.getLogger(Inbox.class.getName());
+
+  /** How long room is kept for an offer that is being taken, in seconds. */
+  private static final double TAKING_S = 15;
+
+  /** How long a machine that is to be returned stays closed without being told so again. */
+  private static final double RETIRE_S = 8;
+
+  private final Settings settings;
+  private final JobTable jobs;
+  private final Timers timers;
+  private final Duties duties;
+  private final Books books;
+  private final Starts starts;
+  private final Preemption preemption;
+  private final Reception reception;
+  private final Upkeep upkeep;
+
+  Inbox(
+      Desk desk,
+      Books books,
+      Starts starts,
+      Preemption preemption,
+      Reception reception,
+      Upkeep upkeep) {
+    this.settings = desk.settings();
+    this.jobs = desk.jobs();
+    this.timers = desk.timers();
+    this.duties = desk.duties();
+    this.books = books;
+    this.starts = starts;
+    this.preemption = preemption;
+    this.reception = reception;
+    this.upkeep = upkeep;
+  }
+
+  void received(String from, Message message) {
+    if (message instanceof Message.Want w) {
+      Machine m = books.held(w.host());
+      if (m != null) {
+        JobTable.Entry job = jobs.get(w.job());
+        boolean over = job != null && Books.over(job);
+        int priority = Math.max(0, Math.min(3, w.priority()));
+        int rank = Math.max(0, Math.min(WantBook.RANKS - 1, w.rank()));
+        m.book.park(from, w.job(), priority, rank, w.size(), over ? 0 : w.count(), timers.now());
+        books.act(m);
+      }
+    } else if (message instanceof Message.Decline d) {
+      Machine m = books.held(d.host());
+      if (m != null && m.offers.remove(d.offer()) != null) {
+        m.dirty = true;
+        books.act(m);
+      }
+    } else if (message instanceof Message.Taking t) {
+      Machine m = books.held(t.host());
+      if (m != null) {
+        m.offers.computeIfPresent(t.offer(), (k, o) -> o.until(timers.now() + TAKING_S));
+      }
+    } else if (message instanceof Message.Start s) {
+      starts.start(from, s);
+    } else if (message instanceof Message.Probe p) {
+      starts.probed(from, p);
+    } else if (message instanceof Message.Stop s) {
+      Machine m = books.held(s.host());
+      if (m != null && !starts.outdated(s.job(), s.term())) {
+        m.stop(new TaskId(s.job(), s.number()), s.attempt(), s.graceS());
+        books.act(m);
+      }
+    } else if (message instanceof Message.Clear c) {
+      Machine m = books.held(c.host());
+      if (m != null && !starts.outdated(c.job(), c.term())) {
+        m.clears.putIfAbsent(new TaskId(c.job(), c.number()), new Machine.Wish(c.attempt(), 0));
+        books.act(m);
+      }
+    } else if (message instanceof Message.Preempt p) {
+      Machine m = books.held(p.host());
+      if (m != null) {
+        preemption.stopYoung(m, p);
+        books.act(m);
+      }
+    } else if (message instanceof Message.Blame b) {
+      blamed(b);
+    } else if (message instanceof Message.Unheld u) {
+      if (!from.equals(settings.node())) {
+        reception.released(u.host(), from);
+      }
+    } else if (message instanceof Message.HoldAsk a) {
+      reception.asked(from, a);
+    } else if (message instanceof Message.HoldSay s) {
+      reception.answered(from, s);
+    } else if (message instanceof Message.Retire r) {
+      if (duties.admits(Duty.RENT, r.term(), from)) {
+        retire(r.host());
+      }
+    } else if (message instanceof Message.Cancelled c) {
+      for (Machine m : books.all()) {
+        upkeep.stopJob(m, c.job());
+        m.book.dropJob(c.job());
+        books.act(m);
+      }
+    }
+  }
+
+  /**
+   * Closes an empty machine that is to be returned, so that no placement meets its deletion. If it
+   * is not returned after all, it opens again by itself.
+   */
+  private void retire(String host) {
+    Machine m = books.held(host);
+    if (m != null && !m.busy() && m.unfinished().isEmpty()) {
+      m.dirty |= !m.retiring(timers.now());
+      m.retiringUntil = timers.now() + RETIRE_S;
+      books.act(m);
+    }
+  }
+
+  private void blamed(Message.Blame b) {
+    Machine m = books.held(b.host());
+    if (m == null || m.quarantined) {
+      return;
+    }
+    m.blame = m.blame.by(b.job(), b.weight());
+    if (m.blame.faulty()) {
+      m.quarantined = true;
+      m.dirty = true;
+      LOG.log(Level.INFO, "{0} is put in quarantine: {1} fail on it", m.host, m.blame.jobs());
+      books.act(m);
+    }
+  }
+}
--- a/src/main/java/dev/dunefront/book/Listening.java
+++ b/src/main/java/dev/dunefront/book/Listening.java
@@ -11,6 +11,7 @@
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.Report;
 import java.lang.System.Logger.Level;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -130,7 +131,7 @@
             seen.serial(),
             seen.baton(),
             null,
-            java.util.List.of());
+            List.of());
     if (m.fresh.of(r) != Freshness.Worth.NEW) {
       return;
     }
--- a/src/main/java/dev/dunefront/book/Upkeep.java
+++ b/src/main/java/dev/dunefront/book/Upkeep.java
@@ -73,4 +73,24 @@
       }
     }
   }
+
+  /** A job is over: what of it runs is stopped, what is about to start is refused. */
+  void stopJob(Machine m, String job) {
+    for (Report.Task t : m.tasks.values()) {
+      if (t.id().job().equals(job) && !t.exited()) {
+        m.stop(t.id(), t.attempt(), 0);
+      }
+    }
+    for (var e : Map.copyOf(m.pending).entrySet()) {
+      if (e.getKey().job().equals(job)) {
+        if (e.getValue().sentUnder == 0) {
+          m.pending.remove(e.getKey());
+          m.fence.merge(e.getKey(), e.getValue().attempt, Math::max);
+          m.dirty = true;
+        } else {
+          m.stop(e.getKey(), e.getValue().attempt, 0);
+        }
+      }
+    }
+  }
 }
--- a/src/main/java/dev/dunefront/book/WantBook.java
+++ b/src/main/java/dev/dunefront/book/WantBook.java
@@ -19,8 +19,8 @@
   static final class Want {
     final String node;
     final String job;
-    final int priority;
     final double since;
+    int priority;
     int rank;
     Size size;
     int count;
@@ -62,10 +62,11 @@
     if (want == null) {
       want = new Want(node, job, priority, now);
       wants.add(want);
-      if (!rings.get(priority).contains(node)) {
-        rings.get(priority).add(0, node);
-      }
     }
+    if (!rings.get(priority).contains(node)) {
+      rings.get(priority).add(0, node);
+    }
+    want.priority = priority;
     want.rank = rank;
     want.size = size;
     want.count = count;
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -113,6 +113,11 @@
   int toldPlaced;
   int reach;
   int rank = Urgencies.IN_TIME;
+
+  /** Under which its wants are parked; that of the job, or a greater one until it has begun. */
+  int priority;
+
+  Begin.Standing standing = Begin.Standing.ORDINARY;
   double nextTick;
   double unservedSince;
   double notBefore;
@@ -135,6 +140,7 @@
     this.reach = reach;
     this.unservedSince = now;
     this.nextTick = now;
+    this.priority = spec.priority().ordinal();
     this.mix = spec.id().hashCode() * 0x85EBCA6B;
   }
 
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -13,7 +13,6 @@
 import dev.dunefront.store.Store.Outcome;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.JobSpec;
-import dev.dunefront.wire.MachineType;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -44,6 +43,7 @@
   private final Zones zones;
   private final Map<String, Claim> claims = new HashMap<>();
   private final Takeover takeover;
+  private final ClaimShare share;
 
   /** Task counts of jobs that others have claimed, as they tell. */
   private final Map<String, Counts> elsewhere = new HashMap<>();
@@ -63,6 +63,7 @@
     recorder = new Recorder(desk, quotas, zones, parking, room, this);
     settling = new Settling(desk, room, urgencies, recorder, turnover);
     takeover = new Takeover(desk, this);
+    share = new ClaimShare(desk, room);
   }
 
   public Room room() {
@@ -75,59 +76,14 @@
 
   // ---- claiming ----
 
-  /**
-   * Whether a job may be claimed beside what is claimed already. Unstarted work is measured as a
-   * part of all the room that fits it, for jobs differ in size: were tasks counted alone, a few
-   * dozen small ones would keep a large one unclaimed that waits for other machines.
-   */
-  public boolean admits(JobSpec spec) {
-    if (desk.membership().self() == null) {
-      return false;
-    }
-    boolean any = false;
-    double load = 0;
-    for (Claim c : claims.values()) {
-      int unstarted = c.unstarted();
-      any |= unstarted > 0;
-      // A job waits only behind work that would be dealt before it anyway.
-      if (unstarted > 0 && c.spec.priority().compareTo(spec.priority()) <= 0) {
-        load += (double) unstarted / Math.max(1, fittingRoom(c.spec));
-      }
-    }
-    if (!any) {
-      return true;
-    }
-    long fitting = fittingRoom(spec);
-    int controllers = Math.max(1, desk.membership().liveNodes().size());
-    long share = (fitting + controllers - 1) / controllers + desk.tunables().headroom();
-    return load * fitting + Math.min(spec.tasks(), share) <= share;
+  /** Whether a job may be claimed beside what is claimed already. */
+  boolean admits(JobSpec spec) {
+    return share.admits(spec, claims.values());
   }
 
-  /**
-   * Whether a job that has just come may be claimed at once: jobs of its priority that came before
-   * it and wait unclaimed for room go first.
-   */
+  /** Whether a job that has just come may be claimed at once. */
   public boolean admitsAtOnce(JobSpec spec) {
-    for (JobTable.Entry e : desk.jobs().all()) {
-      if (e.record().claim() == null
-          && e.record().status() == Status.OPEN
-          && e.record().spec().priority().compareTo(spec.priority()) <= 0) {
-        return false;
-      }
-    }
-    return admits(spec);
-  }
-
-  /** How many tasks of the job the machines could hold if they were empty. */
-  private long fittingRoom(JobSpec spec) {
-    long fitting = 0;
-    for (Room.Kind k : room.kinds()) {
-      MachineType t = desk.catalog().type(k.type());
-      if (t != null && spec.allows(k.type(), k.zone(), k.spot())) {
-        fitting += (long) room.count(k) * spec.size().timesIn(t.size());
-      }
-    }
-    return fitting;
+    return share.admitsAtOnce(spec, claims.values());
   }
 
   /** Whether this controller has the claim of a job. */
@@ -472,6 +428,19 @@
     return new Message.Progress(changed);
   }
 
+  /** The age in seconds of the oldest open job of which nothing has ever been placed; 0 if none. */
+  public int oldestUnbegunS() {
+    long now = desk.timers().timeOfDayMs();
+    long oldest = 0;
+    for (JobTable.Entry e : desk.jobs().all()) {
+      JobSpec spec = e.record().spec();
+      if (e.record().status() == Status.OPEN && unstarted(spec) == spec.tasks()) {
+        oldest = Math.max(oldest, now - e.record().acceptedMs());
+      }
+    }
+    return (int) (oldest / 1000);
+  }
+
   public int claimed() {
     return claims.size();
   }
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -2,6 +2,7 @@
 
 import dev.dunefront.claim.Choosing.Choice;
 import dev.dunefront.peer.Message;
+import dev.dunefront.wire.Priority;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -31,6 +32,7 @@
   private final Urgencies urgencies;
   private final Choosing choosing;
   private final GivingWay givingWay;
+  private final Begin begin = new Begin();
 
   Parking(
       Desk desk, Room room, Quotas quotas, Urgencies urgencies, Zones zones, Turnover turnover) {
@@ -45,6 +47,12 @@
   /** Brings a job's parked wants up to date. */
   void review(Claim c) {
     double now = desk.now();
+    double ageS = c.ageS(desk.timers().timeOfDayMs());
+    Begin.Standing before = c.standing;
+    c.standing = begin.standing(c, ageS, desk.tunables().beginS(), now);
+    if (c.standing != before) {
+      c.lookAgain = now;
+    }
     int wanted = wanted(c);
     if (wanted <= 0 || now < c.notBefore) {
       withdraw(c);
@@ -79,8 +87,13 @@
     }
   }
 
-  /** Tasks for which room is wanted. */
+  /** Tasks for which room is wanted; of a job that is overdue to begin the first alone. */
   private int wanted(Claim c) {
+    int wanted = unstarted(c);
+    return c.standing == Begin.Standing.ORDINARY ? wanted : Math.min(1, wanted);
+  }
+
+  private int unstarted(Claim c) {
     int wanted = c.unstarted() - c.offers.size() - c.starting;
     Quotas.Quota quota = quotas.of(c.spec.team());
     if (quota != null) {
@@ -134,8 +147,16 @@
     }
     double ageS = c.ageS(desk.timers().timeOfDayMs());
     int rank = urgencies.rank(c.spec, c.unstarted(), ageS, fetchS);
-    boolean moved = rank != c.rank;
+    if (c.standing != Begin.Standing.ORDINARY) {
+      rank = Urgencies.PRESSING;
+    }
+    int priority =
+        c.standing == Begin.Standing.FIRST
+            ? Priority.CRITICAL.ordinal()
+            : c.spec.priority().ordinal();
+    boolean moved = rank != c.rank || priority != c.priority;
     c.rank = rank;
+    c.priority = priority;
     target.forEach(
         (host, n) -> {
           if (moved || !n.equals(c.parked.get(host))) {
@@ -204,9 +225,7 @@
     Room.Seen s = room.get(host);
     if (s != null) {
       desk.peers()
-          .send(
-              s.holder(),
-              new Message.Want(host, c.id(), c.spec.priority().ordinal(), c.rank, c.size, count));
+          .send(s.holder(), new Message.Want(host, c.id(), c.priority, c.rank, c.size, count));
     }
   }
 
--- a/src/main/java/dev/dunefront/claim/Takeover.java
+++ b/src/main/java/dev/dunefront/claim/Takeover.java
@@ -160,8 +160,10 @@
     for (String id : due(all, progress, now)) {
       JobTable.Entry e = lapsed.get(id);
       if (fresh(e)) {
-        // Never claimed: only as far as this controller's share goes.
-        if (claims.admits(e.record().spec())) {
+        // Never claimed: only as far as this controller's share goes, unless it is overdue to
+        // begin:
+        // one huge job may fill the shares of all.
+        if (claims.admits(e.record().spec()) || overdue(e)) {
           write(List.of(e));
         }
       } else if (!batched && taken.size() < BATCH) {
@@ -174,6 +176,11 @@
     }
   }
 
+  private boolean overdue(JobTable.Entry e) {
+    double ageS = (desk.timers().timeOfDayMs() - e.record().acceptedMs()) / 1000.0;
+    return Begin.of(false, ageS, desk.tunables().beginS()) != Begin.Standing.ORDINARY;
+  }
+
   private static boolean fresh(JobTable.Entry e) {
     return e.record().term() == 0 && e.record().status() == Status.OPEN;
   }
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -147,6 +147,7 @@
     meters.gauge("dunefront.machines.held", books::heldMachines);
     meters.gauge("dunefront.jobs.claimed", claims::claimed);
     meters.gauge("dunefront.tasks.unstarted", claims::unstarted);
+    meters.gauge("dunefront.jobs.unbegun.oldest.seconds", claims::oldestUnbegunS);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
     meters.gauge("dunefront.decisions.failed", loops::failures);
     for (Duty d : Duty.values()) {
--- a/src/main/java/dev/dunefront/config/Tunables.java
+++ b/src/main/java/dev/dunefront/config/Tunables.java
@@ -23,6 +23,8 @@
  *     one is rented for it
  * @param spare room kept ready for urgent work, as a part of what open urgent jobs take
  * @param burialS so long after its confirmed deletion a machine's record is kept
+ * @param beginS every job is to begin within this time, whatever else waits; from half of it on
+ *     room is gathered for its first task across all priorities
  */
 public record Tunables(
     int reach,
@@ -38,7 +40,8 @@
     double idleWarmS,
     double patience,
     double spare,
-    double burialS) {
+    double burialS,
+    double beginS) {
 
   /** A setting as operators name it: its default and what it may be. */
   public record Setting(double standard, double least, double most, boolean whole) {}
@@ -64,6 +67,7 @@
     all.put("patience", new Setting(0.5, 0, 1, false));
     all.put("spare", new Setting(0.5, 0, 10, false));
     all.put("burial_s", new Setting(900, 60, 1_000_000, false));
+    all.put("begin_s", new Setting(240, 1, 1_000_000, false));
     return all;
   }
 
@@ -83,7 +87,8 @@
         value(changed, "idle_warm_s"),
         value(changed, "patience"),
         value(changed, "spare"),
-        value(changed, "burial_s"));
+        value(changed, "burial_s"),
+        value(changed, "begin_s"));
   }
 
   private static double value(Map<String, Double> changed, String name) {
