--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -117,6 +117,11 @@
   /** Under which its wants are parked; that of the job, or a greater one until it has begun. */
   int priority;
 
+  /** What it has in common with jobs like it, and whether it waits behind such. */
+  final Queue.Shape shape;
+
+  boolean queued;
+
   Begin.Standing standing = Begin.Standing.ORDINARY;
   double nextTick;
   double unservedSince;
@@ -140,6 +145,7 @@
     this.reach = reach;
     this.unservedSince = now;
     this.nextTick = now;
+    this.shape = Queue.Shape.of(spec);
     this.priority = spec.priority().ordinal();
     this.mix = spec.id().hashCode() * 0x85EBCA6B;
   }
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -36,6 +36,7 @@
   private final Quotas quotas;
   private final Room room = new Room();
   private final Turnover turnover;
+  private final IdleRoom idle;
   private final Parking parking;
   private final Recorder recorder;
   private final Settling settling;
@@ -59,7 +60,8 @@
     zones = new Zones(room);
     quotas = new Quotas(desk.settings(), desk.replica(), this::reviewSoon);
     turnover = new Turnover(desk, room, this);
-    parking = new Parking(desk, room, quotas, urgencies, zones, turnover);
+    idle = new IdleRoom(desk, room);
+    parking = new Parking(desk, room, idle, quotas, urgencies, zones, turnover);
     recorder = new Recorder(desk, quotas, zones, parking, room, this);
     settling = new Settling(desk, room, urgencies, recorder, turnover);
     takeover = new Takeover(desk, this);
@@ -86,6 +88,16 @@
     return share.admitsAtOnce(spec, claims.values());
   }
 
+  /** Whether a claimed job like these has yet to begin. */
+  boolean waitsAlike(Queue.Shape shape) {
+    for (Claim c : claims.values()) {
+      if (c.shape.equals(shape) && c.unstarted() > 0 && c.busy.isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether this controller has the claim of a job. */
   boolean has(String id) {
     return claims.containsKey(id);
@@ -194,6 +206,8 @@
     recorder.declineAll(c);
     LOG.log(Level.INFO, "{0} is {1}", c.id(), last);
     desk.jobs().finished(c.id(), last, revision);
+    // Users ask anywhere; told so, nobody need read it.
+    desk.peers().broadcast(new Message.Ended(c.id(), last == Status.DONE));
   }
 
   /** Forgets all claims, for this controller has become another incarnation. */
@@ -212,6 +226,7 @@
       sized.remove(id);
     } else if (sized.add(id)) {
       urgencies.seen(entry.record().spec());
+      idle.came(entry.record());
     }
     Claim c = claims.get(id);
     if (c == null || entry != null && entry.stamp() <= c.stamp) {
@@ -339,6 +354,7 @@
     all.sort(
         Comparator.comparing((Claim c) -> c.spec.priority())
             .thenComparing(c -> c.record.acceptedMs()));
+    Queue.line(all);
     all.forEach(c -> desk.ward().run(() -> review(c)));
   }
 
@@ -453,6 +469,8 @@
   /** What waits for room here. */
   public Message.Demand demand() {
     List<Message.Waiting> waiting = new ArrayList<>();
+    Map<Queue.Shape, Integer> heads = new HashMap<>();
+    Map<Queue.Shape, Integer> behind = new HashMap<>();
     double now = desk.now();
     for (Claim c : claims.values()) {
       int n = c.unstarted();
@@ -461,9 +479,24 @@
         n = Math.min(n, c.allowed(q));
       }
       if (n > 0 && !c.suspect() && now >= c.notBefore) {
-        waiting.add(new Message.Waiting(c.id(), n, zones.left(c, desk.catalog().zones())));
+        Map<String, Integer> left = zones.left(c, desk.catalog().zones());
+        if (c.queued && left.isEmpty()) {
+          // In the place of the one at the head of the line, whoever that is.
+          behind.merge(c.shape, n, Integer::sum);
+        } else {
+          waiting.add(new Message.Waiting(c.id(), n, left));
+          heads.putIfAbsent(c.shape, waiting.size() - 1);
+        }
       }
     }
+    behind.forEach(
+        (shape, n) -> {
+          Integer head = heads.get(shape);
+          if (head != null) {
+            Message.Waiting w = waiting.get(head);
+            waiting.set(head, new Message.Waiting(w.job(), w.tasks() + n, w.zones()));
+          }
+        });
     Set<String> unheard = new HashSet<>();
     for (Claim c : claims.values()) {
       for (String host : c.hosts()) {
--- a/src/main/java/dev/dunefront/claim/GivingWay.java
+++ b/src/main/java/dev/dunefront/claim/GivingWay.java
@@ -17,6 +17,9 @@
   private static final double PREEMPT_AGAIN_S = 1;
   private static final double PREEMPT_ASKED_S = 2.5;
 
+  /** What saves first takes that much longer to leave, in seconds. */
+  private static final double SAVING_S = 4;
+
   /** How long a holder's word that there are young tasks is taken for true. */
   private static final double YOUNG_S = 15;
 
@@ -56,14 +59,15 @@
       return;
     }
     // What was asked for just now is still on its way here.
-    if (now - c.preemptedAt >= PREEMPT_ASKED_S) {
+    boolean yielding = !noneYields(choices);
+    if (now - c.preemptedAt >= PREEMPT_ASKED_S + (yielding ? SAVING_S : 0)) {
       c.preempted = 0;
     }
     int need = wanted;
     for (Choice ch : choices) {
       need -= ch.here() ? ch.fits() : 0;
     }
-    if (priority.urgent() && noneYields(choices)) {
+    if (priority.urgent() && !yielding) {
       double ageS = c.ageS(desk.timers().timeOfDayMs());
       // Room that becomes free is mostly where the image has yet to be fetched.
       double leftS = urgencies.startSlackS(c.spec, ageS) - choosing.quickFetchS(c);
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -33,14 +33,22 @@
   private final Choosing choosing;
   private final GivingWay givingWay;
   private final Begin begin = new Begin();
+  private final IdleRoom idle;
 
   Parking(
-      Desk desk, Room room, Quotas quotas, Urgencies urgencies, Zones zones, Turnover turnover) {
+      Desk desk,
+      Room room,
+      IdleRoom idle,
+      Quotas quotas,
+      Urgencies urgencies,
+      Zones zones,
+      Turnover turnover) {
     this.desk = desk;
     this.room = room;
     this.quotas = quotas;
     this.urgencies = urgencies;
     this.choosing = new Choosing(desk, room, zones, turnover);
+    this.idle = idle;
     this.givingWay = new GivingWay(desk, urgencies, choosing, turnover);
   }
 
@@ -53,6 +61,11 @@
     if (c.standing != before) {
       c.lookAgain = now;
     }
+    if (c.queued && c.standing != Begin.Standing.FIRST) {
+      withdraw(c);
+      served(c, now);
+      return;
+    }
     int wanted = wanted(c);
     if (wanted <= 0 || now < c.notBefore) {
       withdraw(c);
@@ -90,7 +103,9 @@
   /** Tasks for which room is wanted; of a job that is overdue to begin the first alone. */
   private int wanted(Claim c) {
     int wanted = unstarted(c);
-    return c.standing == Begin.Standing.ORDINARY ? wanted : Math.min(1, wanted);
+    return c.standing == Begin.Standing.ORDINARY
+        ? Math.min(wanted, idle.tasks(c.spec))
+        : Math.min(1, wanted);
   }
 
   private int unstarted(Claim c) {
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -11,6 +11,7 @@
 import dev.dunefront.peer.Message;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Txn;
+import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Size;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -235,6 +236,7 @@
         .commit(
             txn,
             mark,
+            urgency(c),
             done -> {
               c.flying = false;
               c.starting = 0;
@@ -258,6 +260,16 @@
             });
   }
 
+  /**
+   * What the lowest priority has to record waits behind all else: a swarm of small jobs would use
+   * up the budget, and the others' starts would wait for room that they have.
+   */
+  private static Store.Urgency urgency(Claim c) {
+    return c.spec.priority() == Priority.BEST_EFFORT && c.standing == Begin.Standing.ORDINARY
+        ? Store.Urgency.BACKGROUND
+        : Store.Urgency.CORE;
+  }
+
   private Flight plan(Claim c, Quotas.Quota quota) {
     int txnOps = desk.settings().stateLimits().txnOps();
     int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
--- a/src/main/java/dev/dunefront/claim/Takeover.java
+++ b/src/main/java/dev/dunefront/claim/Takeover.java
@@ -157,14 +157,20 @@
         });
     boolean batched = !claiming.isEmpty();
     List<JobTable.Entry> taken = new ArrayList<>();
+    // What was refused once is refused to all like it: each question looks at all claims.
+    Set<Queue.Shape> refused = new HashSet<>();
     for (String id : due(all, progress, now)) {
       JobTable.Entry e = lapsed.get(id);
       if (fresh(e)) {
         // Never claimed: only as far as this controller's share goes, unless it is overdue to
-        // begin:
-        // one huge job may fill the shares of all.
-        if (claims.admits(e.record().spec()) || overdue(e)) {
+        // begin, for one huge job may fill the shares of all. Behind one like it that waits here
+        // it would only wait as well.
+        Queue.Shape shape = Queue.Shape.of(e.record().spec());
+        if (!refused.contains(shape) && claims.admits(e.record().spec())
+            || overdue(e) && !claims.waitsAlike(shape)) {
           write(List.of(e));
+        } else {
+          refused.add(shape);
         }
       } else if (!batched && taken.size() < BATCH) {
         // One batch at a time: what others have taken by then is left out of the next.
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -384,6 +384,8 @@
   public void received(String from, Message m) {
     if (m instanceof Message.Demand d) {
       fleet.received(from, d);
+    } else if (m instanceof Message.Ended e) {
+      jobs.ended(e.job(), e.done() ? JobRecord.Status.DONE : JobRecord.Status.CANCELLED);
     } else if (m instanceof Message.DutyTerm t) {
       duties.received(t);
     } else if (m instanceof Message.Health h) {
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -221,7 +221,7 @@
             reading++;
             jobs.readEnded(
                 id,
-                Urgency.CORE,
+                Urgency.USER,
                 found -> {
                   reading--;
                   polled(id, found, answer);
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -103,6 +103,11 @@
     replica.apply(JobRecord.key(id), record.write(mark), stamp);
   }
 
+  /** Another controller has recorded a final state. */
+  public void ended(String id, Status status) {
+    finals.put(id, status);
+  }
+
   public void finished(String id, Status status, long revision) {
     finals.put(id, status);
     replica.apply(JobRecord.key(id), null, revision);
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -234,6 +234,9 @@
 
   record HoldSay(String host, boolean held, double heardAgoS) implements Message {}
 
+  /** The job's final state is recorded: it is done, or else cancelled. */
+  record Ended(String job, boolean done) implements Message {}
+
   /** A user was told that the job is cancelled. */
   record Cancelled(String job) implements Message {}
 
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -8,6 +8,7 @@
 import dev.dunefront.peer.Message.Decline;
 import dev.dunefront.peer.Message.Demand;
 import dev.dunefront.peer.Message.DutyTerm;
+import dev.dunefront.peer.Message.Ended;
 import dev.dunefront.peer.Message.Health;
 import dev.dunefront.peer.Message.Hello;
 import dev.dunefront.peer.Message.HoldAsk;
@@ -174,6 +175,10 @@
       out.writeByte(23);
       out.writeUTF(t.duty());
       out.writeLong(t.term());
+    } else if (m instanceof Ended e) {
+      out.writeByte(24);
+      out.writeUTF(e.job());
+      out.writeBoolean(e.done());
     } else if (m instanceof Cancelled c) {
       out.writeByte(16);
       out.writeUTF(c.job());
@@ -307,6 +312,7 @@
           case 13 -> new Blame(in.readUTF(), in.readUTF(), in.readByte());
           case 14 -> new HoldAsk(in.readUTF(), in.readLong(), in.readLong(), in.readLong());
           case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
+          case 24 -> new Ended(in.readUTF(), in.readBoolean());
           case 16 -> new Cancelled(in.readUTF());
           case 22 -> new Retire(in.readUTF(), in.readLong());
           case 23 -> new DutyTerm(in.readUTF(), in.readLong());
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -228,14 +228,15 @@
   }
 
   @Override
-  public void commit(Txn txn, String mark, Consumer<Done> then) {
-    attempt(txn, mark, false, 0.1, then);
+  public void commit(Txn txn, String mark, Urgency urgency, Consumer<Done> then) {
+    attempt(txn, mark, urgency, false, 0.1, then);
   }
 
-  private void attempt(Txn txn, String mark, boolean unclear, double pauseS, Consumer<Done> then) {
+  private void attempt(
+      Txn txn, String mark, Urgency urgency, boolean unclear, double pauseS, Consumer<Done> then) {
     tryTxn(
         txn,
-        Urgency.CORE,
+        urgency,
         done -> {
           switch (done.outcome()) {
             case OK -> then.accept(done);
@@ -245,7 +246,8 @@
               }
               boolean nowUnclear = unclear || done.outcome() == Outcome.UNCLEAR;
               timers.after(
-                  pauseS, () -> attempt(txn, mark, nowUnclear, Math.min(1.0, pauseS * 2), then));
+                  pauseS,
+                  () -> attempt(txn, mark, urgency, nowUnclear, Math.min(1.0, pauseS * 2), then));
             }
             case CONFLICT -> {
               if (unclear) {
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -60,7 +60,12 @@
    * Repeats the transaction until its outcome is certain, through outages too. The first value put
    * must carry {@code mark} under {@link #MARK}.
    */
-  void commit(Txn txn, String mark, Consumer<Done> then);
+  void commit(Txn txn, String mark, Urgency urgency, Consumer<Done> then);
+
+  /** The same, as part of the ordinary work. */
+  default void commit(Txn txn, String mark, Consumer<Done> then) {
+    commit(txn, mark, Urgency.CORE, then);
+  }
 
   void watch(String prefix, long from, double blockS, Consumer<Watched> then);
 
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -54,6 +54,7 @@
           new Message.HoldAsk("h", 1, 2, 3),
           new Message.HoldSay("h", true, 0.5),
           new Message.Cancelled("wk-1"),
+          new Message.Ended("wk-1", true),
           new Message.Health(true, 1.5, 2.5, 3, 0.5),
           new Message.Preempt("h", 1, new Size(1, 2, 3), 4),
           new Message.Retire("h", 4),
--- a/src/test/java/dev/dunefront/story/DayEndTest.java
+++ b/src/test/java/dev/dunefront/story/DayEndTest.java
@@ -20,27 +20,17 @@
  * is back before anybody has noticed makes a difference to that.
  */
 class DayEndTest {
-  private static World world(int machines) {
-    World w = new World(3);
-    w.start().pass(2);
-    for (int i = 0; i < machines; i++) {
-      w.machine("host-" + i, "small", "a", "node-" + i % 3);
-    }
-    w.pass(5);
-    return w;
-  }
-
   /** A checker that finds nothing must be one that could. */
   @Example
   void theCheckerNoticesJobsThatAreForgottenOrNeverRun() {
-    World w = world(2);
+    World w = World.of(2);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 2, 1)).status());
     w.pass(2);
     w.removeState("w/j/wk-1");
     List<String> wrong = w.dayEnds();
     assertTrue(wrong.stream().anyMatch(s -> s.contains("forgotten by node-2")), wrong.toString());
 
-    World v = world(1);
+    World v = World.of(1);
     assertEquals(201, v.submit("node-0", World.job("wk-1", 6, 1)).status());
     v.pass(2);
     v.silent.add("host-0");
@@ -51,7 +41,7 @@
   /** In each state that a job can be in, whichever controller is asked. */
   @Example
   void everyQuestionIsAnsweredForJobsInEveryState() {
-    World w = world(6);
+    World w = World.of(6);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 4, 1)).status());
     w.pass(2);
     w.finishAll();
@@ -80,7 +70,7 @@
   /** Mistaken jobs stay known, can be cancelled at once, and keep nobody else from running. */
   @Example
   void jobsWithAMistakeStayKnownAndHarmNobody() {
-    World w = world(4);
+    World w = World.of(4);
     for (int i = 0; i < 5; i++) {
       assertEquals(201, w.submit("node-" + i % 3, World.job("wk-9" + i, 8, 1)).status());
     }
@@ -115,7 +105,7 @@
   /** A job that is unlucky twice and then runs well is no mistaken one. */
   @Example
   void twoUnluckyStartsDoNotHoldAJobBackThatRunsElsewhere() {
-    World w = world(5);
+    World w = World.of(5);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 40, 1)).status());
     w.pass(2);
     for (int i = 0; i < 2; i++) {
@@ -134,7 +124,7 @@
   /** The same one five times in ten seconds, in whatever it is doing. */
   @Example
   void aControllerThatIsBackBeforeAnybodyHasNoticed() {
-    World w = world(9);
+    World w = World.of(9);
     for (int i = 0; i < 6; i++) {
       assertEquals(201, w.submit("node-" + i % 3, World.job("wk-" + i, 5, 1)).status());
     }
@@ -154,7 +144,7 @@
 
   @Example
   void allControllersAreBackAtOnceAgainAndAgainAmidElections() {
-    World w = world(9).renting(5, 4);
+    World w = World.of(9).renting(5, 4);
     for (int i = 0; i < 6; i++) {
       assertEquals(201, w.submit("node-" + i % 3, World.job("wk-" + i, 5, 1)).status());
     }
@@ -175,7 +165,7 @@
   @Property(tries = 40, seed = "28", shrinking = ShrinkingMode.BOUNDED)
   void whateverStrikesTheDayEndsWell(
       @ForAll @Size(min = 1, max = 6) List<@IntRange(max = 8_999) Integer> strikes) {
-    World w = world(9);
+    World w = World.of(9);
     for (int i = 0; i < 6; i++) {
       w.submit("node-" + i % 3, World.job("wk-" + i, 3 + i, 1 + i % 2));
     }
@@ -237,7 +227,7 @@
   /** Eight times as many questions cost the state service no more than a few. */
   @Example
   void aStormOfQuestionsCostsTheStateServiceLittle() {
-    World w = world(4);
+    World w = World.of(4);
     for (int i = 0; i < 20; i++) {
       assertEquals(201, w.submit("node-" + i % 3, World.job("wk-" + i, 1, 0.5)).status());
     }
@@ -269,7 +259,7 @@
       @ForAll @Size(max = 6) List<@IntRange(max = 4) Integer> fates,
       @ForAll @IntRange(max = 20) int pause)
       throws BadMessage {
-    World w = world(3);
+    World w = World.of(3);
     int[] n = new int[1];
     w.fates =
         (from, path, body) ->
@@ -296,4 +286,41 @@
     Doc spec = World.job("wk-1", 2, 1);
     assertEquals(200, w.submit("node-1", spec).status());
   }
+
+  /** A job of a hundred thousand tasks is accepted, asked after, begun and cancelled like any. */
+  @Example
+  void theLargestJobThereCanBeIsLikeAnyOther() {
+    World w = World.of(9);
+    int before = w.state.written("");
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 100_000, 0.25)).status());
+    assertEquals(1, w.state.written("") - before, "accepted with one change");
+    assertEquals("queued", w.poll("node-1", "wk-1").state());
+    assertEquals(201, w.submit("node-1", World.job("wk-2", 4, 1).put("urgency", "high")).status());
+    before = w.state.written("");
+    for (int second = 0; second < 30; second++) {
+      w.pass(1);
+      w.finishAll();
+    }
+    int starts = w.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    double each = (double) (w.state.written("") - before) / starts;
+    assertTrue(each < 0.3, each + " changes for each of " + starts + " starts");
+    assertEquals("done", w.poll("node-2", "wk-2").state());
+    // Whoever takes it over reads what was begun, and not a record for each task.
+    w.nodes.get("node-0").crash();
+    w.nodes.get("node-1").crash();
+    w.pass(World.LEASE_S);
+    w.nodes.get("node-0").start();
+    w.nodes.get("node-1").start();
+    w.pass(5);
+    assertTrue(w.running() > 0);
+    World.Said said = w.cancel("node-2", "wk-1");
+    for (int i = 0; i < 20 && said.status() != 200; i++) {
+      w.pass(1);
+      said = w.cancel("node-2", "wk-1");
+    }
+    assertEquals("cancelled", said.state());
+    assertEquals(0, w.running());
+    assertEquals(List.of(), w.dayEnds());
+    assertEquals(List.of(), w.state.keys("t/"));
+  }
 }
--- a/src/test/java/dev/dunefront/story/FairnessTest.java
+++ b/src/test/java/dev/dunefront/story/FairnessTest.java
@@ -132,4 +132,49 @@
     assertEquals("done", w.poll("node-0", "wk-2").state());
     assertEquals(List.of(), w.dayEnds(), "and in the end the guests' are run as well");
   }
+
+  /**
+   * In the middle of a busy day room that is free is not idle: what comes next takes it. Guests
+   * that had taken it would have to run for a while and to save before they leave it.
+   */
+  @Example
+  void guestsLeaveFreeWhatIsAboutToBeWanted() {
+    World w = world(4);
+    int next = 0;
+    int waited = 0;
+    for (int second = 0; second < 90; second++) {
+      if (second == 20) {
+        w.submit(
+            "node-0",
+            World.job("wk-900", 40, 1)
+                .put("urgency", "best_effort")
+                .put("snapshot_every_s", 30.0)
+                .put("snapshot_s", 3.0));
+      }
+      String id = "wk-" + next;
+      if (second % 3 == 0) {
+        w.submit("node-" + next++ % 2, World.job(id, 2, 1));
+      }
+      w.pass(1);
+      if (second % 3 == 0 && second > 30) {
+        waited += begun(w, id) ? 0 : 1;
+      }
+      for (WorkerStandIn m : w.workers.values()) {
+        // Hosts' tasks run for five seconds or so, guests' for long.
+        for (String task : m.running()) {
+          if (!task.startsWith("wk-900/") && second % 5 == 4) {
+            m.exit(task, "done");
+          }
+        }
+      }
+    }
+    assertTrue(waited <= 10, waited + " of 19 jobs waited; 16 do if guests take all that is free");
+    assertTrue(begun(w, "wk-900"), "and guests have what is idle all the same");
+    long guests =
+        w.workers.values().stream()
+            .flatMap(m -> m.running().stream())
+            .filter(t -> t.startsWith("wk-900/"))
+            .count();
+    assertTrue(guests >= 4, guests + " guests run");
+  }
 }
--- a/src/test/java/dev/dunefront/story/FleetTest.java
+++ b/src/test/java/dev/dunefront/story/FleetTest.java
@@ -132,4 +132,43 @@
     untilDone(w, 6, 20);
     assertEquals(List.of(), w.overlaps);
   }
+
+  /**
+   * At full size, both at once: a third of a zone hears nothing, and while it goes round, all
+   * controllers end and are back within a fifth of a second, three times.
+   */
+  @Test
+  void aThirdOfAZoneIsDeafWhileControllersComeBackAtOnce() {
+    World w = new World(List.of("a", "a", "a", "b", "b"), LIMITED);
+    w.start().pass(2);
+    for (int i = 0; i < MACHINES; i++) {
+      w.machine("host-" + i, "small", i % 5 < 3 ? "a" : "b", "node-" + i % 5);
+    }
+    w.pass(8);
+    for (int i = 0; i < 10; i++) {
+      assertEquals(201, w.submit("node-" + i % 5, World.job("wk-" + i, 120, 1)).status());
+    }
+    w.pass(5);
+    assertEquals(1200, w.running());
+    int holds = w.state.written("w/h/");
+    int deaf = 0;
+    for (int i = 0; i < MACHINES; i += 5) {
+      w.deaf.add("host-" + i);
+      deaf++;
+    }
+    w.pass(4);
+    for (int round = 0; round < 3; round++) {
+      w.nodes.values().forEach(World.Node::crash);
+      w.pass(0.2);
+      w.nodes.values().forEach(World.Node::start);
+      w.pass(4);
+    }
+    w.pass(World.LEASE_S);
+    int written = w.state.written("w/h/") - holds;
+    assertTrue(written <= 2 * deaf, written + " holds written for " + deaf + " deaf machines");
+    w.deaf.clear();
+    w.pass(2 * World.LEASE_S);
+    assertEquals(1200, w.running(), "what was lost runs again");
+    assertEquals(List.of(), w.dayEnds());
+  }
 }
--- a/src/test/java/dev/dunefront/story/HearingTest.java
+++ b/src/test/java/dev/dunefront/story/HearingTest.java
@@ -12,23 +12,13 @@
 
 /** Reports that come although their machine hears nothing, and such as come long after. */
 class HearingTest {
-  private static World world(int machines) {
-    World w = new World(3);
-    w.start().pass(2);
-    for (int i = 0; i < machines; i++) {
-      w.machine("host-" + i, "small", "a", "node-" + i % 3);
-    }
-    w.pass(5);
-    return w;
-  }
-
   /**
    * It goes round the controllers with its reports. Each would write its hold anew, show its room,
    * and lose what is placed there.
    */
   @Test
   void aThirdOfAllMachinesIsHeardAndDoesNotHear() {
-    World w = world(30);
+    World w = World.of(30);
     for (int i = 0; i < 6; i++) {
       assertEquals(201, w.submit("node-" + i % 3, World.job("wk-" + i, 15, 1)).status());
     }
@@ -62,7 +52,7 @@
 
   @Test
   void aMachineThatNeverHearsAgainIsReturned() {
-    World w = world(6);
+    World w = World.of(6);
     w.deaf.add("host-1");
     w.pass(200);
     assertTrue(w.cloud.deleted("host-1"));
@@ -81,7 +71,7 @@
 
   /** How long it takes from the death of a machine until what ran there runs elsewhere. */
   private static double untilPlacedAgain(List<Double> copiesAfterS) {
-    World w = world(3);
+    World w = World.of(3);
     w.copiesAfterS = copiesAfterS;
     assertEquals(201, w.submit("node-0", World.job("wk-1", 8, 1)).status());
     w.pass(4 * World.LEASE_S);
@@ -115,7 +105,7 @@
   /** A controller that has just begun remembers no serial. */
   @Test
   void lateCopiesMeetControllersThatHaveJustBegun() {
-    World w = world(6);
+    World w = World.of(6);
     w.copiesAfterS = List.of(1.0, World.LEASE_S, World.LEASE_S * 2);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 20, 1)).status());
     w.pass(4);
@@ -139,7 +129,7 @@
    */
   @Test
   void aWorkerThatBeginsAnewIsBelievedAfterAQuestion() {
-    World w = world(3);
+    World w = World.of(3);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 12, 1)).status());
     w.pass(30);
     assertEquals(12, w.running());
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -197,6 +197,17 @@
 
   private final Set<String> struck = new HashSet<>();
 
+  /** Three controllers and so many small machines that have reported. */
+  static World of(int machines) {
+    World w = new World(3);
+    w.start().pass(2);
+    for (int i = 0; i < machines; i++) {
+      w.machine("host-" + i, "small", "a", "node-" + i % 3);
+    }
+    w.pass(5);
+    return w;
+  }
+
   World start() {
     nodes.values().forEach(Node::start);
     return this;
