--- a/src/main/java/dev/dunefront/book/Listening.java
+++ b/src/main/java/dev/dunefront/book/Listening.java
@@ -11,7 +11,6 @@
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.Report;
 import java.lang.System.Logger.Level;
-import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -120,19 +119,7 @@
 
   /** The machine's worker has reported to another controller, which asks after it. */
   void elsewhere(Machine m, Message.HoldAsk seen) {
-    Report r =
-        new Report(
-            m.host,
-            m.endpoint,
-            m.typeName,
-            m.zone,
-            m.spot,
-            seen.tenure(),
-            seen.serial(),
-            seen.baton(),
-            null,
-            List.of());
-    if (m.fresh.of(r) != Freshness.Worth.NEW) {
+    if (m.fresh.of(seen.tenure(), seen.serial(), seen.baton()) != Freshness.Worth.NEW) {
       return;
     }
     if (seen.tenure() > m.tenure && m.tenure > 0) {
--- a/src/main/java/dev/dunefront/book/Preemption.java
+++ b/src/main/java/dev/dunefront/book/Preemption.java
@@ -73,7 +73,7 @@
           // Once is enough: what was begun anew goes on.
           && t.attempt() == 1
           && spec.size().cpu() <= MUCH_LARGER * p.size().cpu()
-          && now - m.startedAt.getOrDefault(t.id(), Double.NEGATIVE_INFINITY) < YOUNG_S) {
+          && ranS(m, t, now) < YOUNG_S) {
         victims.add(t);
       }
     }
--- a/src/main/java/dev/dunefront/book/Reports.java
+++ b/src/main/java/dev/dunefront/book/Reports.java
@@ -26,17 +26,17 @@
 
   /** Takes over a report that came by itself and is no copy of an old one. */
   void reported(Machine m, Report r) {
-    boolean news = r.newerThan(m.fresh.tenure(), m.fresh.serial());
-    m.fresh = m.fresh.reported(r);
-    if (news) {
-      apply(m, r);
-    }
+    take(m, r, m.fresh.reported(r));
   }
 
   /** Takes over an answer to orders or to a question. */
   void answered(Machine m, Report r) {
+    take(m, r, m.fresh.answered(r));
+  }
+
+  private void take(Machine m, Report r, Freshness next) {
     boolean news = r.newerThan(m.fresh.tenure(), m.fresh.serial());
-    m.fresh = m.fresh.answered(r);
+    m.fresh = next;
     if (news) {
       apply(m, r);
     }
--- a/src/main/java/dev/dunefront/claim/Begin.java
+++ b/src/main/java/dev/dunefront/claim/Begin.java
@@ -55,7 +55,8 @@
     return first == c ? Standing.FIRST : Standing.AHEAD;
   }
 
-  private static boolean begun(Claim c) {
+  /** Whether anything of the job was ever placed, or never will be. */
+  static boolean begun(Claim c) {
     return !c.busy.isEmpty() || !c.open();
   }
 }
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -91,7 +91,7 @@
   /** Whether a claimed job like these has yet to begin. */
   boolean waitsAlike(Queue.Shape shape) {
     for (Claim c : claims.values()) {
-      if (c.shape.equals(shape) && c.unstarted() > 0 && c.busy.isEmpty()) {
+      if (c.shape.equals(shape) && !Begin.begun(c)) {
         return true;
       }
     }
--- a/src/main/java/dev/dunefront/evidence/Freshness.java
+++ b/src/main/java/dev/dunefront/evidence/Freshness.java
@@ -30,14 +30,19 @@
   }
 
   public Worth of(Report r) {
-    if (r.baton() < baton) {
+    return of(r.tenure(), r.serial(), r.baton());
+  }
+
+  /** What a report of this session, with this serial and showing this baton is worth. */
+  public Worth of(long itsTenure, long itsSerial, long itsBaton) {
+    if (itsBaton < baton) {
       return Worth.COPY;
     }
-    if (r.newerThan(tenure, serial)) {
+    if (itsTenure > tenure || itsTenure == tenure && itsSerial > serial) {
       return Worth.NEW;
     }
     // A worker has one report under way at a time, so its reports come in the order of serials.
-    return r.tenure() == tenure && r.serial() > reported ? Worth.OVERTAKEN : Worth.COPY;
+    return itsTenure == tenure && itsSerial > reported ? Worth.OVERTAKEN : Worth.COPY;
   }
 
   /** A report has been taken that was no copy. */
