A session learned of by an answer lives: its lease is not counted from the session before

Cause: a holder calls a session over when no report has been taken for a lease. A session that it learned of by the answer to an order, or by another controller's question, was measured from the last report of the session before; so it was called over within moments, and what had just been started in it was placed a second time. Change: the lease counts from when the session was first seen as well; a machine that may not hear is given no work before that is known. HearingTest.aSessionLearnedOfByAnAnswerLives is red before and green after.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -419,7 +419,7 @@
       m.dirty = true;
     }
     listening.tick(m, now);
-    if (!m.lost && m.ours && now - m.heard > lease * (1 + DRIFT) + 0.3) {
+    if (!m.lost && m.ours && now - m.renewed() > lease * (1 + DRIFT) + 0.3) {
       // No report of this session has been answered for longer than its lease lasts. A baton
       // raised since, which the worker may never see, changes nothing in that: a machine that
       // ended just after would otherwise never be called lost, and its jobs never end.
@@ -429,7 +429,7 @@
       m.dirty = true;
       LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
     }
-    if (m.lost && now - m.heard > lease * FORGET_LEASES) {
+    if (m.lost && now - m.renewed() > lease * FORGET_LEASES) {
       // All that ran there has been given up for gone. Should its worker come back after all it is
       // in another session, for which no start is on its way that was meant for this one.
       m.fence.clear();
--- a/src/main/java/dev/dunefront/book/Listening.java
+++ b/src/main/java/dev/dunefront/book/Listening.java
@@ -122,13 +122,17 @@
     if (m.fresh.of(seen.tenure(), seen.serial(), seen.baton()) != Freshness.Worth.NEW) {
       return;
     }
-    if (seen.tenure() > m.tenure && m.tenure > 0) {
+    boolean later = seen.tenure() > m.tenure && m.tenure > 0;
+    if (later) {
       reports.laterSession(m, seen.tenure());
-      books.act(m);
     }
     if (timers.now() - m.answered < ELSEWHERE_S + settings.workers().reportS()) {
       suspect(m, "it was answered here and reports elsewhere");
     }
+    if (later) {
+      // Only now: a machine that may not hear is given no work.
+      books.act(m);
+    }
   }
 
   /** A report that says something new has come: time for a question, if one is due. */
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -59,6 +59,9 @@
   long tenure;
   double heard;
 
+  /** When its session was first seen, be it by a report, an answer or another controller's word. */
+  double begun;
+
   /** What its worker has said so far, by which copies of old reports are told from news. */
   Freshness fresh = Freshness.NONE;
 
@@ -144,6 +147,11 @@
         && retiringUntil == 0;
   }
 
+  /** When the lease of its session can have been renewed last, as far as is known here. */
+  double renewed() {
+    return Math.max(heard, begun);
+  }
+
   /** Whether it is closed because it is to be returned. */
   boolean retiring(double now) {
     return now < retiringUntil;
--- a/src/main/java/dev/dunefront/book/Reports.java
+++ b/src/main/java/dev/dunefront/book/Reports.java
@@ -66,7 +66,11 @@
     m.dirty = true;
   }
 
-  private static void endSession(Machine m) {
+  private void endSession(Machine m) {
+    // The new session's lease has only begun. Were it counted from the last report of the earlier
+    // one, a session learned of by an answer or from another controller would be called over while
+    // it lives, and what had just been started in it would be placed a second time.
+    m.begun = timers.now();
     // The earlier session's tasks are gone, and orders for it are refused.
     m.pending.clear();
     m.stops.clear();
--- a/src/main/java/dev/dunefront/standin/WorkerStandIn.java
+++ b/src/main/java/dev/dunefront/standin/WorkerStandIn.java
@@ -19,6 +19,7 @@
   private final String zone;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
   private final List<String> starts = new ArrayList<>();
+  private final List<String> done = new ArrayList<>();
   private long tenure = 1;
   private long serial;
   private long baton;
@@ -124,6 +125,9 @@
 
   /** Ends a task on its own account, for a reason of the protocol. */
   public void exit(String id, String why) {
+    if (why.equals("done") && running().contains(id)) {
+      done.add(id);
+    }
     tasks.computeIfPresent(id, (k, t) -> new Task(t.attempt, "exited", why));
   }
 
@@ -153,6 +157,11 @@
     return tasks.size();
   }
 
+  /** The tasks that have ever been done here. */
+  public List<String> done() {
+    return done;
+  }
+
   /** Every start there has been, as {@code task#attempt}. */
   public List<String> starts() {
     return starts;
--- a/src/test/java/dev/dunefront/story/HearingTest.java
+++ b/src/test/java/dev/dunefront/story/HearingTest.java
@@ -50,6 +50,38 @@
     assertEquals(List.of(), w.dayEnds());
   }
 
+  /**
+   * Its holder learns of its new session by an answer to an order and not by a report. The lease of
+   * that session has only begun: counted from the last report of the earlier one it would be called
+   * over at once, and what was started in it meanwhile be placed a second time.
+   */
+  @Test
+  void aSessionLearnedOfByAnAnswerLives() {
+    World w = World.of(1);
+    WorkerStandIn m = w.workers.get("host-0:9");
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 4, 1)).status());
+    w.pass(2);
+    assertEquals(4, m.running().size());
+    // Nothing that it says arrives any more, while orders and their answers do.
+    w.lost = (from, to) -> from.equals("host-0:9");
+    for (int i = 0; i < 200 && !m.running().isEmpty(); i++) {
+      w.pass(0.05);
+    }
+    // Its lease has run out, and its holder does not know so yet: it sends a stop.
+    w.user("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 0, 20);
+    w.cancelled.add("wk-1");
+    w.user("POST", "/v1/jobs", World.job("wk-2", 4, 1), "wk-2", 1, 20);
+    for (int i = 0; i < 20 && m.running().isEmpty(); i++) {
+      w.pass(0.02);
+    }
+    assertEquals(4, m.running().size(), "the holder has learned of the session, and uses it");
+    w.machine("host-1", "small", "a", "node-1");
+    w.pass(World.LEASE_S - 1);
+    assertEquals(List.of(), w.overlaps);
+    w.lost = (from, to) -> false;
+    assertEquals(List.of(), w.dayEnds());
+  }
+
   @Test
   void aMachineThatNeverHearsAgainIsReturned() {
     World w = World.of(6);
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -0,0 +1,185 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.wire.Doc;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Two troubles at once: any of those that have broken schedulers, in any pairs and times. */
+class MeetingsTest {
+  private static final String STATE = "10.2.0.1:1";
+
+  /** The troubles, each for a while; what it lasts for is drawn. */
+  enum Trouble {
+    LATE_WRITES,
+    GAP,
+    LATE_REPORTS,
+    ALONE,
+    CRASH_BEHIND_SILENCE,
+    HELD_ORDERS,
+    DEAF,
+    ALL_END,
+    STANDSTILL,
+    STATE_REFUSES,
+    LOST_CLEARS
+  }
+
+  private static void strike(World w, Trouble trouble, Random dice) {
+    String node = "node-" + dice.nextInt(5);
+    double forS = 1 + dice.nextInt(24);
+    switch (trouble) {
+      case LATE_WRITES -> {
+        World.Fates before = w.fates;
+        w.fates =
+            (from, path, body) ->
+                path.equals("/txn") && dice.nextInt(12) == 0
+                    ? World.Fate.LATE
+                    : before.of(from, path, body);
+        w.timers.after(forS, () -> w.fates = (from, path, body) -> World.Fate.ON_TIME);
+      }
+      case GAP -> {
+        w.refusedByState.add(node);
+        double alone = 0.3 + dice.nextInt(60) / 10.0;
+        w.timers.after(alone, () -> w.state.outage(true));
+        w.timers.after(alone + forS, () -> w.state.outage(false));
+        w.timers.after(alone + forS + dice.nextInt(3), () -> w.refusedByState.remove(node));
+      }
+      case LATE_REPORTS -> {
+        w.copiesAfterS = List.of(0.5 + dice.nextInt(30), World.LEASE_S * 2);
+        w.timers.after(forS, () -> w.copiesAfterS = List.of());
+      }
+      case ALONE -> {
+        w.lost =
+            (from, to) ->
+                from.equals(node) && (to.equals(STATE) || to.startsWith("node-"))
+                    || to.equals(node) && from.startsWith("node-");
+        w.unanswered = (from, to) -> from.equals(node) && to.equals(STATE);
+        w.timers.after(5, () -> w.linksSilent(node));
+        w.timers.after(
+            forS,
+            () -> {
+              w.lost = (from, to) -> false;
+              w.unanswered = (from, to) -> false;
+              w.linksBack(node);
+            });
+      }
+      case CRASH_BEHIND_SILENCE -> {
+        for (int i = 0; i < 5; i++) {
+          String host = "host-" + dice.nextInt(10);
+          w.silent.add(host);
+          w.timers.after(forS, () -> w.silent.remove(host));
+        }
+        crash(w, node, 0.05 + dice.nextInt(100) / 20.0);
+      }
+      case HELD_ORDERS -> {
+        w.heldPath = "/orders";
+        w.timers.after(
+            forS,
+            () -> {
+              w.heldPath = null;
+              w.deliverHeld();
+            });
+      }
+      case DEAF -> {
+        for (int i = 0; i < 4; i++) {
+          String host = "host-" + dice.nextInt(10);
+          w.deaf.add(host);
+          w.timers.after(forS, () -> w.deaf.remove(host));
+        }
+      }
+      case ALL_END -> w.nodes.keySet().forEach(n -> crash(w, n, 0.05 + dice.nextInt(120) / 20.0));
+      case STANDSTILL -> {
+        if (w.nodes.get(node).up()) {
+          w.nodes.get(node).standStill(forS);
+        }
+      }
+      case STATE_REFUSES -> {
+        w.refusedByState.add(node);
+        w.timers.after(forS, () -> w.refusedByState.remove(node));
+      }
+      case LOST_CLEARS -> {
+        World.Fates before = w.fates;
+        w.fates =
+            (from, path, body) ->
+                path.equals("/orders") && dice.nextInt(3) == 0
+                    ? World.Fate.values()[1 + dice.nextInt(3)]
+                    : before.of(from, path, body);
+        w.timers.after(forS, () -> w.fates = (from, path, body) -> World.Fate.ON_TIME);
+      }
+    }
+  }
+
+  private static void crash(World w, String node, double backAfterS) {
+    World.Node n = w.nodes.get(node);
+    if (n.up()) {
+      n.crash();
+      w.timers.after(backAfterS, n::start);
+    }
+  }
+
+  /** Tasks end one by one, far apart, the lowest first on each machine. */
+  private static void finishSome(World w, Random dice) {
+    for (WorkerStandIn m : w.workers.values()) {
+      if (dice.nextInt(4) == 0) {
+        m.running().stream().limit(1).forEach(t -> m.exit(t, "done"));
+      }
+    }
+  }
+
+  private static Doc job(int n, Random dice) {
+    Doc job = World.job("wk-" + n, 1 + dice.nextInt(6), 1 + dice.nextInt(2));
+    return dice.nextInt(5) == 0 ? job.put("shape", "daemon") : job;
+  }
+
+  private static World play(List<Trouble> troubles, int seed) {
+    Random dice = new Random(seed);
+    World w = new World(5);
+    w.start().pass(2);
+    for (int i = 0; i < 10; i++) {
+      w.machine("host-" + i, "small", "a", "node-" + i % 5);
+    }
+    w.pass(4);
+    int n = 0;
+    for (int i = 0; i < 5; i++) {
+      w.user("POST", "/v1/jobs", job(n, dice), "wk-" + n++, i, 40);
+    }
+    w.pass(1.5);
+    for (Trouble t : troubles) {
+      strike(w, t, dice);
+      for (int i = dice.nextInt(5); i >= 0; i--) {
+        w.pass(dice.nextInt(40) / 10.0);
+        w.user("POST", "/v1/jobs", job(n, dice), "wk-" + n++, dice.nextInt(5), 40);
+        String id = "wk-" + dice.nextInt(n);
+        if (dice.nextInt(2) == 0) {
+          w.cancelled.add(id);
+          w.user("POST", "/v1/jobs/" + id + "/abort", null, id, dice.nextInt(5), 40);
+        }
+        finishSome(w, dice);
+      }
+    }
+    for (int i = 0; i < 40; i++) {
+      w.pass(1);
+      String id = "wk-" + dice.nextInt(n);
+      w.user("GET", "/v1/jobs/" + id, null, id, dice.nextInt(5), 1);
+      if (i % 4 == 0) {
+        finishSome(w, dice);
+      }
+    }
+    return w;
+  }
+
+  @Property(tries = 150, seed = "31", shrinking = ShrinkingMode.BOUNDED)
+  void whateverMeetsWhatNoRuleBreaks(
+      @ForAll @Size(min = 1, max = 4) List<Trouble> troubles,
+      @ForAll @IntRange(max = 1_000_000) int seed) {
+    World w = play(troubles, seed);
+    assertEquals(List.of(), w.dayEnds());
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/Notebook.java
@@ -0,0 +1,103 @@
+package dev.dunefront.story;
+
+import dev.dunefront.standin.WorkerStandIn;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What users have been told of their jobs, held against what the workers did. It knows the rules of
+ * the protocol that are about words: nothing of a cancelled job runs, no job is done early, no
+ * answer goes back, what was accepted stays known.
+ */
+final class Notebook {
+  private record Last(String state, double at) {}
+
+  private final Collection<WorkerStandIn> workers;
+  private final Map<String, Integer> accepted;
+  private final Set<String> asked;
+  private final Map<String, Last> ended = new HashMap<>();
+  private final Map<String, Double> known = new HashMap<>();
+
+  /** What was found, without repeats. */
+  final List<String> wrong = new ArrayList<>();
+
+  /** The workers are those that ever were; asked are the jobs whose users wanted them cancelled. */
+  Notebook(Collection<WorkerStandIn> workers, Map<String, Integer> accepted, Set<String> asked) {
+    this.workers = workers;
+    this.accepted = accepted;
+    this.asked = asked;
+  }
+
+  /** When a user was told that the job is over; infinite if that has not been told. */
+  double endedAt(String id) {
+    Last last = ended.get(id);
+    return last == null ? Double.POSITIVE_INFINITY : last.at;
+  }
+
+  /**
+   * A user's question, submission or cancellation has been answered. What was told after it had
+   * been sent does not count against the answer.
+   */
+  void told(String id, World.Said said, double sentAt, double now) {
+    if (said == null) {
+      return;
+    }
+    if (said.status() == 404 || said.status() == 400 || said.status() == 422) {
+      note(
+          known.getOrDefault(id, Double.POSITIVE_INFINITY) <= sentAt,
+          id + " was accepted and is answered " + said.status());
+      return;
+    }
+    if (said.status() != 200 && said.status() != 201) {
+      return;
+    }
+    known.putIfAbsent(id, now);
+    String state = said.state();
+    Last last = ended.get(id);
+    note(
+        last != null && last.at <= sentAt && !last.state.equals(state),
+        id + " was " + (last == null ? "" : last.state) + " and is called " + state);
+    if (state.equals("done")) {
+      note(doneTasks(id) < accepted.getOrDefault(id, 0), id + " is called done early");
+      ended.putIfAbsent(id, new Last(state, now));
+    } else if (state.equals("cancelled")) {
+      note(!asked.contains(id), id + " is called cancelled and nobody asked for it");
+      ended.putIfAbsent(id, new Last(state, now));
+      look();
+    }
+  }
+
+  /** Users are told only on proof, so nothing may run from the word on, not even for a moment. */
+  void look() {
+    for (WorkerStandIn w : workers) {
+      for (String task : w.running()) {
+        String job = task.substring(0, task.indexOf('/'));
+        Last last = ended.get(job);
+        note(last != null, task + " runs on " + w.host() + " though its user was told it is over");
+      }
+    }
+  }
+
+  private int doneTasks(String id) {
+    Set<String> done = new HashSet<>();
+    for (WorkerStandIn w : workers) {
+      for (String task : w.done()) {
+        if (task.startsWith(id + "/")) {
+          done.add(task);
+        }
+      }
+    }
+    return done.size();
+  }
+
+  private void note(boolean isWrong, String what) {
+    if (isWrong && !wrong.contains(what)) {
+      wrong.add(what);
+    }
+  }
+}
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -124,6 +124,9 @@
   /** The jobs whose users have asked to cancel them. */
   final Set<String> cancelled = new HashSet<>();
 
+  /** What users were told, held against what the workers did. */
+  final Notebook notebook = new Notebook(everyWorker, accepted, cancelled);
+
   /** Decides what becomes of a call: by whom, of what path, with what body. */
   interface Fates {
     Fate of(String from, String path, String body);
@@ -237,6 +240,7 @@
   }
 
   private void watchOverlaps() {
+    notebook.look();
     Set<String> seen = new HashSet<>();
     for (WorkerStandIn w : workers.values()) {
       for (String task : w.running()) {
@@ -541,9 +545,7 @@
           }
         };
     timers.after(deadlineS, () -> once.accept(Caller.Reply.UNCLEAR));
-    if (address.equals("10.2.0.1:1")
-        && refusedByState.contains(from)
-        && !path.startsWith("/watch")) {
+    if (address.equals("10.2.0.1:1") && refusedByState.contains(from)) {
       timers.after(HOP_S, () -> once.accept(new Caller.Reply(503, new byte[0], 0)));
       return;
     }
@@ -557,7 +559,7 @@
                 body,
                 r -> {
                   if (!unanswered.test(from, address)) {
-                    timers.after(HOP_S, () -> once.accept(r));
+                    timers.after(HOP_S, () -> unlessRefused(from, path, () -> once.accept(r)));
                   }
                 });
     WorkerStandIn called = workers.get(address);
@@ -585,6 +587,15 @@
     timers.after(HOP_S, deliver);
   }
 
+  /** A watch that was open when the state service began to refuse its controller waits on. */
+  private void unlessRefused(String from, String path, Runnable answer) {
+    if (path.startsWith("/watch") && refusedByState.contains(from)) {
+      timers.after(0.1, () -> unlessRefused(from, path, answer));
+    } else {
+      answer.run();
+    }
+  }
+
   /** Whether a packet between the zones meets the cut; null is where no zone is. */
   private boolean crosses(String one, String other) {
     return cutZone != null && cutZone.equals(one) != cutZone.equals(other);
@@ -856,6 +867,7 @@
     double sent = timers.now();
     byte[] body = w.report();
     reports++;
+    notebook.look();
     boolean lostNow = silent.contains(w.host()) || !n.up || lost.test(w.endpoint(), n.name);
     if (lostNow) {
       tryNext(w, n);
@@ -961,11 +973,13 @@
   }
 
   Said submit(String node, Doc job) {
+    double sentAt = timers.now();
     Said said = ask(node, "POST", "/v1/jobs", job.encode());
     try {
       if (said != null && (said.status() == 201 || said.status() == 200)) {
         accepted.put(job.text("id"), (int) job.count("pieces"));
       }
+      noted(job.text("id"), sentAt, said);
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
@@ -973,12 +987,70 @@
   }
 
   Said poll(String node, String id) {
-    return ask(node, "GET", "/v1/jobs/" + id, new byte[0]);
+    double sentAt = timers.now();
+    return noted(id, sentAt, ask(node, "GET", "/v1/jobs/" + id, new byte[0]));
   }
 
   Said cancel(String node, String id) {
     cancelled.add(id);
-    return ask(node, "POST", "/v1/jobs/" + id + "/abort", new byte[0]);
+    double sentAt = timers.now();
+    return noted(id, sentAt, ask(node, "POST", "/v1/jobs/" + id + "/abort", new byte[0]));
+  }
+
+  private Said noted(String id, double sentAt, Said said) {
+    notebook.told(id, said, sentAt, timers.now());
+    return said;
+  }
+
+  /**
+   * A user who submits, polls or cancels through whichever controller is up, without waiting: what
+   * comes is noted, and while it is not an answer the request is repeated, as the protocol says.
+   */
+  void user(String method, String path, Doc body, String id, int node, int tries) {
+    List<Node> up = nodes.values().stream().filter(Node::up).toList();
+    if (tries == 0) {
+      return;
+    }
+    Runnable again =
+        () -> timers.after(1.5, () -> user(method, path, body, id, node + 1, tries - 1));
+    if (up.isEmpty()) {
+      again.run();
+      return;
+    }
+    boolean[] over = {false};
+    double sentAt = timers.now();
+    HttpServer.Request request =
+        new HttpServer.Request(method, path, "", body == null ? new byte[0] : body.encode());
+    double patienceS = method.equals("GET") ? 2 : 5;
+    timers.after(
+        patienceS,
+        () -> {
+          if (!over[0]) {
+            over[0] = true;
+            again.run();
+          }
+        });
+    up.get(node % up.size())
+        .handle(
+            request,
+            (status, reply, pause) -> {
+              if (over[0]) {
+                return;
+              }
+              over[0] = true;
+              try {
+                Doc said = reply == null || reply.length == 0 ? Doc.of() : Doc.decode(reply);
+                if (body != null && (status == 200 || status == 201)) {
+                  accepted.putIfAbsent(id, (int) body.count("pieces"));
+                }
+                noted(id, sentAt, new Said(status, said, pause));
+              } catch (BadMessage e) {
+                throw new AssertionError(e);
+              }
+              if (status == 503) {
+                again.run();
+              }
+            });
   }
 
   /** How long every question about a job may go unanswered once all troubles are over. */
@@ -1024,6 +1096,7 @@
     }
     unfinished.forEach(id -> wrong.add(id + " never ran whole"));
     wrong.addAll(overlaps);
+    wrong.addAll(notebook.wrong);
     return wrong;
   }
 
