What is cancelled in the gap is stopped: the word is kept and passed on, stops go out in doubt

Cause (by reading, then red stories): the word of a cancellation went out once and was not remembered. An old leader that the state service refuses, and that lost the word, ran the job's tasks through the whole outage; a machine in doubt got no stop, for its baton cannot be raised without the state service. Ruled out: a claimant alive that hears the record sends stops by itself.

Change: job.Cancellations keeps the jobs whose record says that they are to end, by the replica or by word, until their end is known; whoever is reached anew is told of them; holders look through their machines for them each second; starts are refused and claims place nothing more. A stop names an attempt and goes out in doubt, unsettled and while a baton is raised; an order refused by its baton frees only what it carried. Metrics: cancellations waiting and the oldest of them.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -105,7 +105,7 @@
     this.reception = new Reception(desk, neighbours, listening, this);
     this.standstill = desk.standstill();
     this.dealing = new Dealing(desk, neighbours, views);
-    this.inbox = new Inbox(desk, this, starts, preemption, reception, upkeep);
+    this.inbox = new Inbox(desk, this, starts, preemption, reception);
     standstill.listen(reception::woken);
   }
 
@@ -305,6 +305,15 @@
     }
   }
 
+  /** A job is to end: what of it runs here is stopped, what is about to start is refused. */
+  public void cancelled(String id) {
+    for (Machine m : held.values()) {
+      upkeep.stopJob(m, id);
+      m.book.dropJob(id);
+      act(m);
+    }
+  }
+
   /** All machines that this controller holds. */
   Collection<Machine> all() {
     return held.values();
@@ -399,7 +408,7 @@
     }
     if (now - strangersAt > IDLE_LOOK_S) {
       strangersAt = now;
-      upkeep.lookUpStrangers(held.values(), now);
+      upkeep.stopWhatIsOver(held.values(), now);
       reception.forget(now);
     }
     dealing.spread(held.values(), now);
--- a/src/main/java/dev/dunefront/book/Inbox.java
+++ b/src/main/java/dev/dunefront/book/Inbox.java
@@ -28,15 +28,13 @@
   private final Starts starts;
   private final Preemption preemption;
   private final Reception reception;
-  private final Upkeep upkeep;
 
   Inbox(
       Desk desk,
       Books books,
       Starts starts,
       Preemption preemption,
-      Reception reception,
-      Upkeep upkeep) {
+      Reception reception) {
     this.settings = desk.settings();
     this.jobs = desk.jobs();
     this.timers = desk.timers();
@@ -45,7 +43,6 @@
     this.starts = starts;
     this.preemption = preemption;
     this.reception = reception;
-    this.upkeep = upkeep;
   }
 
   void received(String from, Message message) {
@@ -106,12 +103,6 @@
       if (duties.admits(Duty.RENT, r.term(), from)) {
         retire(r.host());
       }
-    } else if (message instanceof Message.Cancelled c) {
-      for (Machine m : books.all()) {
-        upkeep.stopJob(m, c.job());
-        m.book.dropJob(c.job());
-        books.act(m);
-      }
     }
   }
 
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -13,6 +13,7 @@
 import dev.dunefront.wire.Doc;
 import dev.dunefront.wire.Order;
 import dev.dunefront.wire.Report;
+import dev.dunefront.wire.TaskId;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
@@ -92,20 +93,22 @@
     send(m, List.of());
   }
 
+  /**
+   * Sends what there is to send. While the fate of an order is unknown, or the worker has yet to
+   * show its baton, nothing is started or cleared: but a stop names an attempt, and does nothing if
+   * that is not there. Should its start still be on the way and come after it, the attempt is shown
+   * and the stop repeated. Held back with the others it would wait for the baton to be raised,
+   * which takes a write; in an outage what was cancelled would run on for as long as that lasts.
+   */
   void give(Machine m) {
-    if (m.ordering
-        || m.doubt
-        || m.raising
-        || !m.settled
-        || m.lost
-        || m.endpoint.isEmpty()
-        || !standstill.current()) {
+    if (m.ordering || m.lost || m.endpoint.isEmpty() || !standstill.current()) {
       return;
     }
     double now = timers.now();
+    boolean sure = m.settled && !m.doubt && !m.raising;
     List<Order> orders = new ArrayList<>();
     for (var e : m.pending.entrySet()) {
-      if (e.getValue().sentUnder == 0 && orders.size() < MAX_ORDERS) {
+      if (sure && e.getValue().sentUnder == 0 && orders.size() < MAX_ORDERS) {
         e.getValue().sentUnder = m.baton;
         orders.add(new Order.Run(e.getKey(), e.getValue().attempt));
       }
@@ -117,7 +120,7 @@
       }
     }
     for (var e : m.clears.entrySet()) {
-      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
+      if (sure && now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
         e.getValue().sentAt = now;
         orders.add(new Order.Clear(e.getKey(), e.getValue().attempt));
       }
@@ -130,7 +133,12 @@
   private void send(Machine m, List<Order> orders) {
     m.ordering = true;
     byte[] body = Order.direct(m.baton, m.tenure, orders);
-    boolean runs = orders.stream().anyMatch(o -> o instanceof Order.Run);
+    List<TaskId> runs = new ArrayList<>();
+    for (Order o : orders) {
+      if (o instanceof Order.Run r) {
+        runs.add(r.task());
+      }
+    }
     String endpoint = m.endpoint;
     Freshness known = m.fresh;
     ward.then(
@@ -144,7 +152,7 @@
                 reply -> ward.run(() -> ordered(m, known, runs, reply))));
   }
 
-  private void ordered(Machine m, Freshness known, boolean runs, Caller.Reply reply) {
+  private void ordered(Machine m, Freshness known, List<TaskId> runs, Caller.Reply reply) {
     m.ordering = false;
     if (books.held(m.host) != m) {
       return;
@@ -153,18 +161,24 @@
       try {
         Report r = Report.read(Doc.decode(reply.body()));
         if (reply.status() == 409) {
-          // Nothing was carried out: what was sent may be sent again, if it still makes sense.
-          m.pending.values().forEach(p -> p.sentUnder = 0);
+          // Nothing was carried out: what was sent may be sent again, if it still makes sense; but
+          // not what went out before and may yet be carried out.
+          for (TaskId id : runs) {
+            Machine.Pending p = m.pending.get(id);
+            if (p != null) {
+              p.sentUnder = 0;
+            }
+          }
         }
         if (!listening.answered(m, known, r)) {
           return;
         }
       } catch (BadMessage e) {
         LOG.log(Level.INFO, "{0} answers orders with nonsense: {1}", m.host, e.getMessage());
-        m.doubt |= runs;
+        m.doubt |= !runs.isEmpty();
       }
     } else {
-      if (runs) {
+      if (!runs.isEmpty()) {
         // The start may be carried out now, minutes later, or never.
         m.doubt = true;
         m.dirty = true;
--- a/src/main/java/dev/dunefront/book/Upkeep.java
+++ b/src/main/java/dev/dunefront/book/Upkeep.java
@@ -52,22 +52,24 @@
     }
   }
 
-  /** Tasks of jobs that no live record names: the job is over, or news of it has yet to come. */
-  void lookUpStrangers(Collection<Machine> held, double now) {
+  /**
+   * Looks through all machines for tasks of jobs that are over, whenever that was learned: a
+   * machine may have been taken, or have begun a task, long after its job was cancelled, and the
+   * claimant may be out of reach. Where no live record names a job it is over, or news of it has
+   * yet to come.
+   */
+  void stopWhatIsOver(Collection<Machine> held, double now) {
     lookedUp.values().removeIf(at -> now - at > 10);
     for (Machine m : held) {
       for (Report.Task t : m.tasks.values()) {
         String job = t.id().job();
-        if (jobs.get(job) != null) {
-          continue;
-        }
-        if (jobs.finalStatus(job) != null) {
-          if (t.exited()) {
-            m.clears.putIfAbsent(t.id(), new Machine.Wish(t.attempt(), 0));
-          } else {
+        if (jobs.over(job)) {
+          if (!t.exited()) {
             m.stop(t.id(), t.attempt(), 0);
+          } else if (jobs.get(job) == null && jobs.finalStatus(job) != null) {
+            m.clears.putIfAbsent(t.id(), new Machine.Wish(t.attempt(), 0));
           }
-        } else if (lookedUp.putIfAbsent(job, now) == null) {
+        } else if (jobs.get(job) == null && lookedUp.putIfAbsent(job, now) == null) {
           jobs.read(job, Store.Urgency.BACKGROUND, found -> {});
         }
       }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -61,6 +61,13 @@
   boolean flying;
   boolean choosing;
   boolean dropped;
+
+  /**
+   * Its record says that the job is to end, and this claim has yet to read that: the state service
+   * may refuse this controller alone. Until then nothing of it is placed or started.
+   */
+  boolean halted;
+
   final TreeMap<Integer, Chunk> chunks = new TreeMap<>();
 
   /** Tasks that are done or placed. */
@@ -158,6 +165,11 @@
     return record.status() == JobRecord.Status.OPEN;
   }
 
+  /** Whether tasks of it may be placed and started. */
+  boolean starts() {
+    return open() && !halted;
+  }
+
   /** How long ago the job was accepted, in seconds. */
   double ageS(long nowMs) {
     return (nowMs - record.acceptedMs()) / 1000.0;
@@ -165,7 +177,7 @@
 
   /** Tasks that are neither done nor placed. */
   int unstarted() {
-    return open() ? spec.tasks() - busy.cardinality() : 0;
+    return starts() ? spec.tasks() - busy.cardinality() : 0;
   }
 
   /** How many tasks more the team's limit lets start: what is granted already, and what is left. */
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -119,6 +119,7 @@
       return;
     }
     Claim c = new Claim(record, stamp, desk.tunables().reach(), desk.now());
+    c.halted = desk.jobs().over(c.id());
     claims.put(c.id(), c);
     takeover.adopted(c.id());
     elsewhere.remove(c.id());
@@ -198,6 +199,16 @@
     claims.remove(c.id(), c);
   }
 
+  /** Another controller has recorded that the job is to end. */
+  public void cancelled(String id) {
+    Claim c = claims.get(id);
+    if (c != null && c.starts()) {
+      c.halted = true;
+      parking.withdraw(c);
+      recorder.declineAll(c);
+    }
+  }
+
   /** The job's end is written. */
   void finished(Claim c, Status last, long revision) {
     c.dropped = true;
@@ -289,7 +300,7 @@
     // While the state cannot be written an offer would only keep room from others.
     if (c == null
         || c.loading
-        || !c.open()
+        || !c.starts()
         || desk.store().down()
         || !desk.standstill().current()) {
       desk.peers().send(from, new Message.Decline(o.offer(), o.host()));
@@ -377,7 +388,7 @@
       desk.ward()
           .run(
               () -> {
-                if (!c.open() && !c.loading) {
+                if (!c.starts() && !c.loading) {
                   stopAll(c, now);
                 }
                 settling.lookAgain(c);
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -136,7 +136,7 @@
     if (c.flying || c.loading || c.dropped) {
       return;
     }
-    if (!c.open()) {
+    if (!c.starts()) {
       declineAll(c);
     }
     boolean over = !c.open() && c.live.isEmpty();
@@ -335,7 +335,7 @@
       number = c.busy.nextClearBit(number);
       int index = number / Chunk.TASKS;
       boolean take =
-          c.open()
+          c.starts()
               && number < c.spec.tasks()
               && starts.size() < allowed
               && placed + starts.size() < limit
@@ -442,6 +442,11 @@
     }
     for (Starting s : f.starts) {
       Message.Offer o = s.held.offer();
+      if (!c.starts()) {
+        // Cancelled while it was recorded: it is never started, and its holder soon says so.
+        decline(s.held);
+        continue;
+      }
       LOG.log(Level.DEBUG, "placed {0}/{1} on {2}", c.id(), s.number, o.host());
       desk.peers()
           .send(
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -108,7 +108,7 @@
         new Duties(settings.node(), store, replica, membership, peers, timers, ward, standstill);
     catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
     holds = new Holds(replica);
-    jobs = new JobTable(store, replica);
+    jobs = new JobTable(store, replica, timers);
     Desk desk =
         new Desk(
             settings,
@@ -148,6 +148,8 @@
     meters.gauge("dunefront.jobs.claimed", claims::claimed);
     meters.gauge("dunefront.tasks.unstarted", claims::unstarted);
     meters.gauge("dunefront.jobs.unbegun.oldest.seconds", claims::oldestUnbegunS);
+    meters.gauge("dunefront.cancellations.waiting", jobs.cancellations()::waiting);
+    meters.gauge("dunefront.cancellations.oldest.seconds", jobs.cancellations()::oldestS);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
     meters.gauge("dunefront.decisions.failed", loops::failures);
     for (Duty d : Duty.values()) {
@@ -386,6 +388,10 @@
       fleet.received(from, d);
     } else if (m instanceof Message.Ended e) {
       jobs.ended(e.job(), e.done() ? JobRecord.Status.DONE : JobRecord.Status.CANCELLED);
+    } else if (m instanceof Message.Cancelled c) {
+      jobs.cancelling(c.job());
+      claims.cancelled(c.job());
+      books.cancelled(c.job());
     } else if (m instanceof Message.DutyTerm t) {
       duties.received(t);
     } else if (m instanceof Message.Health h) {
@@ -403,6 +409,8 @@
 
   @Override
   public void reached(String node) {
+    // It may have been away when they were told of, and the state service may refuse it.
+    jobs.cancellations().all().forEach(id -> peers.send(node, new Message.Cancelled(id)));
     books.reached(node);
     claims.reached(node);
   }
--- /dev/null
+++ b/src/main/java/dev/dunefront/job/Cancellations.java
@@ -0,0 +1,61 @@
+package dev.dunefront.job;
+
+import dev.dunefront.net.Timers;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Jobs that are to end and whose end is not recorded yet: so by the record, or by the word of the
+ * controller that has written it. The word comes ahead of the replica, which for a controller that
+ * the state service refuses stands still for as long as that lasts, while it goes on answering its
+ * workers. It is passed on to whoever joins or returns, and forgotten once the end is known: from
+ * then on nothing is left to be stopped.
+ *
+ * <p>The record is the fact. Nobody may say this of a job before its record says so.
+ */
+public final class Cancellations {
+  /** Words of jobs that the replica never showed, for they came and went while it stood still. */
+  private static final int MOST = 10_000;
+
+  private final Timers timers;
+  private final Map<String, Double> since =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+          return size() > MOST;
+        }
+      };
+
+  Cancellations(Timers timers) {
+    this.timers = timers;
+  }
+
+  /** The job's record says that it is to end. */
+  void add(String id) {
+    since.putIfAbsent(id, timers.now());
+  }
+
+  /** The job's end is recorded. */
+  void remove(String id) {
+    since.remove(id);
+  }
+
+  boolean contains(String id) {
+    return since.containsKey(id);
+  }
+
+  /** All of them, the oldest first. */
+  public List<String> all() {
+    return List.copyOf(since.keySet());
+  }
+
+  public int waiting() {
+    return since.size();
+  }
+
+  /** For how long the oldest has been known here, in whole seconds; 0 if there is none. */
+  public int oldestS() {
+    return since.isEmpty() ? 0 : (int) (timers.now() - since.values().iterator().next());
+  }
+}
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -1,6 +1,7 @@
 package dev.dunefront.job;
 
 import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.net.Timers;
 import dev.dunefront.store.Replica;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Store.Outcome;
@@ -32,6 +33,7 @@
 
   private final Store store;
   private final Replica replica;
+  private final Cancellations cancellations;
   private final Map<String, Entry> live = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
   private final Map<String, Status> finals =
@@ -42,8 +44,9 @@
         }
       };
 
-  public JobTable(Store store, Replica replica) {
+  public JobTable(Store store, Replica replica, Timers timers) {
     this.store = store;
+    this.cancellations = new Cancellations(timers);
     this.replica = replica;
     replica.listen(JobRecord.PREFIX, this::changed);
   }
@@ -53,6 +56,7 @@
     Entry known = live.get(id);
     if (value == null) {
       live.remove(id);
+      cancellations.remove(id);
       if (known != null && known.record.status() == Status.CANCELLED) {
         finals.put(id, Status.CANCELLED);
       }
@@ -62,6 +66,8 @@
         live.put(id, entry);
         if (entry.record.status() == Status.DONE) {
           finals.put(id, Status.DONE);
+        } else if (entry.record.status() == Status.CANCELLED) {
+          cancellations.add(id);
         }
       } catch (BadMessage | IllegalArgumentException e) {
         throw new IllegalStateException("job record " + id + " cannot be read", e);
@@ -95,7 +101,21 @@
   /** Whether no task of the job may be started any more, as far as is known here. */
   public boolean over(String id) {
     Entry e = live.get(id);
-    return finals.containsKey(id) || e != null && e.record.status() != Status.OPEN;
+    return finals.containsKey(id)
+        || cancellations.contains(id)
+        || e != null && e.record.status() != Status.OPEN;
+  }
+
+  /** Jobs that are to end and have not ended. */
+  public Cancellations cancellations() {
+    return cancellations;
+  }
+
+  /** Another controller has recorded that the job is to end. */
+  public void cancelling(String id) {
+    if (!finals.containsKey(id)) {
+      cancellations.add(id);
+    }
   }
 
   /** A record or a final state that this controller has written itself. */
@@ -106,10 +126,11 @@
   /** Another controller has recorded a final state. */
   public void ended(String id, Status status) {
     finals.put(id, status);
+    cancellations.remove(id);
   }
 
   public void finished(String id, Status status, long revision) {
-    finals.put(id, status);
+    ended(id, status);
     replica.apply(JobRecord.key(id), null, revision);
   }
 
--- a/src/test/java/dev/dunefront/story/GapTest.java
+++ b/src/test/java/dev/dunefront/story/GapTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.dunefront.peer.Message;
 import dev.dunefront.standin.WorkerStandIn;
 import java.util.ArrayList;
 import java.util.List;
@@ -80,4 +81,82 @@
     assertTrue(running(w, "wk-2") > 0);
     assertEquals(List.of(), w.dayEnds());
   }
+
+  /** What keeps the old leader from stopping what it holds. */
+  enum Hindrance {
+    /**
+     * The word of the cancellation is lost on its way to it, and the stops that follow;
+     * its links are made anew, and the
+     * claimant is gone.
+     */
+    THE_WORD_IS_LOST,
+    /** An order of it had no answer, and a baton cannot be raised without the state service. */
+    A_MACHINE_IS_IN_DOUBT,
+    /** The start of a task comes after the word, from a claimant that is gone by then. */
+    A_START_COMES_LATE,
+    /** The machine hears and is heard only later on. */
+    THE_MACHINE_IS_CUT_OFF
+  }
+
+  /**
+   * The old leader is node-0; node-1 claims the job, node-2 is asked to cancel it. Whatever hinders
+   * the leader, nothing of the job is on its machines when half of the outage is over.
+   */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void whateverHindersTheOldLeaderItsTasksAreGone(@ForAll Hindrance what) {
+    World w = new World(5);
+    w.start().pass(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.pass(5);
+    String leader = w.holder("host-1");
+    List<String> others = new ArrayList<>(w.nodes.keySet());
+    others.remove(leader);
+    w.refusedByState.add(leader);
+    if (what == Hindrance.A_MACHINE_IS_IN_DOUBT) {
+      w.fates =
+          (from, path, body) ->
+              body.contains("verb=run") ? World.Fate.UNANSWERED : World.Fate.ON_TIME;
+    }
+    if (what == Hindrance.A_START_COMES_LATE) {
+      w.late = message -> message instanceof Message.Start;
+    }
+    assertEquals(201, w.submit(others.get(0), World.job("wk-1", 3, 1)).status());
+    w.pass(0.7);
+    if (what == Hindrance.THE_MACHINE_IS_CUT_OFF) {
+      w.lost = (from, to) -> from.equals("host-1:9") || to.equals("host-1:9");
+      w.timers.after(4, () -> w.lost = (from, to) -> false);
+    }
+    if (what == Hindrance.THE_WORD_IS_LOST) {
+      w.late = message -> message instanceof Message.Cancelled || message instanceof Message.Stop;
+    }
+    assertEquals(503, w.cancel(others.get(1), "wk-1").status());
+    w.state.outage(true);
+    if (what == Hindrance.THE_WORD_IS_LOST) {
+      w.nodes.get(others.get(0)).crash();
+      w.timers.after(
+          3,
+          () -> {
+            w.late = message -> false;
+            w.linksBack(leader);
+          });
+    }
+    if (what == Hindrance.A_START_COMES_LATE) {
+      w.nodes.get(others.get(0)).crash();
+      w.pass(1);
+      w.deliverHeld();
+      w.late = message -> false;
+    }
+    w.pass(12);
+    assertEquals(List.of(), m.running());
+    w.pass(20);
+    w.state.outage(false);
+    w.refusedByState.clear();
+    w.fates = (from, path, body) -> World.Fate.ON_TIME;
+    if (!w.nodes.get(others.get(0)).up()) {
+      w.nodes.get(others.get(0)).start();
+    }
+    w.pass(20);
+    assertEquals("cancelled", w.poll(others.get(1), "wk-1").state());
+    assertEquals(List.of(), w.dayEnds());
+  }
 }
