A controller's key is written on the condition of what it shows: late writes of earlier tries are refused

Cause (by reading): Membership put its key without any condition. Carried out late, the put of an earlier try or life showed a dead name for a moment and took the key along with its lease. Change: the key is read before, and put on its stamp; reassert uses the stamp last seen. One request more for each start. LateWordsTest.aKeyWrittenLateByAnEarlierLifeChangesNothing is red before.

--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -35,6 +35,10 @@
   private final Map<String, String> zones = new TreeMap<>();
 
   private Runnable reborn = () -> {};
+
+  /** The stamp of this controller's key as last seen; 0 if it is not there. */
+  private long keyStamp;
+
   private long tenancy;
   private String self;
 
@@ -69,30 +73,34 @@
           } else {
             live.put(name, incarnation);
           }
-          if (name.equals(node) && self != null && !self.equals(incarnation)) {
-            reassert(self);
+          if (name.equals(node)) {
+            keyStamp = value == null ? 0 : stamp;
+            if (self != null && !self.equals(incarnation)) {
+              reassert(self);
+            }
           }
         });
   }
 
   /**
    * This controller's key shows another name or is gone, while it serves. Either its lease has just
-   * run out, or a write of an earlier try has come late and taken the key along when that try's
-   * lease ended: then the others would take it for dead for ever while it goes on.
+   * run out, or somebody has written over it: then the others would take it for dead for ever while
+   * it goes on.
    */
   private void reassert(String name) {
-    if (!name.equals(self)) {
+    if (!name.equals(self) || name.equals(live.get(node))) {
       return;
     }
+    Doc value = value(name);
     store.tryTxn(
-        new Txn().put(PREFIX + node, value(name), tenancy),
+        new Txn().when(PREFIX + node, keyStamp).put(PREFIX + node, value, tenancy),
         Store.Urgency.USER,
         done -> {
           if (!name.equals(self)) {
             return;
           }
           if (done.ok()) {
-            replica.apply(PREFIX + node, value(name), done.revision());
+            replica.apply(PREFIX + node, value, done.revision());
           } else if (done.outcome() == Store.Outcome.MISSING) {
             lapsed();
           } else {
@@ -168,17 +176,33 @@
             return;
           }
           loops.turned("renewing the lease", timers.now(), STALLED_S);
-          long id = granted.revision();
-          String name = node + "#" + id;
+          enrol(granted.revision());
+        });
+  }
+
+  /**
+   * Writes this controller's key under a new lease, on the condition of what it shows now: the
+   * write of an earlier try, or of an earlier life, may come late, and would show a name that is
+   * dead and take the key along when that one's lease ends.
+   */
+  private void enrol(long id) {
+    String name = node + "#" + id;
+    store.get(
+        PREFIX + node,
+        // Without a lease nothing else can be done: it waits behind nothing.
+        Store.Urgency.USER,
+        got -> {
+          if (got.outcome() != Store.Outcome.OK && got.outcome() != Store.Outcome.MISSING) {
+            again(name, got.outcome());
+            return;
+          }
           Doc value = value(name);
           store.tryTxn(
-              new Txn().put(PREFIX + node, value, id),
-              // Without a lease nothing else can be done: it waits behind nothing.
+              new Txn().when(PREFIX + node, got.stamp()).put(PREFIX + node, value, id),
               Store.Urgency.USER,
               done -> {
                 if (!done.ok()) {
-                  LOG.log(Level.INFO, "not enrolled as {0} yet: {1}", name, done.outcome());
-                  timers.after(0.3, this::start);
+                  again(name, done.outcome());
                   return;
                 }
                 tenancy = id;
@@ -191,6 +215,11 @@
         });
   }
 
+  private void again(String name, Store.Outcome why) {
+    LOG.log(Level.INFO, "not enrolled as {0} yet: {1}", name, why);
+    timers.after(0.3, this::start);
+  }
+
   private void renew(long id) {
     if (id == tenancy) {
       touch(id, ok -> timers.after(ok ? lifeS / 4 : 0.3, () -> renew(id)));
--- a/src/test/java/dev/dunefront/story/LateWordsTest.java
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -117,4 +117,35 @@
     assertEquals("done", w.poll("node-1", "wk-1").state());
     assertEquals(2, m.starts().size());
   }
+
+  /**
+   * A life of a controller that has just ended wrote its key without hearing of it; that write
+   * comes when the next life serves. Were it taken, the others would see the dead life's name, take
+   * its jobs, and lose sight of the controller when that life's lease ends.
+   */
+  @Test
+  void aKeyWrittenLateByAnEarlierLifeChangesNothing() throws BadMessage {
+    World w = new World(3);
+    w.machine("host-1", "small", "a", "node-0");
+    w.start().pass(3);
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 2, 1)).status());
+    w.pass(1);
+    w.nodes.get("node-0").crash();
+    int before = w.state.written("w/n/node-0");
+    int[] puts = new int[1];
+    w.lateS = 2.2;
+    w.fates =
+        (from, path, body) ->
+            path.equals("/txn") && body.contains("put=w/n/node-0") && puts[0]++ == 0
+                ? World.Fate.LATE
+                : World.Fate.ON_TIME;
+    w.nodes.get("node-0").start();
+    w.pass(1.9);
+    String name = w.state.value("w/n/node-0").text("inc");
+    w.pass(1);
+    assertEquals(2, puts[0], "the first had no answer, the second had");
+    assertEquals(name, w.state.value("w/n/node-0").text("inc"));
+    assertEquals(1, w.state.written("w/n/node-0") - before, "the late one was refused");
+    assertEquals(List.of(), w.dayEnds());
+  }
 }
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -135,7 +135,7 @@
   Fates fates = (from, path, body) -> Fate.ON_TIME;
 
   /** How late what is late arrives. */
-  static final double LATE_S = 20;
+  double lateS = 20;
 
   /** Keys on which conditions of transactions are passed over, as if they had been forgotten. */
   Predicate<String> unconditional = key -> false;
@@ -568,7 +568,7 @@
     }
     Fate fate = fates.of(from, path, text(body));
     if (fate == Fate.LATE || fate == Fate.TWICE) {
-      timers.after(LATE_S, () -> serve(address, method, path, body, r -> {}));
+      timers.after(lateS, () -> serve(address, method, path, body, r -> {}));
     }
     if (fate == Fate.LOST || fate == Fate.LATE) {
       return;
