--- a/src/main/java/dev/dunefront/book/Inbox.java
+++ b/src/main/java/dev/dunefront/book/Inbox.java
@@ -29,12 +29,7 @@
   private final Preemption preemption;
   private final Reception reception;
 
-  Inbox(
-      Desk desk,
-      Books books,
-      Starts starts,
-      Preemption preemption,
-      Reception reception) {
+  Inbox(Desk desk, Books books, Starts starts, Preemption preemption, Reception reception) {
     this.settings = desk.settings();
     this.jobs = desk.jobs();
     this.timers = desk.timers();
--- a/src/test/java/dev/dunefront/story/GapTest.java
+++ b/src/test/java/dev/dunefront/story/GapTest.java
@@ -7,7 +7,6 @@
 import dev.dunefront.standin.WorkerStandIn;
 import java.util.ArrayList;
 import java.util.List;
-import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
@@ -29,8 +28,7 @@
     w.pass(5);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 6, 1)).status());
     assertEquals(201, w.submit("node-0", World.job("wk-2", 12, 1)).status());
-    assertEquals(
-        201, w.submit("node-0", World.job("wk-3", 3, 1).put("shape", "daemon")).status());
+    assertEquals(201, w.submit("node-0", World.job("wk-3", 3, 1).put("shape", "daemon")).status());
     assertEquals(201, w.submit("node-1", World.job("wk-4", 6, 1)).status());
     w.pass(2);
     return w;
@@ -85,9 +83,8 @@
   /** What keeps the old leader from stopping what it holds. */
   enum Hindrance {
     /**
-     * The word of the cancellation is lost on its way to it, and the stops that follow;
-     * its links are made anew, and the
-     * claimant is gone.
+     * The word of the cancellation is lost on its way to it, and the stops that follow; its links
+     * are made anew, and the claimant is gone.
      */
     THE_WORD_IS_LOST,
     /** An order of it had no answer, and a baton cannot be raised without the state service. */
--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -15,6 +15,7 @@
 /** Two troubles at once: any of those that have broken schedulers, in any pairs and times. */
 class MeetingsTest {
   private static final String STATE = "10.2.0.1:1";
+  private static final double LIMIT = 24;
 
   /** The troubles, each for a while; what it lasts for is drawn. */
   enum Trouble {
@@ -28,15 +29,20 @@
     ALL_END,
     STANDSTILL,
     STATE_REFUSES,
-    LOST_CLEARS
+    LOST_ORDERS,
+    ZONE_CUT,
+    BEGUN_ANEW,
+    MACHINES_GONE
   }
 
   private static void strike(World w, Trouble trouble, Random dice) {
     String node = "node-" + dice.nextInt(5);
     double forS = 1 + dice.nextInt(24);
     switch (trouble) {
+      case ZONE_CUT, BEGUN_ANEW, MACHINES_GONE -> strikeMachines(w, trouble, dice, forS);
       case LATE_WRITES -> {
         World.Fates before = w.fates;
+        w.lateS = 2 + dice.nextInt(30);
         w.fates =
             (from, path, body) ->
                 path.equals("/txn") && dice.nextInt(12) == 0
@@ -104,7 +110,7 @@
         w.refusedByState.add(node);
         w.timers.after(forS, () -> w.refusedByState.remove(node));
       }
-      case LOST_CLEARS -> {
+      case LOST_ORDERS -> {
         World.Fates before = w.fates;
         w.fates =
             (from, path, body) ->
@@ -116,6 +122,26 @@
     }
   }
 
+  private static void strikeMachines(World w, Trouble trouble, Random dice, double forS) {
+    String host = "host-" + dice.nextInt(10);
+    if (trouble == Trouble.ZONE_CUT) {
+      w.cut("b");
+      w.timers.after(forS, w::heal);
+      return;
+    }
+    for (int i = 0; i < 3; i++) {
+      WorkerStandIn m = w.workers.get("host-" + dice.nextInt(10) + ":9");
+      if (m != null && trouble == Trouble.BEGUN_ANEW) {
+        m.beginAnew();
+      } else if (m != null) {
+        // It stops with all that is on it, and nobody says so.
+        m.newSession();
+        w.silent.add(m.host());
+      }
+    }
+    w.silent.remove(host);
+  }
+
   private static void crash(World w, String node, double backAfterS) {
     World.Node n = w.nodes.get(node);
     if (n.up()) {
@@ -133,29 +159,42 @@
     }
   }
 
-  private static Doc job(int n, Random dice) {
-    Doc job = World.job("wk-" + n, 1 + dice.nextInt(6), 1 + dice.nextInt(2));
-    return dice.nextInt(5) == 0 ? job.put("shape", "daemon") : job;
+  private static void submit(World w, int n, int node, Random dice) {
+    int cpus = 1 + dice.nextInt(2);
+    Doc job = World.job("wk-" + n, 1 + dice.nextInt(6), cpus);
+    if (dice.nextInt(5) == 0) {
+      job.put("shape", "daemon");
+    }
+    w.notebook.submitted("wk-" + n, cpus);
+    w.user("POST", "/v1/jobs", job, "wk-" + n, node, 40);
   }
 
   private static World play(List<Trouble> troubles, int seed) {
     Random dice = new Random(seed);
-    World w = new World(5);
+    World w =
+        new World(
+            List.of("a", "a", "a", "b", "b"),
+            "[[facts.teams]]\nname = \"t\"\ncpus_max = " + LIMIT + "\n");
+    w.notebook.limit(LIMIT);
+    if (dice.nextBoolean()) {
+      w.renting(3, 3);
+      w.cloud.capacity(12);
+    }
     w.start().pass(2);
     for (int i = 0; i < 10; i++) {
-      w.machine("host-" + i, "small", "a", "node-" + i % 5);
+      w.machine("host-" + i, "small", i < 6 ? "a" : "b", "node-" + i % 5);
     }
     w.pass(4);
     int n = 0;
     for (int i = 0; i < 5; i++) {
-      w.user("POST", "/v1/jobs", job(n, dice), "wk-" + n++, i, 40);
+      submit(w, n++, i, dice);
     }
     w.pass(1.5);
     for (Trouble t : troubles) {
       strike(w, t, dice);
       for (int i = dice.nextInt(5); i >= 0; i--) {
         w.pass(dice.nextInt(40) / 10.0);
-        w.user("POST", "/v1/jobs", job(n, dice), "wk-" + n++, dice.nextInt(5), 40);
+        submit(w, n++, dice.nextInt(5), dice);
         String id = "wk-" + dice.nextInt(n);
         if (dice.nextInt(2) == 0) {
           w.cancelled.add(id);
--- a/src/test/java/dev/dunefront/story/Notebook.java
+++ b/src/test/java/dev/dunefront/story/Notebook.java
@@ -22,6 +22,8 @@
   private final Set<String> asked;
   private final Map<String, Last> ended = new HashMap<>();
   private final Map<String, Double> known = new HashMap<>();
+  private final Map<String, Double> cpus = new HashMap<>();
+  private double limit = Double.POSITIVE_INFINITY;
 
   /** What was found, without repeats. */
   final List<String> wrong = new ArrayList<>();
@@ -33,10 +35,14 @@
     this.asked = asked;
   }
 
-  /** When a user was told that the job is over; infinite if that has not been told. */
-  double endedAt(String id) {
-    Last last = ended.get(id);
-    return last == null ? Double.POSITIVE_INFINITY : last.at;
+  /** All jobs are of one team, whose tasks may use so much at most. */
+  void limit(double cpusMax) {
+    limit = cpusMax;
+  }
+
+  /** A job is submitted, whose tasks take so much each. */
+  void submitted(String id, double cpusEach) {
+    cpus.put(id, cpusEach);
   }
 
   /**
@@ -74,13 +80,16 @@
 
   /** Users are told only on proof, so nothing may run from the word on, not even for a moment. */
   void look() {
+    double used = 0;
     for (WorkerStandIn w : workers) {
       for (String task : w.running()) {
         String job = task.substring(0, task.indexOf('/'));
+        used += cpus.getOrDefault(job, 0.0);
         Last last = ended.get(job);
         note(last != null, task + " runs on " + w.host() + " though its user was told it is over");
       }
     }
+    note(used > limit, "more runs than the team's limit allows");
   }
 
   private int doneTasks(String id) {
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -610,6 +610,9 @@
   /** The cut ends: all that was held arrives at once, and links are made anew. */
   void heal() {
     String zone = cutZone;
+    if (zone == null) {
+      return;
+    }
     deliverHeld();
     cutZone = null;
     for (Node a : nodes.values()) {
