--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Account.java
@@ -0,0 +1,164 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.job.JobTable;
+import dev.dunefront.peer.Message;
+import dev.dunefront.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What users, operators and the other controllers are told of jobs: counts, and what waits. */
+public final class Account {
+  private final Desk desk;
+  private final Map<String, Claim> claims;
+  private final Quotas quotas;
+  private final Zones zones;
+  private final Room room;
+
+  /** Task counts of jobs that others have claimed, as they tell. */
+  private final Map<String, Counts> elsewhere = new HashMap<>();
+
+  /** The claims are those of this controller, by job, as they are at any time. */
+  Account(Desk desk, Map<String, Claim> claims, Quotas quotas, Zones zones, Room room) {
+    this.desk = desk;
+    this.claims = claims;
+    this.quotas = quotas;
+    this.zones = zones;
+    this.room = room;
+  }
+
+  /** This controller has claimed a job: what another has told of it no longer counts. */
+  void adopted(String id) {
+    elsewhere.remove(id);
+  }
+
+  /** A job is over. */
+  void over(String id) {
+    elsewhere.remove(id);
+  }
+
+  /** Another controller tells of the jobs that it has claimed. */
+  void told(Message.Progress progress) {
+    for (Message.Count n : progress.counts()) {
+      if (!claims.containsKey(n.job()) && desk.jobs().get(n.job()) != null) {
+        elsewhere.put(n.job(), new Counts(n.done(), n.running(), n.placed()));
+      }
+    }
+  }
+
+  /** Tasks of an open job that are neither done nor placed, as its claimant has told last. */
+  int unstarted(JobSpec spec) {
+    Claim c = claims.get(spec.id());
+    if (c != null) {
+      return c.unstarted();
+    }
+    Counts counts = counts(spec.id());
+    return Math.max(0, spec.tasks() - counts.done() - counts.placed());
+  }
+
+  /** Task counts for display. */
+  public record Counts(int done, int running, int placed) {}
+
+  public Counts counts(String id) {
+    Claim c = claims.get(id);
+    return c == null
+        ? elsewhere.getOrDefault(id, new Counts(0, 0, 0))
+        : new Counts(c.done, running(c), c.live.size());
+  }
+
+  private static int running(Claim c) {
+    int running = 0;
+    for (Claim.Live l : c.live.values()) {
+      if (l.state == Message.State.RUNNING || l.state == Message.State.SAVING) {
+        running++;
+      }
+    }
+    return running;
+  }
+
+  /** What has changed in the counts of claimed jobs since this was last asked. */
+  public Message.Progress progress() {
+    List<Message.Count> changed = new ArrayList<>();
+    for (Claim c : claims.values()) {
+      int running = running(c);
+      int placed = c.live.size();
+      if (c.done != c.toldDone || running != c.toldRunning || placed != c.toldPlaced) {
+        c.toldDone = c.done;
+        c.toldRunning = running;
+        c.toldPlaced = placed;
+        changed.add(new Message.Count(c.id(), c.done, running, placed));
+      }
+    }
+    return new Message.Progress(changed);
+  }
+
+  /** The age in seconds of the oldest open job of which nothing has ever been placed; 0 if none. */
+  public int oldestUnbegunS() {
+    long now = desk.timers().timeOfDayMs();
+    long oldest = 0;
+    for (JobTable.Entry e : desk.jobs().all()) {
+      JobSpec spec = e.record().spec();
+      if (e.record().status() == Status.OPEN && unstarted(spec) == spec.tasks()) {
+        oldest = Math.max(oldest, now - e.record().acceptedMs());
+      }
+    }
+    return (int) (oldest / 1000);
+  }
+
+  public int claimed() {
+    return claims.size();
+  }
+
+  /** Tasks of claimed jobs that are neither done nor placed. */
+  public int unstarted() {
+    return claims.values().stream().mapToInt(Claim::unstarted).sum();
+  }
+
+  /** What waits for room here. */
+  public Message.Demand demand() {
+    List<Message.Waiting> waiting = new ArrayList<>();
+    Map<Queue.Shape, Integer> heads = new HashMap<>();
+    Map<Queue.Shape, Integer> behind = new HashMap<>();
+    double now = desk.now();
+    for (Claim c : claims.values()) {
+      int n = c.unstarted();
+      Quotas.Quota q = quotas.of(c.spec.team());
+      if (q != null) {
+        n = Math.min(n, c.allowed(q));
+      }
+      if (n > 0 && !c.suspect() && now >= c.notBefore) {
+        Map<String, Integer> left = zones.left(c, desk.catalog().zones());
+        if (c.queued && left.isEmpty()) {
+          // In the place of the one at the head of the line, whoever that is.
+          behind.merge(c.shape, n, Integer::sum);
+        } else {
+          waiting.add(new Message.Waiting(c.id(), n, left));
+          heads.putIfAbsent(c.shape, waiting.size() - 1);
+        }
+      }
+    }
+    behind.forEach(
+        (shape, n) -> {
+          Integer head = heads.get(shape);
+          if (head != null) {
+            Message.Waiting w = waiting.get(head);
+            waiting.set(head, new Message.Waiting(w.job(), w.tasks() + n, w.zones()));
+          }
+        });
+    Set<String> unheard = new HashSet<>();
+    for (Claim c : claims.values()) {
+      for (String host : c.hosts()) {
+        Room.Seen seen = room.get(host);
+        // A holder that has never had a report under its baton cannot prove anything by its clock.
+        if (seen == null || !seen.view().settled() && !seen.view().lost()) {
+          unheard.add(host);
+        }
+      }
+    }
+    return new Message.Demand(waiting, List.copyOf(unheard));
+  }
+}
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -45,9 +45,7 @@
   private final Map<String, Claim> claims = new HashMap<>();
   private final Takeover takeover;
   private final ClaimShare share;
-
-  /** Task counts of jobs that others have claimed, as they tell. */
-  private final Map<String, Counts> elsewhere = new HashMap<>();
+  private final Account account;
 
   /** Jobs whose size has been learned from. */
   private final Set<String> sized = new HashSet<>();
@@ -66,6 +64,7 @@
     settling = new Settling(desk, room, urgencies, recorder, turnover);
     takeover = new Takeover(desk, this);
     share = new ClaimShare(desk, room);
+    account = new Account(desk, claims, quotas, zones, room);
   }
 
   public Room room() {
@@ -76,6 +75,11 @@
     return urgencies;
   }
 
+  /** What there is to tell of jobs. */
+  public Account account() {
+    return account;
+  }
+
   // ---- claiming ----
 
   /** Whether a job may be claimed beside what is claimed already. */
@@ -103,16 +107,6 @@
     return claims.containsKey(id);
   }
 
-  /** Tasks of an open job that are neither done nor placed, as its claimant has told last. */
-  int unstarted(JobSpec spec) {
-    Claim c = claims.get(spec.id());
-    if (c != null) {
-      return c.unstarted();
-    }
-    Counts counts = counts(spec.id());
-    return Math.max(0, spec.tasks() - counts.done() - counts.placed());
-  }
-
   /** Takes charge of a job whose record names this incarnation already. */
   public void adopt(JobRecord record, long stamp, boolean fresh) {
     if (claims.containsKey(record.spec().id()) || desk.membership().self() == null) {
@@ -122,7 +116,7 @@
     c.halted = desk.jobs().over(c.id());
     claims.put(c.id(), c);
     takeover.adopted(c.id());
-    elsewhere.remove(c.id());
+    account.adopted(c.id());
     if (fresh) {
       review(c);
     } else {
@@ -233,7 +227,7 @@
   public void jobChanged(String id, JobTable.Entry before, JobTable.Entry entry) {
     takeover.jobChanged(before, entry);
     if (entry == null) {
-      elsewhere.remove(id);
+      account.over(id);
       sized.remove(id);
     } else if (sized.add(id)) {
       urgencies.seen(entry.record().spec());
@@ -284,11 +278,7 @@
         recorder.flush(c);
       }
     } else if (message instanceof Message.Progress p) {
-      for (Message.Count n : p.counts()) {
-        if (!claims.containsKey(n.job()) && desk.jobs().get(n.job()) != null) {
-          elsewhere.put(n.job(), new Counts(n.done(), n.running(), n.placed()));
-        }
-      }
+      account.told(p);
     }
   }
 
@@ -416,108 +406,4 @@
       }
     }
   }
-
-  // ---- what others ask ----
-
-  /** Task counts for display. */
-  public record Counts(int done, int running, int placed) {}
-
-  public Counts counts(String id) {
-    Claim c = claims.get(id);
-    return c == null
-        ? elsewhere.getOrDefault(id, new Counts(0, 0, 0))
-        : new Counts(c.done, running(c), c.live.size());
-  }
-
-  private static int running(Claim c) {
-    int running = 0;
-    for (Live l : c.live.values()) {
-      if (l.state == Message.State.RUNNING || l.state == Message.State.SAVING) {
-        running++;
-      }
-    }
-    return running;
-  }
-
-  /** What has changed in the counts of claimed jobs since this was last asked. */
-  public Message.Progress progress() {
-    List<Message.Count> changed = new ArrayList<>();
-    for (Claim c : claims.values()) {
-      int running = running(c);
-      int placed = c.live.size();
-      if (c.done != c.toldDone || running != c.toldRunning || placed != c.toldPlaced) {
-        c.toldDone = c.done;
-        c.toldRunning = running;
-        c.toldPlaced = placed;
-        changed.add(new Message.Count(c.id(), c.done, running, placed));
-      }
-    }
-    return new Message.Progress(changed);
-  }
-
-  /** The age in seconds of the oldest open job of which nothing has ever been placed; 0 if none. */
-  public int oldestUnbegunS() {
-    long now = desk.timers().timeOfDayMs();
-    long oldest = 0;
-    for (JobTable.Entry e : desk.jobs().all()) {
-      JobSpec spec = e.record().spec();
-      if (e.record().status() == Status.OPEN && unstarted(spec) == spec.tasks()) {
-        oldest = Math.max(oldest, now - e.record().acceptedMs());
-      }
-    }
-    return (int) (oldest / 1000);
-  }
-
-  public int claimed() {
-    return claims.size();
-  }
-
-  /** Tasks of claimed jobs that are neither done nor placed. */
-  public int unstarted() {
-    return claims.values().stream().mapToInt(Claim::unstarted).sum();
-  }
-
-  /** What waits for room here. */
-  public Message.Demand demand() {
-    List<Message.Waiting> waiting = new ArrayList<>();
-    Map<Queue.Shape, Integer> heads = new HashMap<>();
-    Map<Queue.Shape, Integer> behind = new HashMap<>();
-    double now = desk.now();
-    for (Claim c : claims.values()) {
-      int n = c.unstarted();
-      Quotas.Quota q = quotas.of(c.spec.team());
-      if (q != null) {
-        n = Math.min(n, c.allowed(q));
-      }
-      if (n > 0 && !c.suspect() && now >= c.notBefore) {
-        Map<String, Integer> left = zones.left(c, desk.catalog().zones());
-        if (c.queued && left.isEmpty()) {
-          // In the place of the one at the head of the line, whoever that is.
-          behind.merge(c.shape, n, Integer::sum);
-        } else {
-          waiting.add(new Message.Waiting(c.id(), n, left));
-          heads.putIfAbsent(c.shape, waiting.size() - 1);
-        }
-      }
-    }
-    behind.forEach(
-        (shape, n) -> {
-          Integer head = heads.get(shape);
-          if (head != null) {
-            Message.Waiting w = waiting.get(head);
-            waiting.set(head, new Message.Waiting(w.job(), w.tasks() + n, w.zones()));
-          }
-        });
-    Set<String> unheard = new HashSet<>();
-    for (Claim c : claims.values()) {
-      for (String host : c.hosts()) {
-        Room.Seen seen = room.get(host);
-        // A holder that has never had a report under its baton cannot prove anything by its clock.
-        if (seen == null || !seen.view().settled() && !seen.view().lost()) {
-          unheard.add(host);
-        }
-      }
-    }
-    return new Message.Demand(waiting, List.copyOf(unheard));
-  }
 }
--- /dev/null
+++ b/src/main/java/dev/dunefront/claim/Planning.java
@@ -0,0 +1,177 @@
+package dev.dunefront.claim;
+
+import dev.dunefront.book.Holds;
+import dev.dunefront.claim.Chunk.Placement;
+import dev.dunefront.claim.Claim.End;
+import dev.dunefront.claim.Claim.Ended;
+import dev.dunefront.claim.Claim.Held;
+import dev.dunefront.peer.Message;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * What goes into the next transaction of a job: as many of its ends and of the offers made to it as
+ * the state service's limits, the team's limit and the zones allow.
+ */
+final class Planning {
+  /** As many chunks as a transaction of 64 KiB surely takes. */
+  private static final int MAX_CHUNKS = 4;
+
+  /** A part of what is left of a team's limit, shared by all controllers, may be granted ahead. */
+  private static final int AHEAD = 4;
+
+  private final Desk desk;
+  private final Zones zones;
+  private final Parking parking;
+
+  Planning(Desk desk, Zones zones, Parking parking) {
+    this.desk = desk;
+    this.zones = zones;
+    this.parking = parking;
+  }
+
+  record Starting(Held held, int number, Placement placement) {}
+
+  /** One transaction under way. */
+  record Flight(Map<Integer, Chunk> next, List<Starting> starts, List<Ended> ends, int granted) {}
+
+  /**
+   * Takes what a claim has to record. Offers that are not taken go to {@code declined}; ends and
+   * offers that the transaction has no place for stay with the claim.
+   */
+  Flight plan(Claim c, Quotas.Quota quota, Consumer<Held> declined) {
+    int txnOps = desk.settings().stateLimits().txnOps();
+    int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
+    // Conditions may be four times as many as changes; some are on the job, its chunks, its
+    // team, the roster.
+    int maxHosts = 4 * txnOps - maxChunks - 3;
+    Map<Integer, Chunk> next = new TreeMap<>();
+    List<Ended> ends = new ArrayList<>();
+    List<Starting> starts = new ArrayList<>();
+    Map<String, Long> stamps = new HashMap<>();
+    List<Ended> all = List.copyOf(c.ends);
+    c.ends.clear();
+    for (Ended e : all) {
+      int index = e.number() / Chunk.TASKS;
+      int n = e.number() % Chunk.TASKS;
+      Chunk now = next.containsKey(index) ? next.get(index) : c.chunks.get(index);
+      if (now == null || !e.placement().equals(now.placed.get(n))) {
+        continue;
+      }
+      String host = e.placement().host();
+      // More proofs than one transaction can name are written with the next: a whole zone's worth
+      // of machines may be lost at once, and a transaction that is too large is refused for ever.
+      if (!next.containsKey(index) && next.size() >= maxChunks
+          || e.conditional() && stamps.size() >= maxHosts && !stamps.containsKey(host)
+          || e.conditional() && !agrees(stamps, host, e.holdStamp())) {
+        c.ends.add(e);
+        continue;
+      }
+      Chunk chunk = next.computeIfAbsent(index, i -> now.copy(0));
+      ends.add(e);
+      chunk.placed.remove(n);
+      if (e.end() == End.DONE) {
+        chunk.done.set(n);
+        chunk.tries.remove(n);
+      }
+    }
+    parking.sortOffers(c);
+    int placed = c.live.size() - ends.size();
+    int limit =
+        quota == null
+            ? Integer.MAX_VALUE
+            : (int) Math.min(Integer.MAX_VALUE, (long) c.record.granted() + quota.room(c.size));
+    // What each chunk may still grow: with long names fewer than all its tasks may be placed at
+    // once.
+    Map<Integer, Integer> growth = new HashMap<>();
+    int most = (int) (desk.settings().stateLimits().valueKb() * 1024);
+    int number = 0;
+    int allowed = c.suspect() ? Math.max(0, 1 - c.live.size()) : Integer.MAX_VALUE;
+    List<String> startHosts = new ArrayList<>();
+    List<Held> offers = List.copyOf(c.offers);
+    List<Held> kept = new ArrayList<>();
+    for (Held h : offers) {
+      Message.Offer o = h.offer();
+      if (desk.now() - h.at() > desk.tunables().offerWaitS()) {
+        declined.accept(h);
+        continue;
+      }
+      if (stamps.size() >= maxHosts && !stamps.containsKey(o.host())) {
+        // More machines than one transaction can name: taken with the next.
+        kept.add(h);
+        continue;
+      }
+      number = c.busy.nextClearBit(number);
+      int index = number / Chunk.TASKS;
+      boolean take =
+          c.starts()
+              && number < c.spec.tasks()
+              && starts.size() < allowed
+              && placed + starts.size() < limit
+              && desk.now() >= c.notBefore
+              && (next.containsKey(index) || next.size() < maxChunks)
+              && growth.computeIfAbsent(index, i -> most - size(c, next, i))
+                  >= Chunk.bytesFor(o.host())
+              && zones.allowed(c, o.host(), startHosts)
+              && agrees(stamps, o.host(), o.holdStamp());
+      if (!take) {
+        declined.accept(h);
+        continue;
+      }
+      growth.merge(index, -Chunk.bytesFor(o.host()), Integer::sum);
+      Chunk old = c.chunks.get(index);
+      Chunk chunk = next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
+      int n = number % Chunk.TASKS;
+      Placement p = new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.tenure());
+      chunk.tries.put(n, p.attempt());
+      chunk.placed.put(n, p);
+      starts.add(new Starting(h, number, p));
+      startHosts.add(o.host());
+      number++;
+    }
+    c.offers.clear();
+    c.offers.addAll(kept);
+    return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), ends));
+  }
+
+  private static int size(Claim c, Map<Integer, Chunk> next, int index) {
+    Chunk chunk = next.getOrDefault(index, c.chunks.get(index));
+    return chunk == null ? 0 : chunk.bytes();
+  }
+
+  /** How many tasks are to be granted when so many are placed. */
+  private int grant(Claim c, Quotas.Quota quota, int placed, List<Ended> ends) {
+    if (quota == null) {
+      return 0;
+    }
+    int granted = c.record.granted();
+    long finished = ends.stream().filter(e -> e.end() == End.DONE).count();
+    int unstarted =
+        (int) Math.max(0, c.spec.tasks() - c.done - finished - placed) * (c.open() ? 1 : 0);
+    int left = quota.room(c.size);
+    int ahead = Math.min(unstarted, left / (AHEAD * desk.settings().controllers()));
+    if (placed > granted) {
+      return placed + Math.min(ahead, left - (placed - granted));
+    }
+    int idle = granted - placed;
+    boolean tight = left < granted;
+    return idle > ahead && (tight || idle >= Math.max(8, granted / 2)) ? placed + ahead : granted;
+  }
+
+  /** Two proofs that rest on different records of one hold cannot share a transaction. */
+  private static boolean agrees(Map<String, Long> stamps, String host, long stamp) {
+    if (stamp < 0) {
+      // Of a machine without a record: conditional on the roster as well, which has one stamp.
+      Long roster = stamps.putIfAbsent(Holds.ROSTER, stamp);
+      if (roster != null && roster != stamp) {
+        return false;
+      }
+    }
+    Long known = stamps.putIfAbsent(host, stamp);
+    return known == null || known == stamp;
+  }
+}
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -1,11 +1,12 @@
 package dev.dunefront.claim;
 
 import dev.dunefront.book.Holds;
-import dev.dunefront.claim.Chunk.Placement;
 import dev.dunefront.claim.Claim.End;
 import dev.dunefront.claim.Claim.Ended;
 import dev.dunefront.claim.Claim.Held;
 import dev.dunefront.claim.Claim.Live;
+import dev.dunefront.claim.Planning.Flight;
+import dev.dunefront.claim.Planning.Starting;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.peer.Message;
@@ -15,12 +16,9 @@
 import dev.dunefront.wire.Size;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * Writes placements and ends. A job has one transaction under way at a time, which carries all that
@@ -47,34 +45,22 @@
 
   private static final double NO_PRESSURE_S = 0.05;
 
-  /** As many chunks as a transaction of 64 KiB surely takes. */
-  private static final int MAX_CHUNKS = 4;
-
-  /** A part of what is left of a team's limit, shared by all controllers, may be granted ahead. */
-  private static final int AHEAD = 4;
-
   private final Desk desk;
   private final Quotas quotas;
-  private final Zones zones;
   private final Parking parking;
   private final Room room;
   private final Claims claims;
+  private final Planning planning;
 
   Recorder(Desk desk, Quotas quotas, Zones zones, Parking parking, Room room, Claims claims) {
     this.desk = desk;
     this.quotas = quotas;
-    this.zones = zones;
     this.parking = parking;
     this.room = room;
     this.claims = claims;
+    this.planning = new Planning(desk, zones, parking);
   }
 
-  private record Starting(Held held, int number, Placement placement) {}
-
-  /** One transaction under way. */
-  private record Flight(
-      Map<Integer, Chunk> next, List<Starting> starts, List<Ended> ends, int granted) {}
-
   void chooseSoon(Claim c) {
     if (c.choosing) {
       return;
@@ -152,8 +138,8 @@
       quota.waiting.add(() -> flush(c));
       return;
     }
-    Flight f = plan(c, quota);
-    if (f.starts.isEmpty() && f.ends.isEmpty() && !over) {
+    Flight f = planning.plan(c, quota, this::decline);
+    if (f.starts().isEmpty() && f.ends().isEmpty() && !over) {
       return;
     }
     write(c, f, quota);
@@ -165,13 +151,13 @@
     Txn txn = new Txn().when(JobRecord.key(c.id()), c.stamp);
     int doneAfter = c.done;
     boolean anyPlaced = false;
-    for (var e : f.next.entrySet()) {
+    for (var e : f.next().entrySet()) {
       Chunk old = c.chunks.get(e.getKey());
       txn.when(Chunk.key(c.id(), e.getKey()), old == null ? 0 : old.stamp);
       doneAfter += e.getValue().done.cardinality() - (old == null ? 0 : old.done.cardinality());
     }
     for (var e : c.chunks.entrySet()) {
-      anyPlaced |= !f.next.getOrDefault(e.getKey(), e.getValue()).placed.isEmpty();
+      anyPlaced |= !f.next().getOrDefault(e.getKey(), e.getValue()).placed.isEmpty();
     }
     Status last = null;
     if (c.open() && doneAfter == c.spec.tasks() && !c.spec.service()) {
@@ -180,21 +166,21 @@
       last = c.record.status();
     }
     // A job in more chunks than a transaction takes is emptied first, a few chunks at a time.
-    boolean fits = c.chunks.size() + f.next.size() + 4 <= txnOps;
+    boolean fits = c.chunks.size() + f.next().size() + 4 <= txnOps;
     Set<String> hosts = new HashSet<>();
-    for (Starting s : f.starts) {
-      if (hosts.add(s.placement.host())) {
-        Holds.condition(txn, s.placement.host(), s.held.offer().holdStamp());
+    for (Starting s : f.starts()) {
+      if (hosts.add(s.placement().host())) {
+        Holds.condition(txn, s.placement().host(), s.held().offer().holdStamp());
       }
     }
-    for (Ended e : f.ends) {
+    for (Ended e : f.ends()) {
       if (e.conditional() && hosts.add(e.placement().host())) {
         Holds.condition(txn, e.placement().host(), e.holdStamp());
       }
     }
     JobRecord rewritten = null;
     List<Integer> emptied = new ArrayList<>();
-    int granted = last == null ? f.granted : 0;
+    int granted = last == null ? f.granted() : 0;
     if (last != null && fits) {
       txn.put(JobRecord.finalKey(c.id()), JobRecord.writeFinal(last, mark));
       txn.remove(JobRecord.key(c.id()));
@@ -209,7 +195,7 @@
         }
       }
     } else {
-      f.next.forEach((i, chunk) -> txn.put(Chunk.key(c.id(), i), chunk.write(mark)));
+      f.next().forEach((i, chunk) -> txn.put(Chunk.key(c.id(), i), chunk.write(mark)));
       if (granted != c.record.granted()) {
         rewritten = c.record.granting(granted);
         txn.put(JobRecord.key(c.id()), rewritten.write(mark));
@@ -223,13 +209,13 @@
     }
     if (desk.store().writeDelayS() > NO_PRESSURE_S) {
       // The record may come later than offers live: their holders hear that they are answered.
-      for (Starting s : f.starts) {
-        Message.Offer o = s.held.offer();
-        desk.peers().send(s.held.holder(), new Message.Taking(o.offer(), o.host()));
+      for (Starting s : f.starts()) {
+        Message.Offer o = s.held().offer();
+        desk.peers().send(s.held().holder(), new Message.Taking(o.offer(), o.host()));
       }
     }
     c.flying = true;
-    c.starting = f.starts.size();
+    c.starting = f.starts().size();
     Status finalStatus = last;
     JobRecord record = rewritten;
     desk.store()
@@ -250,7 +236,7 @@
               } else if (!c.dropped) {
                 refused(c, f, done);
               } else {
-                f.starts.forEach(s -> decline(s.held));
+                f.starts().forEach(s -> decline(s.held()));
               }
               if (regrant && !done.ok() && done.failed().contains(quota.key())) {
                 refresh(quota, c);
@@ -270,138 +256,6 @@
         : Store.Urgency.CORE;
   }
 
-  private Flight plan(Claim c, Quotas.Quota quota) {
-    int txnOps = desk.settings().stateLimits().txnOps();
-    int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
-    // Conditions may be four times as many as changes; some are on the job, its chunks, its
-    // team, the roster.
-    int maxHosts = 4 * txnOps - maxChunks - 3;
-    Map<Integer, Chunk> next = new TreeMap<>();
-    List<Ended> ends = new ArrayList<>();
-    List<Starting> starts = new ArrayList<>();
-    Map<String, Long> stamps = new HashMap<>();
-    List<Ended> all = List.copyOf(c.ends);
-    c.ends.clear();
-    for (Ended e : all) {
-      int index = e.number() / Chunk.TASKS;
-      int n = e.number() % Chunk.TASKS;
-      Chunk now = next.containsKey(index) ? next.get(index) : c.chunks.get(index);
-      if (now == null || !e.placement().equals(now.placed.get(n))) {
-        continue;
-      }
-      String host = e.placement().host();
-      // More proofs than one transaction can name are written with the next: a whole zone's worth
-      // of machines may be lost at once, and a transaction that is too large is refused for ever.
-      if (!next.containsKey(index) && next.size() >= maxChunks
-          || e.conditional() && stamps.size() >= maxHosts && !stamps.containsKey(host)
-          || e.conditional() && !agrees(stamps, host, e.holdStamp())) {
-        c.ends.add(e);
-        continue;
-      }
-      Chunk chunk = next.computeIfAbsent(index, i -> now.copy(0));
-      ends.add(e);
-      chunk.placed.remove(n);
-      if (e.end() == End.DONE) {
-        chunk.done.set(n);
-        chunk.tries.remove(n);
-      }
-    }
-    parking.sortOffers(c);
-    int placed = c.live.size() - ends.size();
-    int limit =
-        quota == null
-            ? Integer.MAX_VALUE
-            : (int) Math.min(Integer.MAX_VALUE, (long) c.record.granted() + quota.room(c.size));
-    // What each chunk may still grow: with long names fewer than all its tasks may be placed at
-    // once.
-    Map<Integer, Integer> growth = new HashMap<>();
-    int most = (int) (desk.settings().stateLimits().valueKb() * 1024);
-    int number = 0;
-    int allowed = c.suspect() ? Math.max(0, 1 - c.live.size()) : Integer.MAX_VALUE;
-    List<String> startHosts = new ArrayList<>();
-    List<Held> offers = List.copyOf(c.offers);
-    List<Held> kept = new ArrayList<>();
-    for (Held h : offers) {
-      Message.Offer o = h.offer();
-      if (desk.now() - h.at() > desk.tunables().offerWaitS()) {
-        decline(h);
-        continue;
-      }
-      if (stamps.size() >= maxHosts && !stamps.containsKey(o.host())) {
-        // More machines than one transaction can name: taken with the next.
-        kept.add(h);
-        continue;
-      }
-      number = c.busy.nextClearBit(number);
-      int index = number / Chunk.TASKS;
-      boolean take =
-          c.starts()
-              && number < c.spec.tasks()
-              && starts.size() < allowed
-              && placed + starts.size() < limit
-              && desk.now() >= c.notBefore
-              && (next.containsKey(index) || next.size() < maxChunks)
-              && growth.computeIfAbsent(index, i -> most - size(c, next, i))
-                  >= Chunk.bytesFor(o.host())
-              && zones.allowed(c, o.host(), startHosts)
-              && agrees(stamps, o.host(), o.holdStamp());
-      if (!take) {
-        decline(h);
-        continue;
-      }
-      growth.merge(index, -Chunk.bytesFor(o.host()), Integer::sum);
-      Chunk old = c.chunks.get(index);
-      Chunk chunk = next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
-      int n = number % Chunk.TASKS;
-      Placement p = new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.tenure());
-      chunk.tries.put(n, p.attempt());
-      chunk.placed.put(n, p);
-      starts.add(new Starting(h, number, p));
-      startHosts.add(o.host());
-      number++;
-    }
-    c.offers.clear();
-    c.offers.addAll(kept);
-    return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), ends));
-  }
-
-  private static int size(Claim c, Map<Integer, Chunk> next, int index) {
-    Chunk chunk = next.getOrDefault(index, c.chunks.get(index));
-    return chunk == null ? 0 : chunk.bytes();
-  }
-
-  /** How many tasks are to be granted when so many are placed. */
-  private int grant(Claim c, Quotas.Quota quota, int placed, List<Ended> ends) {
-    if (quota == null) {
-      return 0;
-    }
-    int granted = c.record.granted();
-    long finished = ends.stream().filter(e -> e.end() == End.DONE).count();
-    int unstarted =
-        (int) Math.max(0, c.spec.tasks() - c.done - finished - placed) * (c.open() ? 1 : 0);
-    int left = quota.room(c.size);
-    int ahead = Math.min(unstarted, left / (AHEAD * desk.settings().controllers()));
-    if (placed > granted) {
-      return placed + Math.min(ahead, left - (placed - granted));
-    }
-    int idle = granted - placed;
-    boolean tight = left < granted;
-    return idle > ahead && (tight || idle >= Math.max(8, granted / 2)) ? placed + ahead : granted;
-  }
-
-  /** Two proofs that rest on different records of one hold cannot share a transaction. */
-  private static boolean agrees(Map<String, Long> stamps, String host, long stamp) {
-    if (stamp < 0) {
-      // Of a machine without a record: conditional on the roster as well, which has one stamp.
-      Long roster = stamps.putIfAbsent(Holds.ROSTER, stamp);
-      if (roster != null && roster != stamp) {
-        return false;
-      }
-    }
-    Long known = stamps.putIfAbsent(host, stamp);
-    return known == null || known == stamp;
-  }
-
   /** Whether the hold of a machine is not any more what it was at that stamp. */
   private static boolean holdFailed(Set<String> failed, String host, long stamp) {
     return failed.contains(Holds.key(host)) || stamp < 0 && failed.contains(Holds.ROSTER);
@@ -415,7 +269,7 @@
       List<Integer> emptied,
       String mark,
       long revision) {
-    for (Ended e : f.ends) {
+    for (Ended e : f.ends()) {
       if (e.end() != End.GONE) {
         Room.Seen s = room.get(e.placement().host());
         if (s != null) {
@@ -440,26 +294,26 @@
       // Written just before the claim went to another controller, which will find it.
       return;
     }
-    for (Starting s : f.starts) {
-      Message.Offer o = s.held.offer();
+    for (Starting s : f.starts()) {
+      Message.Offer o = s.held().offer();
       if (!c.starts()) {
         // Cancelled while it was recorded: it is never started, and its holder soon says so.
-        decline(s.held);
+        decline(s.held());
         continue;
       }
-      LOG.log(Level.DEBUG, "placed {0}/{1} on {2}", c.id(), s.number, o.host());
+      LOG.log(Level.DEBUG, "placed {0}/{1} on {2}", c.id(), s.number(), o.host());
       desk.peers()
           .send(
-              s.held.holder(),
+              s.held().holder(),
               new Message.Start(
                   o.offer(),
                   o.host(),
                   o.baton(),
-                  s.placement.tenure(),
+                  s.placement().tenure(),
                   c.record.term(),
                   c.id(),
-                  s.number,
-                  s.placement.attempt()));
+                  s.number(),
+                  s.placement().attempt()));
     }
     if (rewritten != null) {
       c.record = rewritten;
@@ -472,10 +326,10 @@
       flush(c);
       return;
     }
-    f.next.forEach((i, chunk) -> c.install(i, chunk.copy(revision)));
+    f.next().forEach((i, chunk) -> c.install(i, chunk.copy(revision)));
     double now = desk.now();
-    f.starts.forEach(s -> c.live.get(s.number).probedAt = now);
-    if (!f.starts.isEmpty()) {
+    f.starts().forEach(s -> c.live.get(s.number()).probedAt = now);
+    if (!f.starts().isEmpty()) {
       parking.served(c, now);
     }
     claims.review(c);
@@ -501,16 +355,16 @@
     LOG.log(Level.DEBUG, "recording of {0} refused: {1}", c.id(), failed);
     boolean jobFailed = failed.contains(JobRecord.key(c.id()));
     boolean chunkFailed = failed.stream().anyMatch(k -> k.startsWith(Chunk.prefix(c.id())));
-    for (Starting s : f.starts) {
+    for (Starting s : f.starts()) {
       if (jobFailed
           || chunkFailed
-          || holdFailed(failed, s.placement.host(), s.held.offer().holdStamp())) {
-        decline(s.held);
+          || holdFailed(failed, s.placement().host(), s.held().offer().holdStamp())) {
+        decline(s.held());
       } else {
-        c.offers.add(s.held);
+        c.offers.add(s.held());
       }
     }
-    for (Ended e : f.ends) {
+    for (Ended e : f.ends()) {
       boolean proofGone =
           e.conditional() && holdFailed(failed, e.placement().host(), e.holdStamp());
       Live l = c.live.get(e.number());
--- a/src/main/java/dev/dunefront/claim/Turnover.java
+++ b/src/main/java/dev/dunefront/claim/Turnover.java
@@ -83,7 +83,7 @@
       for (JobTable.Entry e : desk.jobs().all()) {
         if (e.record().status() == Status.OPEN) {
           JobSpec spec = e.record().spec();
-          waiting[spec.priority().ordinal()] += claims.unstarted(spec);
+          waiting[spec.priority().ordinal()] += claims.account().unstarted(spec);
         }
       }
     }
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -145,9 +145,9 @@
           claims.holdChanged(host);
         });
     meters.gauge("dunefront.machines.held", books::heldMachines);
-    meters.gauge("dunefront.jobs.claimed", claims::claimed);
-    meters.gauge("dunefront.tasks.unstarted", claims::unstarted);
-    meters.gauge("dunefront.jobs.unbegun.oldest.seconds", claims::oldestUnbegunS);
+    meters.gauge("dunefront.jobs.claimed", claims.account()::claimed);
+    meters.gauge("dunefront.tasks.unstarted", claims.account()::unstarted);
+    meters.gauge("dunefront.jobs.unbegun.oldest.seconds", claims.account()::oldestUnbegunS);
     meters.gauge("dunefront.cancellations.waiting", jobs.cancellations()::waiting);
     meters.gauge("dunefront.cancellations.oldest.seconds", jobs.cancellations()::oldestS);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
@@ -226,13 +226,13 @@
           loops.turned("slow tick", timers.now(), STALLED_S);
           ward.run(this::shareBudget);
           holds.establish(settings, store);
-          Message.Progress progress = claims.progress();
+          Message.Progress progress = claims.account().progress();
           if (!progress.counts().isEmpty()) {
             peers.broadcast(progress);
           }
           String leader = fleet.leaderNode();
           if (leader != null && membership.self() != null) {
-            peers.send(leader, claims.demand());
+            peers.send(leader, claims.account().demand());
           }
         });
     timers.after(SLOW_TICK_S, this::slowTick);
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -1,5 +1,6 @@
 package dev.dunefront.job;
 
+import dev.dunefront.claim.Account;
 import dev.dunefront.claim.Claims;
 import dev.dunefront.config.Settings;
 import dev.dunefront.fleet.Catalog;
@@ -351,7 +352,7 @@
   // ---- answers ----
 
   private byte[] status(String id, Status status, JobTable.Entry entry) {
-    Claims.Counts counts = claims.counts(id);
+    Account.Counts counts = claims.account().counts(id);
     int done = counts.done();
     int running = counts.running();
     if (status == Status.DONE && entry != null) {
