A former holder's renewals count; stops wait for the hold's baton; refused and unheard is alone as well

The new holder's stop, sent before the worker had shown the new baton, showed it; the lease was then counted from the report by which the machine was taken, called over at once, and the tasks placed a second time. Change: the lease counts from when the worker first showed a baton of this hold as well; stops go out in doubt only after that, for the worker would drop its old holder's answers and lose what it runs.

A controller that the state service refuses with 503 and that hears no other controller was not alone by its own count, kept its workers, and the others returned their machines as silent. It sends them on now as one that hears nothing at all.

AloneTest: one story for each, both red before.

--- a/src/main/java/dev/dunefront/book/Leaving.java
+++ b/src/main/java/dev/dunefront/book/Leaving.java
@@ -46,7 +46,7 @@
 
   /** Whether neither the state service nor any other controller answers. */
   boolean alone() {
-    return store.silent() && neighbours.none() && !others.isEmpty();
+    return store.down() && neighbours.none() && !others.isEmpty();
   }
 
   /** Machines sent away so far. */
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -59,7 +59,10 @@
   long tenure;
   double heard;
 
-  /** When its session was first seen, be it by a report, an answer or another controller's word. */
+  /**
+   * When its session was first seen, be it by a report, an answer or another controller's word, or
+   * when the worker first showed a baton of this hold, if that was later.
+   */
   double begun;
 
   /** What its worker has said so far, by which copies of old reports are told from news. */
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -94,11 +94,14 @@
   }
 
   /**
-   * Sends what there is to send. While the fate of an order is unknown, or the worker has yet to
-   * show its baton, nothing is started or cleared: but a stop names an attempt, and does nothing if
-   * that is not there. Should its start still be on the way and come after it, the attempt is shown
-   * and the stop repeated. Held back with the others it would wait for the baton to be raised,
-   * which takes a write; in an outage what was cancelled would run on for as long as that lasts.
+   * Sends what there is to send. While the fate of an order is unknown or the baton is being
+   * raised, nothing is started or cleared: but a stop names an attempt, and does nothing if that is
+   * not there. Should its start still be on the way and come after it, the attempt is shown and the
+   * stop repeated. Held back with the others it would wait for the baton to be raised, which takes
+   * a write; in an outage what was cancelled would run on for as long as that lasts.
+   *
+   * <p>Not so before the worker has shown a baton of this hold: it may still be with its former
+   * holder, whose answers it would drop from then on until its lease is over.
    */
   void give(Machine m) {
     if (m.ordering || m.lost || m.endpoint.isEmpty() || !standstill.current()) {
@@ -114,7 +117,7 @@
       }
     }
     for (var e : m.stops.entrySet()) {
-      if (now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
+      if (m.ours && now - e.getValue().sentAt >= REPEAT_S && orders.size() < MAX_ORDERS) {
         e.getValue().sentAt = now;
         orders.add(new Order.Stop(e.getKey(), e.getValue().attempt, e.getValue().graceS));
       }
--- a/src/main/java/dev/dunefront/book/Reports.java
+++ b/src/main/java/dev/dunefront/book/Reports.java
@@ -119,7 +119,12 @@
     }
     if (r.baton() == m.baton) {
       m.settled = true;
-      m.ours = true;
+      if (!m.ours) {
+        // Until the worker saw this baton another controller, which does not know that it has lost
+        // the machine, may have renewed its lease under an older one.
+        m.ours = true;
+        m.begun = timers.now();
+      }
       // Orders sent under an earlier baton can no longer be carried out.
       m.pending.values().removeIf(p -> p.sentUnder != 0 && p.sentUnder < m.baton);
     }
--- a/src/test/java/dev/dunefront/story/AloneTest.java
+++ b/src/test/java/dev/dunefront/story/AloneTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -96,6 +99,93 @@
     assertEquals(List.of(), w.dayEnds());
   }
 
+  /**
+   * Another controller takes a machine that came round, which then goes back to its old holder;
+   * that one cannot know, and renews its lease under the old baton. An order of the new holder
+   * would show the worker the new baton: it would drop the old holder's answers, and lose all that
+   * it runs; and counted from the report that came round its lease would be called over at once.
+   */
+  @Test
+  void aMachineThatWentBackToItsOldHolderKeepsWhatItRuns() {
+    World w = new World(List.of("a", "a", "a"), World.ONE_TEAM);
+    w.start().pass(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.pass(6);
+    String old = w.holder("host-1");
+    String other = old.equals("node-1") ? "node-2" : "node-1";
+    assertEquals(201, w.submit(other, World.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.submit(other, World.job("wk-2", 2, 1)).status());
+    w.pass(2);
+    assertEquals(4, m.running().size());
+    // An idle one is sent ahead first, so that this one stays for a while.
+    for (int i = 3;
+        w.workers.values().stream().filter(x -> old.equals(w.holder(x.host()))).count() < 2;
+        i++) {
+      w.machine("host-" + i, "small", "a", old);
+      w.pass(2);
+    }
+    cutOff(w, old);
+    for (int i = 0; i < 60 && !other.equals(heldByRecord(w)); i++) {
+      w.pass(0.25);
+      w.hello(other, m.report());
+    }
+    assertEquals(other, heldByRecord(w), "it came round once, and was taken");
+    w.machine("host-2", "small", "a", other);
+    w.pass(1.1 * World.LEASE_S);
+    assertEquals(old, w.holder("host-1"));
+    w.cancel(other, "wk-2");
+    w.pass(1);
+    long runs = m.running().stream().filter(t -> t.startsWith("wk-1/")).count();
+    assertEquals(2, runs, "it runs on");
+    w.pass(World.LEASE_S);
+    runs = m.running().stream().filter(t -> t.startsWith("wk-1/")).count();
+    assertEquals(2, runs, "and is not lost");
+    assertEquals(List.of(), w.overlaps);
+    w.lost = (from, to) -> false;
+    w.unanswered = (from, to) -> false;
+    w.linksBack(old);
+    w.pass(4);
+    assertEquals(List.of(), w.dayEnds());
+  }
+
+  private static String heldByRecord(World w) {
+    try {
+      Doc hold = w.state.value("w/h/host-1");
+      String holder = hold == null ? "#" : hold.text("holder");
+      return holder.substring(0, holder.indexOf('#'));
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /**
+   * The same, told by the state service that it is refused: nothing distinguishes that from an
+   * outage for all but the others, and these it cannot hear. It would keep its workers until the
+   * others return their machines as silent.
+   */
+  @Test
+  void refusedByTheStateServiceItsWorkersGoToOthersAsWell() {
+    World w = world(List.of("a", "a", "a"));
+    assertEquals(201, w.submit("node-0", World.job("wk-0", 14, 1)).status());
+    w.pass(3);
+    w.refusedByState.add("node-0");
+    w.lost =
+        (from, to) ->
+            from.equals("node-0") && to.startsWith("node-")
+                || to.equals("node-0") && from.startsWith("node-");
+    w.timers.after(5, () -> w.linksSilent("node-0"));
+    w.pass(36);
+    assertEquals(0, heldBy(w, "node-0"));
+    assertEquals(12, w.workers.size(), "none was returned as silent");
+    int starts = w.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    assertEquals(14, starts, "nothing ran again");
+    w.lost = (from, to) -> false;
+    w.refusedByState.clear();
+    w.linksBack("node-0");
+    w.pass(4);
+    assertEquals(List.of(), w.dayEnds());
+  }
+
   /** It comes back while half of its machines have gone, and while none has. */
   @Test
   void itReturnsWhateverOthersHaveTakenMeanwhile() {
