A machine is asked before it is taken from a holder whose lease is over; slow state service joins the search

Cause (by reading, red story): a late copy of a report took a machine from a controller that had lost its lease behind a cut or alone at the state service, and went on hearing it. Only machines of living holders were asked before. Now all are: one question for each machine of a controller that ended, none on the ordinary path. LateWordsTest.aCopyMovesNoMachineThatItsHolderStillHears is red before.

--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -56,7 +56,7 @@
   /** Reports that wait for another controller to say whether it still hears the machine. */
   private final Map<String, List<Waiter>> asking = new HashMap<>();
 
-  /** Machines that are asked what they are at, before they are taken from a living holder. */
+  /** Machines that are asked what they are at, before they are taken from their holder. */
   private final Set<String> verifying = new HashSet<>();
 
   /** Since when a holder has left questions unanswered. */
@@ -194,7 +194,8 @@
         return;
       }
     }
-    take(r, answer);
+    asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
+    verify(r.host(), r.endpoint());
   }
 
   /**
@@ -286,9 +287,10 @@
   }
 
   /**
-   * Asks a machine itself before it is taken from a holder that lives: what came may be a late copy
-   * of a report, or the machine may hear nobody and go round the controllers, and each would write
-   * its hold anew.
+   * Asks a machine itself before it is taken from its holder: what came may be a late copy of a
+   * report, or the machine may hear nobody and go round the controllers, and each would write its
+   * hold anew. Nor does it help that the holder's lease is over: behind a cut, or refused by the
+   * state service alone, it may go on hearing the machine.
    */
   private void verify(String host, String endpoint) {
     verifying.add(host);
--- a/src/test/java/dev/dunefront/story/LateWordsTest.java
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -148,4 +148,30 @@
     assertEquals(1, w.state.written("w/n/node-0") - before, "the late one was refused");
     assertEquals(List.of(), w.dayEnds());
   }
+
+  /**
+   * A copy of a report comes from a zone that is cut off, whose controller has lost its lease and
+   * goes on hearing the machine. Were the machine taken for that, its holder would have to let go
+   * of it when the cut ends.
+   */
+  @Test
+  void aCopyMovesNoMachineThatItsHolderStillHears() {
+    World w = new World(List.of("a", "a", "b"), World.ONE_TEAM);
+    w.start().pass(2);
+    WorkerStandIn m = w.machine("host-1", "small", "b", "node-2");
+    w.pass(6);
+    assertEquals("node-2", w.holder("host-1"));
+    byte[] report = m.report();
+    w.pass(1);
+    w.cut("b");
+    for (int i = 0; i < 2 * World.LEASE_S; i++) {
+      w.pass(1);
+      w.hello("node-" + i % 2, report);
+    }
+    assertEquals(List.of(), w.state.keys("w/h/"));
+    w.heal();
+    w.pass(4);
+    assertEquals("node-2", w.holder("host-1"));
+    assertEquals(List.of(), w.dayEnds());
+  }
 }
--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -32,6 +32,7 @@
     LOST_ORDERS,
     ZONE_CUT,
     BEGUN_ANEW,
+    SLOW_STATE,
     MACHINES_GONE
   }
 
@@ -57,6 +58,11 @@
         w.timers.after(alone + forS, () -> w.state.outage(false));
         w.timers.after(alone + forS + dice.nextInt(3), () -> w.refusedByState.remove(node));
       }
+      case SLOW_STATE -> {
+        double worstS = 0.2 + dice.nextInt(40) / 10.0;
+        w.stateSlowS = () -> dice.nextDouble() * worstS;
+        w.timers.after(forS, () -> w.stateSlowS = () -> 0);
+      }
       case LATE_REPORTS -> {
         w.copiesAfterS = List.of(0.5 + dice.nextInt(30), World.LEASE_S * 2);
         w.timers.after(forS, () -> w.copiesAfterS = List.of());
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -30,6 +30,7 @@
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.IntConsumer;
 import java.util.function.Predicate;
 
@@ -584,7 +585,8 @@
       heldCalls.add(path + " " + text(body));
       return;
     }
-    timers.after(HOP_S, deliver);
+    boolean slow = address.equals("10.2.0.1:1");
+    timers.after(HOP_S + (slow ? stateSlowS.getAsDouble() : 0), deliver);
   }
 
   /** A watch that was open when the state service began to refuse its controller waits on. */
@@ -663,6 +665,9 @@
     }
   }
 
+  /** How much longer a request to the state service is on its way. */
+  DoubleSupplier stateSlowS = () -> 0;
+
   /** What was held back arrives now, however late. */
   void deliverHeld() {
     List<Runnable> all = List.copyOf(held);
