--- a/src/main/java/dev/dunefront/claim/Account.java
+++ b/src/main/java/dev/dunefront/claim/Account.java
@@ -96,17 +96,26 @@
     return new Message.Progress(changed);
   }
 
-  /** The age in seconds of the oldest open job of which nothing has ever been placed; 0 if none. */
-  public int oldestUnbegunS() {
+  /** A class of jobs of one team. */
+  public record Group(String jobClass, String team) {}
+
+  /** By group the age in seconds of its oldest open job of which nothing has ever been placed. */
+  public Map<Group, Integer> unbegunS() {
     long now = desk.timers().timeOfDayMs();
-    long oldest = 0;
+    Map<Group, Integer> oldest = new HashMap<>();
     for (JobTable.Entry e : desk.jobs().all()) {
       JobSpec spec = e.record().spec();
       if (e.record().status() == Status.OPEN && unstarted(spec) == spec.tasks()) {
-        oldest = Math.max(oldest, now - e.record().acceptedMs());
+        int ageS = (int) (Math.max(0, now - e.record().acceptedMs()) / 1000);
+        oldest.merge(new Group(spec.jobClass(), spec.team()), ageS, Math::max);
       }
     }
-    return (int) (oldest / 1000);
+    return oldest;
+  }
+
+  /** The greatest of these; 0 if there is none. */
+  public int oldestUnbegunS() {
+    return unbegunS().values().stream().mapToInt(Integer::intValue).max().orElse(0);
   }
 
   public int claimed() {
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -141,6 +141,9 @@
   int preempted;
   int failures;
 
+  /** That it has not begun in time has been said. */
+  boolean saidLate;
+
   /** A task has been done, as far as this claim has seen; perhaps not recorded yet. */
   boolean ran;
 
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -382,11 +382,30 @@
                   stopAll(c, now);
                 }
                 settling.lookAgain(c);
+                sayIfLate(c);
               });
     }
     reviewAll();
   }
 
+  /** Names what the fleet has not served in time, once. */
+  private void sayIfLate(Claim c) {
+    double ageS = c.ageS(desk.timers().timeOfDayMs());
+    if (!c.saidLate && !c.loading && !Begin.begun(c) && ageS > desk.tunables().beginS()) {
+      c.saidLate = true;
+      LOG.log(
+          Level.INFO,
+          "{0}, a {1} of {2}, has not begun after {3} s: its tasks take {4} CPUs, {5} GB, types {6}",
+          c.id(),
+          c.spec.jobClass(),
+          c.spec.team(),
+          Math.round(ageS),
+          c.size.cpu(),
+          c.size.ram(),
+          c.spec.types());
+    }
+  }
+
   private void stopAll(Claim c, double now) {
     for (var e : c.live.entrySet()) {
       Live l = e.getValue();
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -148,6 +148,7 @@
     meters.gauge("dunefront.jobs.claimed", claims.account()::claimed);
     meters.gauge("dunefront.tasks.unstarted", claims.account()::unstarted);
     meters.gauge("dunefront.jobs.unbegun.oldest.seconds", claims.account()::oldestUnbegunS);
+    meters.gauges("dunefront.jobs.unbegun.seconds", this::unbegun);
     meters.gauge("dunefront.cancellations.waiting", jobs.cancellations()::waiting);
     meters.gauge("dunefront.cancellations.oldest.seconds", jobs.cancellations()::oldestS);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
@@ -178,6 +179,18 @@
         });
   }
 
+  private List<Meters.Labelled> unbegun() {
+    List<Meters.Labelled> all = new ArrayList<>();
+    claims
+        .account()
+        .unbegunS()
+        .forEach(
+            (g, ageS) ->
+                all.add(
+                    new Meters.Labelled(Map.of("class", g.jobClass(), "team", g.team()), ageS)));
+    return all;
+  }
+
   /** The lock round this controller's decisions. */
   public Ward ward() {
     return ward;
--- a/src/main/java/dev/dunefront/metrics/Meters.java
+++ b/src/main/java/dev/dunefront/metrics/Meters.java
@@ -2,12 +2,17 @@
 
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -33,8 +38,18 @@
 
   private final Map<Request, Served> served = new EnumMap<>(Request.class);
   private final Map<String, IntSupplier> gauges = new LinkedHashMap<>();
+  private final Map<String, Supplier<List<Labelled>>> labelled = new LinkedHashMap<>();
+  private final Map<String, MultiGauge> rows = new LinkedHashMap<>();
   private PrometheusMeterRegistry registry;
 
+  /** A number for what the labels name. */
+  public record Labelled(Map<String, String> labels, double value) {}
+
+  /** Adds numbers by label, of which there may be others at each look. */
+  public void gauges(String name, Supplier<List<Labelled>> values) {
+    labelled.put(name, values);
+  }
+
   /** Adds a number that is asked for whenever somebody looks. */
   public void gauge(String name, IntSupplier value) {
     gauges.put(name, value);
@@ -57,10 +72,24 @@
       for (Request r : Request.values()) {
         register(r, served.computeIfAbsent(r, k -> new Served()));
       }
+      labelled.keySet().forEach(n -> rows.put(n, MultiGauge.builder(n).register(registry)));
     }
+    rows.forEach((name, gauge) -> gauge.register(rowsOf(labelled.get(name).get()), true));
     return registry.scrape();
   }
 
+  private static List<MultiGauge.Row<?>> rowsOf(List<Labelled> values) {
+    List<MultiGauge.Row<?>> all = new ArrayList<>();
+    for (Labelled l : values) {
+      Tags tags = Tags.empty();
+      for (var e : l.labels.entrySet()) {
+        tags = tags.and(e.getKey(), e.getValue());
+      }
+      all.add(MultiGauge.Row.of(tags, l.value));
+    }
+    return all;
+  }
+
   private void register(Request r, Served s) {
     String kind = r.name().toLowerCase(java.util.Locale.ROOT);
     FunctionCounter.builder("dunefront.requests", s, x -> x.micros.getTotalCount())
--- a/src/test/java/dev/dunefront/metrics/MetersTest.java
+++ b/src/test/java/dev/dunefront/metrics/MetersTest.java
@@ -1,7 +1,11 @@
 package dev.dunefront.metrics;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What an operator reads. */
@@ -24,4 +28,18 @@
     assertTrue(text.contains("dunefront_machines_held 4.0"), text);
     assertTrue(text.contains("dunefront_requests_total{kind=\"poll\"} 3.0"), text);
   }
+
+  @Test
+  void whatIsLabelledComesAndGoes() {
+    Meters meters = new Meters();
+    List<Meters.Labelled> now = new ArrayList<>();
+    meters.gauges("dunefront.jobs.unbegun.seconds", () -> List.copyOf(now));
+    now.add(new Meters.Labelled(Map.of("class", "train", "team", "vision"), 7));
+    String line = "dunefront_jobs_unbegun_seconds{class=\"train\",team=\"vision\"} ";
+    assertTrue(meters.scrape().contains(line + "7.0"), meters.scrape());
+    now.set(0, new Meters.Labelled(Map.of("class", "train", "team", "vision"), 9));
+    assertTrue(meters.scrape().contains(line + "9.0"), meters.scrape());
+    now.clear();
+    assertFalse(meters.scrape().contains(line), meters.scrape());
+  }
 }
