--- a/src/test/java/dev/dunefront/story/LateWordsTest.java
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -1,6 +1,7 @@
 package dev.dunefront.story;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.dunefront.peer.Message;
@@ -174,4 +175,43 @@
     assertEquals("node-2", w.holder("host-1"));
     assertEquals(List.of(), w.dayEnds());
   }
+
+  /**
+   * A holder that the state service refuses loses its machine, which another takes; the claimant
+   * hears the former holder alone, which in time calls the machine's lease over.
+   */
+  @Test
+  void aLeaseCalledOverByAFormerHolderProvesNothing() {
+    assertEquals(List.of(), overlapsByAFormerHolder(false));
+    assertNotEquals(List.of(), overlapsByAFormerHolder(true), "the story is about that condition");
+  }
+
+  private static List<String> overlapsByAFormerHolder(boolean unconditional) {
+    World w = new World(4);
+    w.start().pass(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.pass(6);
+    String former = w.holder("host-1");
+    int f = Integer.parseInt(former.substring("node-".length()));
+    String next = "node-" + (f + 1) % 4;
+    String claimant = "node-" + (f + 2) % 4;
+    assertEquals(201, w.submit(claimant, World.job("wk-1", 2, 1)).status());
+    w.pass(2);
+    assertEquals(2, m.running().size());
+    w.unconditional = key -> unconditional && key.startsWith("w/h/");
+    w.refusedByState.add(former);
+    w.lost =
+        (from, to) ->
+            from.equals("host-1:9") && to.equals(former)
+                || from.equals(former) && to.equals("host-1:9")
+                || from.equals(next) && to.equals(claimant)
+                || from.equals(claimant) && to.equals(next);
+    w.timers.after(5, () -> w.linksSilent(next));
+    for (int i = 2; i < 8; i++) {
+      w.machine("host-" + i, "small", "a", claimant);
+    }
+    w.pass(2 * World.LEASE_S);
+    assertEquals(next, w.holder("host-1"));
+    return w.overlaps;
+  }
 }
