The word of a cancellation is forgotten though nobody tells of the end

Found by reading the change: a job that comes and goes while a controller's replica stands still is never shown by it, and if the word of its end is lost the controller would say for ever that it is to end, to operators and to whoever it reaches. The oldest such is asked after, one read at a time. GapTest.aWordIsForgottenThoughNobodyTellsOfTheEnd is red before.

--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -239,6 +239,7 @@
           loops.turned("slow tick", timers.now(), STALLED_S);
           ward.run(this::shareBudget);
           holds.establish(settings, store);
+          jobs.tidy();
           Message.Progress progress = claims.account().progress();
           if (!progress.counts().isEmpty()) {
             peers.broadcast(progress);
--- a/src/main/java/dev/dunefront/job/Cancellations.java
+++ b/src/main/java/dev/dunefront/job/Cancellations.java
@@ -15,7 +15,7 @@
  * <p>The record is the fact. Nobody may say this of a job before its record says so.
  */
 public final class Cancellations {
-  /** Words of jobs that the replica never showed, for they came and went while it stood still. */
+  /** Far more than wait at any time; see {@link JobTable#tidy} for those of which nobody tells. */
   private static final int MOST = 10_000;
 
   private final Timers timers;
@@ -45,6 +45,14 @@
     return since.containsKey(id);
   }
 
+  /** The oldest, if it has been known for so long; null otherwise. */
+  String olderThan(double seconds) {
+    for (var e : since.entrySet()) {
+      return timers.now() - e.getValue() > seconds ? e.getKey() : null;
+    }
+    return null;
+  }
+
   /** All of them, the oldest first. */
   public List<String> all() {
     return List.copyOf(since.keySet());
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -20,6 +20,9 @@
 public final class JobTable {
   private static final int FINALS = 50_000;
 
+  /** The replica shows a job, and others tell of its end, sooner than this. */
+  private static final double FORGOTTEN_S = 10;
+
   /** A live record with its stamp. */
   public record Entry(JobRecord record, long stamp) {}
 
@@ -34,6 +37,7 @@
   private final Store store;
   private final Replica replica;
   private final Cancellations cancellations;
+  private boolean tidying;
   private final Map<String, Entry> live = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
   private final Map<String, Status> finals =
@@ -111,6 +115,28 @@
     return cancellations;
   }
 
+  /**
+   * Asks after the oldest cancelled job that the replica does not show. It may have come and gone
+   * while the replica stood still, and the word of its end may have been lost: then nothing else
+   * would ever tell of it. Called now and then.
+   */
+  public void tidy() {
+    String id = cancellations.olderThan(FORGOTTEN_S);
+    if (id == null || live.containsKey(id) || tidying || store.down()) {
+      return;
+    }
+    tidying = true;
+    readEnded(
+        id,
+        Urgency.BACKGROUND,
+        found -> {
+          tidying = false;
+          if (found.outcome() == Outcome.OK || found.outcome() == Outcome.MISSING) {
+            cancellations.remove(id);
+          }
+        });
+  }
+
   /** Another controller has recorded that the job is to end. */
   public void cancelling(String id) {
     if (!finals.containsKey(id)) {
--- a/src/test/java/dev/dunefront/story/GapTest.java
+++ b/src/test/java/dev/dunefront/story/GapTest.java
@@ -7,6 +7,7 @@
 import dev.dunefront.wire.Doc;
 import java.util.ArrayList;
 import java.util.List;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
@@ -88,6 +89,36 @@
     assertEquals(List.of(), w.dayEnds());
   }
 
+  /**
+   * A job comes and goes while a controller's replica stands still, and it hears of the
+   * cancellation, but not of the end. It must not go on telling that the job is to end.
+   */
+  @Example
+  void aWordIsForgottenThoughNobodyTellsOfTheEnd() {
+    World w = new World(5);
+    w.start().pass(4);
+    w.refusedByState.add("node-4");
+    w.late = message -> message instanceof Message.Ended;
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 6, 1)).status());
+    w.pass(2);
+    w.cancel("node-1", "wk-1");
+    w.pass(2);
+    assertEquals("cancelled", w.poll("node-0", "wk-1").state());
+    // By then the watch that was open is given up, and with it what it would have brought.
+    w.pass(15);
+    assertEquals(1, waiting(w, "node-4"));
+    w.refusedByState.clear();
+    w.pass(20);
+    assertEquals(0, waiting(w, "node-4"));
+  }
+
+  private static int waiting(World w, String node) {
+    String name = "dunefront_cancellations_waiting ";
+    String text = w.nodes.get(node).metrics();
+    int at = text.indexOf("\n" + name) + 1 + name.length();
+    return (int) Double.parseDouble(text.substring(at, text.indexOf('\n', at)));
+  }
+
   /** What keeps the old leader from stopping what it holds. */
   enum Hindrance {
     /**
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -20,6 +20,7 @@
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -384,6 +385,15 @@
           (status, reply, again) -> then.accept(status));
     }
 
+    /** What an operator reads. */
+    String metrics() {
+      String[] text = {""};
+      handle(
+          new HttpServer.Request("GET", HttpServer.TEXT_PATH, "", new byte[0]),
+          (status, reply, again) -> text[0] = new String(reply, StandardCharsets.UTF_8));
+      return text[0];
+    }
+
     private void handle(HttpServer.Request request, HttpServer.Answer answer) {
       meet(life, () -> daemon.handle(request, answer));
     }
