Read again: dead word of silence gone, one way to forget, to await a machine, to cut a controller off

Found by reading the whole change: since being alone goes by store.down(), nothing asks Store.silent() any more; Account had two methods with the same line; two reports were put to wait by the same words; the oldest cancellation was asked for by a loop that ends at once beside a method that finds it; the age of every claim was worked out in each tick, also of those that have begun; four tests wrote the same predicate for a controller cut off, and three counted a job's tasks each in its own way.

--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -53,7 +53,7 @@
   /** Reports that wait for a hold to be taken. */
   private final Map<String, List<Waiter>> taking = new HashMap<>();
 
-  /** Reports that wait for another controller to say whether it still hears the machine. */
+  /** Reports that wait for another controller, or the machine itself, to say who hears it. */
   private final Map<String, List<Waiter>> asking = new HashMap<>();
 
   /** Machines that are asked what they are at, before they are taken from their holder. */
@@ -194,7 +194,7 @@
         return;
       }
     }
-    asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
+    await(r, answer);
     verify(r.host(), r.endpoint());
   }
 
@@ -235,9 +235,13 @@
     return timers.now() - s.since < settings.workers().leaseS() * PATIENCE;
   }
 
+  private void await(Report r, Answer answer) {
+    asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
+  }
+
   /** Asks a live holder whether it hears the machine: its worker may have come for lack of that. */
   private void ask(String holder, Report r, Answer answer) {
-    asking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
+    await(r, answer);
     peers.send(holder, new Message.HoldAsk(r.host(), r.tenure(), r.serial(), r.baton()));
     timers.after(ASK_S, () -> ward.run(() -> settleAsk(r.host(), null)));
   }
--- a/src/main/java/dev/dunefront/claim/Account.java
+++ b/src/main/java/dev/dunefront/claim/Account.java
@@ -31,13 +31,8 @@
     this.room = room;
   }
 
-  /** This controller has claimed a job: what another has told of it no longer counts. */
-  void adopted(String id) {
-    elsewhere.remove(id);
-  }
-
-  /** A job is over. */
-  void over(String id) {
+  /** What another controller has told of a job no longer counts: it is claimed here, or over. */
+  void forget(String id) {
     elsewhere.remove(id);
   }
 
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -116,7 +116,7 @@
     c.halted = desk.jobs().over(c.id());
     claims.put(c.id(), c);
     takeover.adopted(c.id());
-    account.adopted(c.id());
+    account.forget(c.id());
     if (fresh) {
       review(c);
     } else {
@@ -227,7 +227,7 @@
   public void jobChanged(String id, JobTable.Entry before, JobTable.Entry entry) {
     takeover.jobChanged(before, entry);
     if (entry == null) {
-      account.over(id);
+      account.forget(id);
       sized.remove(id);
     } else if (sized.add(id)) {
       urgencies.seen(entry.record().spec());
@@ -390,8 +390,11 @@
 
   /** Names what the fleet has not served in time, once. */
   private void sayIfLate(Claim c) {
+    if (c.saidLate || c.loading || Begin.begun(c)) {
+      return;
+    }
     double ageS = c.ageS(desk.timers().timeOfDayMs());
-    if (!c.saidLate && !c.loading && !Begin.begun(c) && ageS > desk.tunables().beginS()) {
+    if (ageS > desk.tunables().beginS()) {
       c.saidLate = true;
       LOG.log(
           Level.INFO,
--- a/src/main/java/dev/dunefront/job/Cancellations.java
+++ b/src/main/java/dev/dunefront/job/Cancellations.java
@@ -45,12 +45,9 @@
     return since.containsKey(id);
   }
 
-  /** The oldest, if it has been known for so long; null otherwise. */
-  String olderThan(double seconds) {
-    for (var e : since.entrySet()) {
-      return timers.now() - e.getValue() > seconds ? e.getKey() : null;
-    }
-    return null;
+  /** The oldest, or null if there is none. */
+  String oldest() {
+    return since.isEmpty() ? null : since.keySet().iterator().next();
   }
 
   /** All of them, the oldest first. */
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -21,7 +21,7 @@
   private static final int FINALS = 50_000;
 
   /** The replica shows a job, and others tell of its end, sooner than this. */
-  private static final double FORGOTTEN_S = 10;
+  private static final int FORGOTTEN_S = 10;
 
   /** A live record with its stamp. */
   public record Entry(JobRecord record, long stamp) {}
@@ -121,8 +121,8 @@
    * would ever tell of it. Called now and then.
    */
   public void tidy() {
-    String id = cancellations.olderThan(FORGOTTEN_S);
-    if (id == null || live.containsKey(id) || tidying || store.down()) {
+    String id = cancellations.oldest();
+    if (tidying || store.down() || cancellations.oldestS() < FORGOTTEN_S || live.containsKey(id)) {
       return;
     }
     tidying = true;
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -89,11 +89,6 @@
     return down || silent;
   }
 
-  @Override
-  public boolean silent() {
-    return silent;
-  }
-
   @Override
   public double writeDelayS() {
     refill();
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -92,9 +92,6 @@
    */
   boolean down();
 
-  /** Whether the service answers nothing. */
-  boolean silent();
-
   /** A mark that nobody has used before. */
   String newMark();
 }
--- a/src/test/java/dev/dunefront/story/AloneTest.java
+++ b/src/test/java/dev/dunefront/story/AloneTest.java
@@ -26,10 +26,7 @@
 
   /** What it hears and says is lost, but for its workers and users; its links fall silent. */
   private static void cutOff(World w, String node) {
-    w.lost =
-        (from, to) ->
-            from.equals(node) && (to.equals(STATE) || to.startsWith("node-"))
-                || to.equals(node) && from.startsWith("node-");
+    w.lost = World.withoutPeersAndState(node);
     // An open watch is cut off as well.
     w.unanswered = (from, to) -> from.equals(node) && to.equals(STATE);
     w.timers.after(5, () -> w.linksSilent(node));
@@ -135,11 +132,9 @@
     assertEquals(old, w.holder("host-1"));
     w.cancel(other, "wk-2");
     w.pass(1);
-    long runs = m.running().stream().filter(t -> t.startsWith("wk-1/")).count();
-    assertEquals(2, runs, "it runs on");
+    assertEquals(2, World.running(m, "wk-1"), "it runs on");
     w.pass(World.LEASE_S);
-    runs = m.running().stream().filter(t -> t.startsWith("wk-1/")).count();
-    assertEquals(2, runs, "and is not lost");
+    assertEquals(2, World.running(m, "wk-1"), "and is not lost");
     assertEquals(List.of(), w.overlaps);
     w.lost = (from, to) -> false;
     w.unanswered = (from, to) -> false;
@@ -169,10 +164,7 @@
     assertEquals(201, w.submit("node-0", World.job("wk-0", 14, 1)).status());
     w.pass(3);
     w.refusedByState.add("node-0");
-    w.lost =
-        (from, to) ->
-            from.equals("node-0") && to.startsWith("node-")
-                || to.equals("node-0") && from.startsWith("node-");
+    w.lost = World.withoutPeers("node-0");
     w.timers.after(5, () -> w.linksSilent("node-0"));
     w.pass(36);
     assertEquals(0, heldBy(w, "node-0"));
--- a/src/test/java/dev/dunefront/story/DayEndTest.java
+++ b/src/test/java/dev/dunefront/story/DayEndTest.java
@@ -200,10 +200,7 @@
       case 0 -> w.deaf.add(host);
       case 1 -> w.copiesAfterS = List.of(0.5 + more % 30, World.LEASE_S * 2);
       case 2 -> {
-        w.lost =
-            (from, to) ->
-                from.equals(node) && (to.equals("10.2.0.1:1") || to.startsWith("node-"))
-                    || to.equals(node) && from.startsWith("node-");
+        w.lost = World.withoutPeersAndState(node);
         w.timers.after(5, () -> w.linksSilent(node));
       }
       case 3 -> {
--- a/src/test/java/dev/dunefront/story/GapTest.java
+++ b/src/test/java/dev/dunefront/story/GapTest.java
@@ -43,14 +43,6 @@
     return ids;
   }
 
-  private static int running(World w, String job) {
-    int n = 0;
-    for (WorkerStandIn m : w.workers.values()) {
-      n += (int) m.running().stream().filter(t -> t.startsWith(job + "/")).count();
-    }
-    return n;
-  }
-
   /** The users' day, as it is: refused alone for less and for more than a node's lease. */
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void whatIsCancelledInTheGapIsGone(
@@ -72,7 +64,7 @@
       w.state.outage(true);
       w.pass(6);
       for (String id : toEnd) {
-        assertEquals(0, running(w, id), id + " runs on in the outage");
+        assertEquals(0, w.running(id), id + " runs on in the outage");
       }
       w.pass(longerThanTheyMayLive ? 24 : 2);
       w.state.outage(false);
@@ -82,7 +74,7 @@
       for (String id : toEnd) {
         assertEquals("cancelled", w.poll(refused, id).state());
       }
-      assertEquals(6, running(w, ids.get(3)), "what nobody cancelled runs on");
+      assertEquals(6, w.running(ids.get(3)), "what nobody cancelled runs on");
       w.finishAll();
       w.pass(4);
     }
--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -69,13 +69,7 @@
         World.Node n = w.nodes.get(node);
         if (n.up()) {
           n.end();
-          w.timers.after(
-              0.6 + dice.nextInt(40) / 10.0,
-              () -> {
-                if (!n.up()) {
-                  n.start();
-                }
-              });
+          back(w, n, 0.6 + dice.nextInt(40) / 10.0);
         }
       }
       case WORKERS_CUT ->
@@ -94,12 +88,7 @@
         w.timers.after(forS, () -> w.copiesAfterS = List.of());
       }
       case ALONE -> {
-        lose(
-            w,
-            (from, to) ->
-                from.equals(node) && (to.equals(STATE) || to.startsWith("node-"))
-                    || to.equals(node) && from.startsWith("node-"),
-            forS);
+        lose(w, World.withoutPeersAndState(node), forS);
         w.unanswered = (from, to) -> from.equals(node) && to.equals(STATE);
         w.timers.after(5, () -> w.linksSilent(node));
         w.timers.after(
@@ -199,16 +188,21 @@
     World.Node n = w.nodes.get(node);
     if (n.up()) {
       n.crash();
-      w.timers.after(
-          backAfterS,
-          () -> {
-            if (!n.up()) {
-              n.start();
-            }
-          });
+      back(w, n, backAfterS);
     }
   }
 
+  /** It is started after a while, unless it has been by then. */
+  private static void back(World w, World.Node n, double afterS) {
+    w.timers.after(
+        afterS,
+        () -> {
+          if (!n.up()) {
+            n.start();
+          }
+        });
+  }
+
   /** Tasks end one by one, far apart, the lowest first on each machine. */
   private static void finishSome(World w, Random dice) {
     for (WorkerStandIn m : w.workers.values()) {
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -647,6 +647,17 @@
     }
   }
 
+  /** What is lost of a controller that no other hears, and that hears no other. */
+  static BiPredicate<String, String> withoutPeers(String node) {
+    return (from, to) ->
+        from.equals(node) && to.startsWith("node-") || to.equals(node) && from.startsWith("node-");
+  }
+
+  /** What is lost of one that has lost the state service as well. */
+  static BiPredicate<String, String> withoutPeersAndState(String node) {
+    return withoutPeers(node).or((from, to) -> from.equals(node) && to.equals("10.2.0.1:1"));
+  }
+
   /** All links of a controller are made anew. */
   void linksBack(String name) {
     for (Node other : nodes.values()) {
@@ -844,6 +855,16 @@
     return w;
   }
 
+  /** How many tasks of a job run. */
+  int running(String job) {
+    return workers.values().stream().mapToInt(m -> running(m, job)).sum();
+  }
+
+  /** How many tasks of a job run on a machine. */
+  static int running(WorkerStandIn m, String job) {
+    return (int) m.running().stream().filter(t -> t.startsWith(job + "/")).count();
+  }
+
   /** How many tasks run on all machines. */
   int running() {
     return workers.values().stream().mapToInt(m -> m.running().size()).sum();
