A claim goes by the record as it is, not as it was written

A job cancelled before the answer is here shows in the replica first; then the claim was made, or its record set, from what had been written. With no task left whose end would make it look again the claim waited for ever, and its user was never told cancelled.

Ruled out: the read-back of an unclear commit, which rightly says that the batch was carried out; the cancellation itself, which is recorded.

Change: adopt() takes the replica's record if that is newer, and none if the job is over or another's; a written record never replaces a newer one.

Before: both stories of ChangingHandsTest red (queued instead of cancelled); after: green.

--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -107,13 +107,27 @@
     return claims.containsKey(id);
   }
 
-  /** Takes charge of a job whose record names this incarnation already. */
-  public void adopt(JobRecord record, long stamp, boolean fresh) {
-    if (claims.containsKey(record.spec().id()) || desk.membership().self() == null) {
+  /**
+   * Takes charge of a job whose record names this incarnation already. The record as it was written
+   * may be out of date by the time that the answer to its write is here: another controller has
+   * cancelled the job, and the replica has shown that to nobody's claim. Taken as it was written,
+   * the claim would wait for ever for a change that has been, and the cancellation never end.
+   */
+  public void adopt(JobRecord written, long writtenStamp, boolean fresh) {
+    String id = written.spec().id();
+    if (claims.containsKey(id) || desk.membership().self() == null) {
       return;
     }
+    JobTable.Entry shown = desk.jobs().get(id);
+    boolean newer = shown != null && shown.stamp() > writtenStamp;
+    if (newer && !shown.record().heldBy(desk.membership().self())
+        || shown == null && desk.jobs().finalStatus(id) != null) {
+      return;
+    }
+    JobRecord record = newer ? shown.record() : written;
+    long stamp = newer ? shown.stamp() : writtenStamp;
     Claim c = new Claim(record, stamp, desk.tunables().reach(), desk.now());
-    c.halted = desk.jobs().over(c.id());
+    c.halted = desk.jobs().over(id);
     claims.put(c.id(), c);
     takeover.adopted(c.id());
     account.forget(c.id());
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -316,8 +316,12 @@
                   s.placement().attempt()));
     }
     if (rewritten != null) {
-      c.record = rewritten;
-      c.stamp = revision;
+      if (revision > c.stamp) {
+        // Otherwise somebody has cancelled the job since, and the replica has shown that before
+        // the answer came: taken for open again, the job would never end.
+        c.record = rewritten;
+        c.stamp = revision;
+      }
       desk.jobs().wrote(c.id(), rewritten, mark, revision);
     }
     if (last != null) {
