What a job does not use of its team's limit is given back while the team has little left

Cause: grants are written a piece ahead of the placements and were taken back only with the job's next end. A job with few tasks left kept up to half of what it had been granted; a later job of the team waited for that beside room, with the team below its limit, for as long as the first one's tasks ran.

Ruled out: quota.busy (always released), and the refresh after a conflict.

Change: a claim that has been granted more than it is to have for 5 s, while its team's limit has less left than it was granted, gives the rest back by itself.

Machines that hang are new in the story world: what reaches them is carried out first when they go on.

--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -113,6 +113,9 @@
   /** When what waits to be recorded is written at the latest. */
   double flushDue = Double.POSITIVE_INFINITY;
 
+  /** Since when it has been granted more than it uses, while its team has little left. */
+  double unusedSince = Double.POSITIVE_INFINITY;
+
   /** Counts last told to the other controllers. */
   int toldDone;
 
--- a/src/main/java/dev/dunefront/claim/Planning.java
+++ b/src/main/java/dev/dunefront/claim/Planning.java
@@ -143,6 +143,16 @@
     return chunk == null ? 0 : chunk.bytes();
   }
 
+  /**
+   * Whether a job has been granted more than it is to have while so little of its team's limit is
+   * left that others may wait for it.
+   */
+  boolean unused(Claim c, Quotas.Quota quota) {
+    return quota != null
+        && quota.room(c.size) < c.record.granted()
+        && grant(c, quota, c.live.size(), List.of()) < c.record.granted();
+  }
+
   /** How many tasks are to be granted when so many are placed. */
   private int grant(Claim c, Quotas.Quota quota, int placed, List<Ended> ends) {
     if (quota == null) {
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -45,6 +45,11 @@
 
   private static final double NO_PRESSURE_S = 0.05;
 
+  /**
+   * What a job has been granted and does not use for so long it gives back, if that is asked for.
+   */
+  private static final double UNUSED_S = 5;
+
   private final Desk desk;
   private final Quotas quotas;
   private final Parking parking;
@@ -126,12 +131,13 @@
       declineAll(c);
     }
     boolean over = !c.open() && c.live.isEmpty();
-    if (c.offers.isEmpty() && c.ends.isEmpty() && !over) {
+    Quotas.Quota quota = quotas.of(c.spec.team());
+    boolean returns = returns(c, quota);
+    if (c.offers.isEmpty() && c.ends.isEmpty() && !over && !returns) {
       return;
     }
-    Quotas.Quota quota = quotas.of(c.spec.team());
     double pressure = pressureS();
-    if (!over && !due(c, canGather(c, quota) ? GATHER_S * (1 + pressure) : pressure)) {
+    if (!over && !returns && !due(c, canGather(c, quota) ? GATHER_S * (1 + pressure) : pressure)) {
       return;
     }
     if (quota != null && quota.busy) {
@@ -139,12 +145,27 @@
       return;
     }
     Flight f = planning.plan(c, quota, this::decline);
-    if (f.starts().isEmpty() && f.ends().isEmpty() && !over) {
+    if (f.starts().isEmpty() && f.ends().isEmpty() && !over && f.granted() == c.record.granted()) {
       return;
     }
     write(c, f, quota);
   }
 
+  /**
+   * Whether the job is to give back what it was granted of its team's limit and has not used for a
+   * while. Its next end would do so, but that may be minutes away, and until then other jobs of the
+   * team would wait beside room, with the team below its limit.
+   */
+  private boolean returns(Claim c, Quotas.Quota quota) {
+    if (!planning.unused(c, quota)) {
+      c.unusedSince = Double.POSITIVE_INFINITY;
+      return false;
+    }
+    double now = desk.now();
+    c.unusedSince = Math.min(c.unusedSince, now);
+    return now - c.unusedSince >= UNUSED_S;
+  }
+
   private void write(Claim c, Flight f, Quotas.Quota quota) {
     String mark = desk.store().newMark();
     int txnOps = desk.settings().stateLimits().txnOps();
--- a/src/main/java/dev/dunefront/standin/CloudStandIn.java
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -13,9 +13,12 @@
 
 /** The cloud: a catalog of two types, hires by unique name, deletions, a list. */
 public final class CloudStandIn {
-  /** CPUs of the small type; the large one has four times as many. */
+  /** CPUs of the small type. */
   public static final double SMALL_CPUS = 4;
 
+  /** CPUs of the large type. */
+  public static final double LARGE_CPUS = 16;
+
   private final TreeMap<String, Doc> machines = new TreeMap<>();
   private final Map<String, List<String>> hires = new HashMap<>();
   private final Set<String> deleted = new HashSet<>();
@@ -82,7 +85,10 @@
     try {
       if (path.equals("/catalog")) {
         return ok(
-            Doc.of().put("flavors", List.of(type("small", SMALL_CPUS, 1), type("large", 16, 4.4))));
+            Doc.of()
+                .put(
+                    "flavors",
+                    List.of(type("small", SMALL_CPUS, 1), type("large", LARGE_CPUS, 4.4))));
       }
       if (path.startsWith("/machines?")) {
         List<Doc> listed = new ArrayList<>();
--- a/src/main/java/dev/dunefront/standin/WorkerStandIn.java
+++ b/src/main/java/dev/dunefront/standin/WorkerStandIn.java
@@ -40,6 +40,14 @@
     return endpoint;
   }
 
+  public String type() {
+    return type;
+  }
+
+  public String zone() {
+    return zone;
+  }
+
   public long baton() {
     return baton;
   }
--- a/src/test/java/dev/dunefront/story/Notebook.java
+++ b/src/test/java/dev/dunefront/story/Notebook.java
@@ -101,16 +101,15 @@
     note(used > limit, "more runs than the team's limit allows");
   }
 
-  private int doneTasks(String id) {
+  private long doneTasks(String id) {
+    return done().stream().filter(task -> task.startsWith(id + "/")).count();
+  }
+
+  /** All tasks that have ever been done. */
+  Set<String> done() {
     Set<String> done = new HashSet<>();
-    for (WorkerStandIn w : everyWorker) {
-      for (String task : w.done()) {
-        if (task.startsWith(id + "/")) {
-          done.add(task);
-        }
-      }
-    }
-    return done.size();
+    everyWorker.forEach(w -> done.addAll(w.done()));
+    return done;
   }
 
   private void note(boolean isWrong, String what) {
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/StarvationCheck.java
@@ -0,0 +1,109 @@
+package dev.dunefront.story;
+
+import dev.dunefront.standin.CloudStandIn;
+import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * No job may wait for 90 s while a machine that fits has room and its team is under its limit. Goes
+ * by what users submitted and workers run, never by what controllers say. Jobs whose tasks depend
+ * on each other's places are left out, for whether a machine fits them is for the rules to say.
+ */
+final class StarvationCheck {
+  static final double LONGEST_S = 90;
+
+  private final Map<String, Doc> specs = new HashMap<>();
+  private final Map<String, Double> since = new HashMap<>();
+  private final Predicate<WorkerStandIn> reachable;
+  private double limit = Double.POSITIVE_INFINITY;
+
+  /** What was found, without repeats. */
+  final List<String> wrong = new ArrayList<>();
+
+  StarvationCheck(Predicate<WorkerStandIn> reachable) {
+    this.reachable = reachable;
+  }
+
+  /** All jobs are of one team, whose tasks may use so much at most. */
+  void limit(double cpusMax) {
+    limit = cpusMax;
+  }
+
+  void submitted(String id, Doc spec) {
+    specs.put(id, spec);
+  }
+
+  /**
+   * Looks at what waits now.
+   *
+   * @param ids accepted jobs that nobody has cancelled
+   */
+  void look(Set<String> ids, Iterable<WorkerStandIn> workers, Set<String> done, double now) {
+    try {
+      Set<String> placed = new HashSet<>(done);
+      Map<WorkerStandIn, Double> free = new HashMap<>();
+      double used = 0;
+      for (WorkerStandIn w : workers) {
+        double cpus = w.type().equals("small") ? CloudStandIn.SMALL_CPUS : CloudStandIn.LARGE_CPUS;
+        for (String task : w.running()) {
+          Doc spec = specs.get(task.substring(0, task.indexOf('/')));
+          double each = spec == null ? 0 : spec.amount("vcpus");
+          placed.add(task);
+          cpus -= each;
+          used += each;
+        }
+        if (reachable.test(w)) {
+          free.put(w, cpus);
+        }
+      }
+      Set<String> starving = new HashSet<>();
+      for (String id : ids) {
+        Doc spec = specs.get(id);
+        if (spec != null && waits(id, spec, placed) && fits(spec, free, used)) {
+          starving.add(id);
+        }
+      }
+      since.keySet().retainAll(starving);
+      for (String id : starving) {
+        String found = id + " has waited for 90 s beside room";
+        if (now - since.computeIfAbsent(id, k -> now) >= LONGEST_S && !wrong.contains(found)) {
+          wrong.add(found);
+        }
+      }
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static boolean waits(String id, Doc spec, Set<String> placed) throws BadMessage {
+    for (int i = 0; i < spec.count("pieces"); i++) {
+      if (!placed.contains(id + "/" + i)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean fits(Doc spec, Map<WorkerStandIn, Double> free, double used) throws BadMessage {
+    double each = spec.amount("vcpus");
+    if (spec.flag("same_place") || spec.flag("apart") || used + each > limit + 1e-9) {
+      return false;
+    }
+    for (var e : free.entrySet()) {
+      String zone = spec.textOr("site", e.getKey().zone());
+      boolean type = !spec.has("flavors") || spec.texts("flavors").contains(e.getKey().type());
+      if (type && zone.equals(e.getKey().zone()) && e.getValue() + 1e-9 >= each) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -71,6 +71,9 @@
   private final Map<String, Double> answeredAt = new HashMap<>();
   final Set<String> silent = new HashSet<>();
 
+  /** Machines that hang: nothing is carried out there until they go on. */
+  final Set<String> hung = new HashSet<>();
+
   /** Whether a call from one address to another is lost on its way there. */
   BiPredicate<String, String> lost = (from, to) -> false;
 
@@ -129,6 +132,11 @@
   /** What users were told, held against what the workers did. */
   final Notebook notebook = new Notebook(workers.values(), everyWorker, accepted, cancelled);
 
+  /** Who waits beside room, once all troubles are over. */
+  final StarvationCheck starvation =
+      new StarvationCheck(
+          w -> !silent.contains(w.host()) && !deaf.contains(w.host()) && !hung.contains(w.host()));
+
   /** Decides what becomes of a call: by whom, of what path, with what body. */
   interface Fates {
     Fate of(String from, String path, String body);
@@ -589,6 +597,10 @@
       return;
     }
     WorkerStandIn worker = workers.get(address);
+    if (worker != null && hung.contains(worker.host())) {
+      whenGoesOn(worker.host(), deliver);
+      return;
+    }
     boolean cutOff = crosses(nodes.get(from).zone, worker == null ? null : zoneOf(worker));
     if (cutOff || heldBack.test(from, address) || path.equals(heldPath)) {
       held.add(deliver);
@@ -599,6 +611,21 @@
     timers.after(HOP_S + (slow ? stateSlowS.getAsDouble() : 0), deliver);
   }
 
+  /** What reaches a machine that hangs waits there, and is carried out first when it goes on. */
+  private void whenGoesOn(String host, Runnable what) {
+    if (hung.contains(host)) {
+      timers.after(0.01, () -> whenGoesOn(host, what));
+    } else {
+      what.run();
+    }
+  }
+
+  /** A machine hangs for a while. */
+  void hang(String host, double forS) {
+    hung.add(host);
+    timers.after(forS, () -> hung.remove(host));
+  }
+
   /** A watch that was open when the state service began to refuse its controller waits on. */
   private void unlessRefused(String from, String path, Runnable answer) {
     if (path.startsWith("/watch") && refusedByState.contains(from)) {
@@ -907,6 +934,10 @@
     byte[] body = w.report();
     reports++;
     notebook.look();
+    if (hung.contains(w.host())) {
+      timers.after(0.2, () -> report(w));
+      return;
+    }
     boolean lostNow = silent.contains(w.host()) || !n.up || lost.test(w.endpoint(), n.name);
     if (lostNow) {
       tryNext(w, n);
@@ -934,7 +965,7 @@
             timers.after(
                 HOP_S,
                 () -> {
-                  if (over[0] || deaf.contains(w.host())) {
+                  if (over[0] || deaf.contains(w.host()) || hung.contains(w.host())) {
                     return;
                   }
                   over[0] = true;
@@ -1024,6 +1055,7 @@
     try {
       if (said != null && (said.status() == 201 || said.status() == 200)) {
         accepted.put(job.text("id"), (int) job.count("pieces"));
+        starvation.submitted(job.text("id"), job);
       }
       noted(job.text("id"), sentAt, said);
     } catch (BadMessage e) {
@@ -1088,6 +1120,7 @@
                 Doc said = reply == null || reply.length == 0 ? Doc.of() : Doc.decode(reply);
                 if (body != null && (status == 200 || status == 201)) {
                   accepted.putIfAbsent(id, (int) body.count("pieces"));
+                  starvation.submitted(id, body);
                 }
                 noted(id, sentAt, new Said(status, said, pause));
               } catch (BadMessage e) {
@@ -1124,6 +1157,7 @@
     double last = since + 2 * BEGIN_S;
     while (timers.now() < last && !(unfinished.isEmpty() && open.isEmpty())) {
       pass(2);
+      lookForStarving();
       Map<String, Integer> started = startedTasks();
       unbegun.removeIf(id -> started.getOrDefault(id, 0) > 0);
       unfinished.removeIf(id -> started.getOrDefault(id, 0) >= accepted.get(id));
@@ -1143,9 +1177,24 @@
     unfinished.forEach(id -> wrong.add(id + " never ran whole"));
     wrong.addAll(overlaps);
     wrong.addAll(notebook.wrong);
+    wrong.addAll(starvation.wrong);
     return wrong;
   }
 
+  /** Tasks run on for as long as a job may wait at the most, and who waits beside room is noted. */
+  void rest() {
+    for (int i = 0; i <= StarvationCheck.LONGEST_S / 2 + 1; i++) {
+      pass(2);
+      lookForStarving();
+    }
+  }
+
+  private void lookForStarving() {
+    Set<String> ids = new HashSet<>(accepted.keySet());
+    ids.removeAll(cancelled);
+    starvation.look(ids, workers.values(), notebook.done(), timers.now());
+  }
+
   private boolean answers(String node, String id) {
     Said said = poll(node, id);
     return said != null && said.status() == 200;
@@ -1177,6 +1226,12 @@
         .put("cards", 0.0)
         .put("ram_gb", 1.0)
         .put("bundle", "img")
-        .put("size_gb", 1.0);
+        .put("size_gb", 1.0)
+        .put("same_place", false)
+        .put("apart", false)
+        .put("loaners", false)
+        .put("expect_s", 60.0)
+        .put("snapshot_every_s", 0.0)
+        .put("snapshot_s", 0.0);
   }
 }
