The word of a cancellation goes out though the answer to its write was lost

Cause: whoever records a cancellation tells all; had the write no answer, nobody did, and a repeated request, which finds it recorded, told nobody either. A holder with the claim, refused by the state service, then ran the job's tasks on through an outage of all. No rule breaks, for cancelled is told on recorded proof.

Change: whoever finds a cancellation recorded tells it, and a write without an answer is told of once it shows. Also: a question that found neither a live nor a final record looks at the replica again before it says 404, for the job may have been accepted since.

Before: theWordOfACancellation... red for the repeated request and for the lost answer alone; after: green.

--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -23,10 +23,13 @@
 import dev.dunefront.wire.Size;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The users' requests. Nothing is said before it is written, and what may still change is proven
@@ -38,6 +41,9 @@
   private static final int AGAIN_S = 1;
   private static final int TRIES = 5;
 
+  /** Far more cancellations than have no answer at any time. */
+  private static final int MOST_UNCLEAR = 1000;
+
   /** How long the proof that a cancelled job's tasks are gone mostly takes at the most. */
   private static final double END_S = 0.5;
 
@@ -57,6 +63,16 @@
   private final Proofs proofs;
   private int reading;
 
+  /** Cancellations that had no answer: if they show in the record, the others are to be told. */
+  private final Set<String> toTell =
+      Collections.newSetFromMap(
+          new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+              return size() > MOST_UNCLEAR;
+            }
+          });
+
   /** Who waits for the end of a cancelled job. */
   private final Map<String, List<Answer>> ends = new HashMap<>();
 
@@ -81,7 +97,7 @@
     this.timers = timers;
     this.ward = ward;
     this.proofs = proofs;
-    jobs.listen((id, before, entry) -> ended(id));
+    jobs.listen((id, before, entry) -> changed(id, entry));
   }
 
   // ---- submit ----
@@ -234,7 +250,15 @@
   private void polled(String id, JobTable.Found found, Answer answer) {
     switch (found.outcome()) {
       case OK -> answer.send(200, status(id, found.status(), found.entry()));
-      case MISSING -> answer.send(404, error("no such job"));
+      case MISSING -> {
+        // It may have been accepted since, while its final record was looked for.
+        JobTable.Found since = jobs.shown(id);
+        if (since == null) {
+          answer.send(404, error("no such job"));
+        } else {
+          answer.send(200, status(id, since.status(), since.entry()));
+        }
+      }
       default -> again(answer);
     }
   }
@@ -277,6 +301,8 @@
             // A job that is done stays done, also while its last chunks are still being removed.
             answer.send(200, status(id, found.status(), found.entry()));
           } else if (found.entry().record().status() == Status.CANCELLED) {
+            // Its writer may never have heard that it was written, and have told nobody.
+            tellCancelled(id);
             awaitEnd(id, answer);
           } else {
             record(found.entry(), answer, tries);
@@ -308,17 +334,40 @@
               jobs.finished(id, Status.CANCELLED, done.revision());
             } else {
               jobs.wrote(id, next, mark, done.revision());
-              peers.broadcast(new Message.Cancelled(id));
+              tellCancelled(id);
             }
             awaitEnd(id, answer);
           } else if (done.outcome() == Outcome.CONFLICT) {
             cancel(id, answer, tries - 1);
           } else {
+            if (done.outcome() == Outcome.UNCLEAR) {
+              // It may have been carried out, now or earlier, or yet be.
+              toTell.add(id);
+              changed(id, jobs.get(id));
+            }
             again(answer);
           }
         });
   }
 
+  /** Whoever the state service refuses hears of it in this way alone. */
+  private void tellCancelled(String id) {
+    toTell.remove(id);
+    peers.broadcast(new Message.Cancelled(id));
+  }
+
+  /** A live record has changed; a cancellation of ours may show that had no answer. */
+  private void changed(String id, JobTable.Entry entry) {
+    if (toTell.contains(id)) {
+      if (entry == null) {
+        toTell.remove(id);
+      } else if (entry.record().status() == Status.CANCELLED) {
+        tellCancelled(id);
+      }
+    }
+    ended(id);
+  }
+
   private void awaitEnd(String id, Answer answer) {
     Status known = jobs.finalStatus(id);
     if (known != null) {
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/LostAnswerTest.java
@@ -0,0 +1,138 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.standin.WorkerStandIn;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * A transaction is carried out at once and its answer is lost: its writer does not know so, while
+ * others read what it wrote and act on it. Users look closely all the while.
+ */
+class LostAnswerTest {
+  /** The transactions of the story below; after these it writes little that is new. */
+  private static final int MOST = 20;
+
+  /** Jobs come, end, are cancelled; a machine and a controller are lost; others come up. */
+  private static World play(World.Fates fates) {
+    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 10.0\n").renting(2, 3);
+    w.notebook.limit(10);
+    w.cloud.capacity(2);
+    w.start().pass(2);
+    for (int i = 0; i < 3; i++) {
+      w.machine("host-" + i, "small", "a", "node-" + i);
+    }
+    w.pass(4);
+    w.fates = fates;
+    Crowd users = new Crowd(w);
+    users.submit(World.job("wk-1", 3, 1), 0);
+    users.submit(World.job("wk-2", 4, 2), 1);
+    w.pass(0.7);
+    users.submit(World.job("wk-3", 2, 1).put("shape", "daemon"), 2);
+    w.pass(0.8);
+    users.cancel("wk-2", 0);
+    w.workers.values().forEach(m -> m.exit("wk-1/0", "done"));
+    w.pass(1.6);
+    w.nodes.get("node-1").crash();
+    users.submit(World.job("wk-4", 3, 2), 0);
+    w.pass(1.1);
+    users.cancel("wk-3", 2);
+    w.nodes.get("node-1").start();
+    w.silent.add("host-2");
+    w.workers.values().forEach(m -> m.exit("wk-1/1", "done"));
+    w.pass(2.4);
+    users.cancel("wk-4", 1);
+    w.pass(6);
+    w.silent.clear();
+    w.finishAll();
+    w.pass(20);
+    return w;
+  }
+
+  private static void check(World w) {
+    w.fates = (from, path, body) -> World.Fate.ON_TIME;
+    for (String id : w.cancelled) {
+      for (String node : w.nodes.keySet()) {
+        assertEquals("cancelled", w.poll(node, id).state(), id + " at " + node);
+      }
+    }
+    assertEquals(List.of(), w.dayEnds());
+  }
+
+  /** Each transaction of the story in turn, and one so much later as well. */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void whicheverAnswersAreLostNoRuleBreaks(
+      @ForAll @IntRange(max = MOST) int first, @ForAll @IntRange(max = 3) int gap) {
+    int[] n = {0};
+    World w =
+        play(
+            (from, path, body) -> {
+              if (!path.equals("/txn")) {
+                return World.Fate.ON_TIME;
+              }
+              int i = n[0]++;
+              return i == first || i == first + gap ? World.Fate.UNANSWERED : World.Fate.ON_TIME;
+            });
+    assertTrue(n[0] > MOST, "the story has only " + n[0] + " transactions");
+    check(w);
+  }
+
+  /** For as long as it takes, every third answer to one of the controllers. */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void manyAnswersToOneControllerAreLost(
+      @ForAll @IntRange(max = 2) int node, @ForAll @IntRange(max = 2) int offset) {
+    int[] n = {0};
+    World w =
+        play(
+            (from, path, body) ->
+                path.equals("/txn") && from.equals("node-" + node) && n[0]++ % 3 == offset
+                    ? World.Fate.UNANSWERED
+                    : World.Fate.ON_TIME);
+    check(w);
+  }
+
+  /**
+   * The answer to a cancellation is lost, and its writer does not know that there is a word to
+   * tell; or it is gone, and the request is repeated elsewhere. The holder, which has the claim as
+   * well, is refused by the state service, and then that is out for all: without the word its tasks
+   * would run on for as long as that lasts. Whoever finds the cancellation recorded tells it.
+   */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void theWordOfACancellationGoesOutThoughItsAnswerIsLost(@ForAll boolean repeated)
+      throws Exception {
+    World w = new World(3);
+    w.start().pass(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.pass(5);
+    String holder = w.holder("host-1");
+    List<String> others = w.nodes.keySet().stream().filter(n -> !n.equals(holder)).toList();
+    assertEquals(201, w.submit(holder, World.job("wk-1", 2, 1)).status());
+    w.pass(2);
+    assertEquals(2, m.running().size());
+    assertTrue(w.state.value("w/j/wk-1").text("claim").startsWith(holder), "it has the claim too");
+    w.refusedByState.add(holder);
+    w.fates =
+        (from, path, body) ->
+            body.contains("CANCELLED") ? World.Fate.UNANSWERED : World.Fate.ON_TIME;
+    assertEquals(503, w.cancel(others.get(0), "wk-1").status());
+    assertEquals("CANCELLED", w.state.value("w/j/wk-1").text("status"));
+    w.fates = (from, path, body) -> World.Fate.ON_TIME;
+    if (repeated) {
+      w.nodes.get(others.get(0)).crash();
+      assertEquals(503, w.cancel(others.get(1), "wk-1").status());
+    }
+    w.state.outage(true);
+    w.pass(6);
+    assertEquals(List.of(), m.running());
+    w.state.outage(false);
+    w.refusedByState.clear();
+    w.pass(5);
+    assertEquals("cancelled", w.poll(others.get(1), "wk-1").state());
+    assertEquals(List.of(), w.dayEnds());
+  }
+}
