A submission that lacks a field is malformed, whichever field it is

Such a job was accepted and ran by our guess.

Change: JobSpec.submitted asks for each at the door. Records are read as before, for an earlier version may have written them.

--- a/src/main/java/dev/dunefront/cli/Rehearsal.java
+++ b/src/main/java/dev/dunefront/cli/Rehearsal.java
@@ -193,9 +193,16 @@
             .put("urgency", "high")
             .put("pieces", 2)
             .put("vcpus", 1.0)
+            .put("cards", 0.0)
             .put("ram_gb", 1.0)
             .put("bundle", "img-1")
             .put("size_gb", 1.0)
+            .put("same_place", false)
+            .put("apart", false)
+            .put("loaners", true)
+            .put("expect_s", 1.0)
+            .put("snapshot_every_s", 0.0)
+            .put("snapshot_s", 0.0)
             .encode();
     caller.call(
         node,
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -105,7 +105,7 @@
   public void submit(byte[] body, Answer answer) {
     JobSpec spec;
     try {
-      spec = JobSpec.read(Doc.decode(body));
+      spec = JobSpec.submitted(Doc.decode(body));
     } catch (BadMessage e) {
       LOG.log(Level.INFO, "a submission is malformed: {0}", e.getMessage());
       answer.send(400, error(e.getMessage()));
--- a/src/main/java/dev/dunefront/wire/JobSpec.java
+++ b/src/main/java/dev/dunefront/wire/JobSpec.java
@@ -28,6 +28,23 @@
   private static final int MAX_TASKS = 100_000;
   private static final int MAX_NAME = 120;
 
+  /**
+   * Reads what a user submits. The protocol lets only {@code flavors}, {@code site} and {@code
+   * due_s} be absent; everything else a user must have said, or the job would run by our guess.
+   */
+  public static JobSpec submitted(Doc d) throws BadMessage {
+    for (String amount :
+        List.of("cards", "size_gb", "expect_s", "snapshot_every_s", "snapshot_s")) {
+      d.amount(amount);
+    }
+    for (String flag : List.of("same_place", "apart", "loaners")) {
+      d.flag(flag);
+    }
+    name(d, "bundle");
+    return read(d);
+  }
+
+  /** Reads a record, which may have been written when less was asked of users. */
   public static JobSpec read(Doc d) throws BadMessage {
     String shape = d.text("shape");
     if (!shape.equals("sweep") && !shape.equals("daemon")) {
