What a job does not use of its limit goes back also where its team has some left

Change: after 30 s what is unused goes back in any case, after 5 s where little is left as before. It costs two changes for a job whose tail is longer than that.

Ruled out: to shrink the grant with each end, which costs two changes each.

--- a/src/main/java/dev/dunefront/claim/Planning.java
+++ b/src/main/java/dev/dunefront/claim/Planning.java
@@ -42,8 +42,10 @@
   /**
    * Takes what a claim has to record. Offers that are not taken go to {@code declined}; ends and
    * offers that the transaction has no place for stay with the claim.
+   *
+   * @param returned whether what the claim does not use of its team's limit goes back with it
    */
-  Flight plan(Claim c, Quotas.Quota quota, Consumer<Held> declined) {
+  Flight plan(Claim c, Quotas.Quota quota, boolean returned, Consumer<Held> declined) {
     int txnOps = desk.settings().stateLimits().txnOps();
     int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
     // Conditions may be four times as many as changes; some are on the job, its chunks, its
@@ -135,7 +137,7 @@
     }
     c.offers.clear();
     c.offers.addAll(kept);
-    return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), ends));
+    return new Flight(next, starts, ends, grant(c, quota, placed + starts.size(), ends, returned));
   }
 
   private static int size(Claim c, Map<Integer, Chunk> next, int index) {
@@ -143,33 +145,37 @@
     return chunk == null ? 0 : chunk.bytes();
   }
 
-  /**
-   * Whether a job has been granted more than it is to have while so little of its team's limit is
-   * left that others may wait for it.
-   */
+  /** Whether a job has been granted more of its team's limit than it is to have. */
   boolean unused(Claim c, Quotas.Quota quota) {
-    return quota != null
-        && quota.room(c.size) < c.record.granted()
-        && grant(c, quota, c.live.size(), List.of()) < c.record.granted();
+    int placed = c.live.size();
+    return quota != null && c.record.granted() > placed + ahead(c, quota, placed, 0);
+  }
+
+  private int ahead(Claim c, Quotas.Quota quota, int placed, long finished) {
+    int unstarted =
+        (int) Math.max(0, c.spec.tasks() - c.done - finished - placed) * (c.open() ? 1 : 0);
+    return Math.min(unstarted, quota.room(c.size) / (AHEAD * desk.settings().controllers()));
   }
 
-  /** How many tasks are to be granted when so many are placed. */
-  private int grant(Claim c, Quotas.Quota quota, int placed, List<Ended> ends) {
+  /**
+   * How many tasks are to be granted when so many are placed.
+   *
+   * @param returned what is not used has to go back, worth a change or not
+   */
+  private int grant(Claim c, Quotas.Quota quota, int placed, List<Ended> ends, boolean returned) {
     if (quota == null) {
       return 0;
     }
     int granted = c.record.granted();
     long finished = ends.stream().filter(e -> e.end() == End.DONE).count();
-    int unstarted =
-        (int) Math.max(0, c.spec.tasks() - c.done - finished - placed) * (c.open() ? 1 : 0);
     int left = quota.room(c.size);
-    int ahead = Math.min(unstarted, left / (AHEAD * desk.settings().controllers()));
+    int ahead = ahead(c, quota, placed, finished);
     if (placed > granted) {
       return placed + Math.min(ahead, left - (placed - granted));
     }
     int idle = granted - placed;
-    boolean tight = left < granted;
-    return idle > ahead && (tight || idle >= Math.max(8, granted / 2)) ? placed + ahead : granted;
+    boolean worth = left < granted || idle >= Math.max(8, granted / 2);
+    return idle > ahead && (worth || returned) ? placed + ahead : granted;
   }
 
   /** Two proofs that rest on different records of one hold cannot share a transaction. */
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -46,9 +46,12 @@
   private static final double NO_PRESSURE_S = 0.05;
 
   /**
-   * What a job has been granted and does not use for so long it gives back, if that is asked for.
+   * What a job has been granted and does not use for so long it gives back; sooner where its team
+   * has less left than that job has been granted.
    */
-  private static final double UNUSED_S = 5;
+  private static final double UNUSED_S = 30;
+
+  private static final double UNUSED_TIGHT_S = 5;
 
   private final Desk desk;
   private final Quotas quotas;
@@ -144,7 +147,7 @@
       quota.waiting.add(() -> flush(c));
       return;
     }
-    Flight f = planning.plan(c, quota, this::decline);
+    Flight f = planning.plan(c, quota, returns, this::decline);
     if (f.starts().isEmpty() && f.ends().isEmpty() && !over && f.granted() == c.record.granted()) {
       return;
     }
@@ -153,8 +156,9 @@
 
   /**
    * Whether the job is to give back what it was granted of its team's limit and has not used for a
-   * while. Its next end would do so, but that may be minutes away, and until then other jobs of the
-   * team would wait beside room, with the team below its limit.
+   * while. Its next end may do so, but that may be minutes away, and until then other jobs of the
+   * team would wait beside room, with the team below its limit; how large their tasks are is not
+   * known here, so little is much to some of them.
    */
   private boolean returns(Claim c, Quotas.Quota quota) {
     if (!planning.unused(c, quota)) {
@@ -163,7 +167,8 @@
     }
     double now = desk.now();
     c.unusedSince = Math.min(c.unusedSince, now);
-    return now - c.unusedSince >= UNUSED_S;
+    boolean tight = quota.room(c.size) < c.record.granted();
+    return now - c.unusedSince >= (tight ? UNUSED_TIGHT_S : UNUSED_S);
   }
 
   private void write(Claim c, Flight f, Quotas.Quota quota) {
