A machine that fell silent before it showed its holder's baton is let go of

A controller that holds a machine by an old report, of before its baton was raised, counts no lease, for it cannot know who renewed it; so the machine was told of for ever as one that is neither settled nor lost. The fleet took it for heard, never returned it, and what was recorded on it, and its part of a team's limit, waited for ever.

Change: such a machine is dropped once it has been silent for a lease; then it counts as silent, and its deletion proves its tasks gone. It is not called lost: that would need a lease that nobody else can have renewed.

Before: NewLeaderTest.aMachineOfWhichOnlyAnOldReportComesIsGivenUp red for both values, now green. In the search a machine that stops is listed as failed after 30 s, as the protocol has it.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -438,6 +438,13 @@
       m.dirty = true;
       LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
     }
+    if (!m.ours && now - m.heard > lease * (1 + DRIFT) + 0.3) {
+      // It never showed a baton of this hold, so its lease proves nothing here; a late copy of a
+      // report may have come of a machine that is gone. Held on to it would be told of for ever as
+      // one that is neither well nor lost, and nobody would have its end proven.
+      dropHold(m, "it fell silent before it had shown its baton");
+      return;
+    }
     if (m.lost && now - m.renewed() > lease * FORGET_LEASES) {
       // All that ran there has been given up for gone. Should its worker come back after all it is
       // in another session, for which no start is on its way that was meant for this one.
--- a/src/main/java/dev/dunefront/standin/CloudStandIn.java
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -72,6 +72,14 @@
     machines.remove(host);
   }
 
+  /** The cloud has noticed that a machine has stopped by itself. */
+  public void fail(String host) {
+    Doc m = machines.get(host);
+    if (m != null) {
+      m.put("status", "failed");
+    }
+  }
+
   public boolean deleted(String host) {
     return deleted.contains(host);
   }
--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -21,6 +21,9 @@
   private static final String STATE = "10.2.0.1:1";
   private static final double LIMIT = 24;
 
+  /** A machine that stops is listed as running for a while. */
+  private static final double FAILED_AFTER_S = 30;
+
   /** The troubles, each for a while; what it lasts for is drawn. */
   enum Trouble {
     LATE_WRITES,
@@ -200,6 +203,7 @@
         // It stops with all that is on it, and nobody says so.
         m.newSession();
         w.silent.add(m.host());
+        w.timers.after(FAILED_AFTER_S, () -> w.cloud.fail(m.host()));
       }
     }
     w.silent.remove(host);
--- a/src/test/java/dev/dunefront/story/NewLeaderTest.java
+++ b/src/test/java/dev/dunefront/story/NewLeaderTest.java
@@ -109,6 +109,42 @@
     assertEquals(List.of(), w.dayEnds());
   }
 
+  /**
+   * A machine with a task hangs for good, and is listed as running, when all controllers end. All
+   * that comes of it is an old report, from before its baton was raised: whoever holds it by that
+   * must not take it for a machine that may yet speak.
+   */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void aMachineOfWhichOnlyAnOldReportComesIsGivenUp(@ForAll boolean cancelled) {
+    World w = world();
+    WorkerStandIn m = w.workers.get("host-1:9");
+    byte[] old = m.report();
+    w.fates =
+        (from, path, body) ->
+            body.contains("verb=run") ? World.Fate.UNANSWERED : World.Fate.ON_TIME;
+    assertEquals(201, w.submit("node-0", World.job("wk-1", 24, 1)).status());
+    w.pass(2);
+    w.fates = (from, path, body) -> World.Fate.ON_TIME;
+    w.pass(4);
+    assertEquals(24, w.running());
+    w.silent.add("host-1");
+    w.nodes.values().forEach(World.Node::crash);
+    if (cancelled) {
+      w.cancelled.add("wk-1");
+      w.user("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 90);
+    }
+    w.pass(1);
+    w.nodes.values().forEach(World.Node::start);
+    w.pass(1);
+    w.nodes.keySet().forEach(n -> w.hello(n, old));
+    w.pass(100);
+    assertTrue(w.cloud.deleted("host-1"), "it is returned, which proves its tasks gone");
+    if (cancelled) {
+      assertEquals("cancelled", w.poll("node-0", "wk-1").state());
+    }
+    assertEquals(List.of(), w.dayEnds());
+  }
+
   /**
    * New machines are up a second after they were asked for, long before they are listed, while the
    * writes lag; the controller that rents ends in this moment.
