--- a/src/test/java/dev/dunefront/story/Crowd.java
+++ b/src/test/java/dev/dunefront/story/Crowd.java
@@ -6,7 +6,7 @@
 /**
  * Users who repeat all that they send at another controller and ask at all of them, one after the
  * other, some milliseconds apart. What they are told is held against the workers' deeds by the
- * world's {@link Notebook}.
+ * world's {@link OperationHistory}.
  */
 final class Crowd {
   private static final double APART_S = 0.02;
@@ -23,7 +23,7 @@
   void submit(Doc job, int node) {
     try {
       String id = job.text("id");
-      world.notebook.submitted(id, job.amount("vcpus"));
+      world.history.submitted(id, job.amount("vcpus"));
       world.user("POST", "/v1/jobs", job, id, node, TRIES);
       world.timers.after(0.4, () -> world.user("POST", "/v1/jobs", job, id, node + 1, TRIES));
       look(id, LOOK_S);
--- a/src/test/java/dev/dunefront/story/LostAnswerTest.java
+++ b/src/test/java/dev/dunefront/story/LostAnswerTest.java
@@ -21,7 +21,7 @@
   /** Jobs come, end, are cancelled; a machine and a controller are lost; others come up. */
   private static World play(World.Fates fates) {
     World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 10.0\n").renting(2, 3);
-    w.notebook.limit(10);
+    w.history.limit(10);
     w.cloud.capacity(2);
     w.start().pass(2);
     for (int i = 0; i < 3; i++) {
--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -263,7 +263,7 @@
     if (dice.nextInt(5) == 0) {
       job.put("shape", "daemon");
     }
-    w.notebook.submitted("wk-" + n, cpus);
+    w.history.submitted("wk-" + n, cpus);
     w.user("POST", "/v1/jobs", job, "wk-" + n, node, 40);
   }
 
@@ -277,7 +277,7 @@
         new World(
             List.of("a", "a", "a", "b", "b"),
             "[[facts.teams]]\nname = \"t\"\ncpus_max = " + LIMIT + "\n");
-    w.notebook.limit(LIMIT);
+    w.history.limit(LIMIT);
     w.starvation.limit(LIMIT);
     w.unconditional = unconditional;
     if (dice.nextBoolean()) {
--- a/src/test/java/dev/dunefront/story/NewLeaderTest.java
+++ b/src/test/java/dev/dunefront/story/NewLeaderTest.java
@@ -18,7 +18,7 @@
 class NewLeaderTest {
   private static World world() {
     World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 24.0\n");
-    w.notebook.limit(24);
+    w.history.limit(24);
     w.starvation.limit(24);
     w.start().pass(2);
     for (int i = 0; i < 6; i++) {
--- a/src/test/java/dev/dunefront/story/Notebook.java
+++ b/src/test/java/dev/dunefront/story/OperationHistory.java
@@ -14,7 +14,7 @@
  * the protocol that are about words: nothing of a cancelled job runs, no job is done early, no
  * answer goes back, what was accepted stays known.
  */
-final class Notebook {
+final class OperationHistory {
   private record Last(String state, double at) {}
 
   private final Collection<WorkerStandIn> workers;
@@ -33,7 +33,7 @@
    * The workers are those that there are, and all that ever were; asked are the jobs whose users
    * wanted them cancelled.
    */
-  Notebook(
+  OperationHistory(
       Collection<WorkerStandIn> workers,
       Collection<WorkerStandIn> everyWorker,
       Map<String, Integer> accepted,
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -138,7 +138,7 @@
   final Set<String> cancelled = new HashSet<>();
 
   /** What users were told, held against what the workers did. */
-  final Notebook notebook = new Notebook(workers.values(), everyWorker, accepted, cancelled);
+  final OperationHistory history = new OperationHistory(workers.values(), everyWorker, accepted, cancelled);
 
   /** Who waits beside room, once all troubles are over. */
   final StarvationCheck starvation =
@@ -258,7 +258,7 @@
   }
 
   private void watchOverlaps() {
-    notebook.look();
+    history.look();
     Set<String> seen = new HashSet<>();
     for (WorkerStandIn w : workers.values()) {
       for (String task : w.running()) {
@@ -942,7 +942,7 @@
     double sent = timers.now();
     byte[] body = w.report();
     reports++;
-    notebook.look();
+    history.look();
     if (hung.contains(w.host())) {
       timers.after(0.2, () -> report(w));
       return;
@@ -1104,7 +1104,7 @@
   }
 
   private Said noted(String id, double sentAt, Said said) {
-    notebook.told(id, said, sentAt, timers.now());
+    history.told(id, said, sentAt, timers.now());
     return said;
   }
 
@@ -1204,7 +1204,7 @@
     }
     unfinished.forEach(id -> wrong.add(id + " never ran whole"));
     wrong.addAll(overlaps);
-    wrong.addAll(notebook.wrong);
+    wrong.addAll(history.wrong);
     wrong.addAll(starvation.wrong);
     return wrong;
   }
@@ -1220,7 +1220,7 @@
   private void lookForStarving() {
     Set<String> ids = new HashSet<>(accepted.keySet());
     ids.removeAll(cancelled);
-    starvation.look(ids, workers.values(), notebook.done(), timers.now());
+    starvation.look(ids, workers.values(), history.done(), timers.now());
   }
 
   private boolean answers(String node, String id) {
