--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -2,9 +2,7 @@
 
 import dev.dunefront.claim.Desk;
 import dev.dunefront.config.Settings;
-import dev.dunefront.config.Tunables;
 import dev.dunefront.evidence.Freshness;
-import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Caller;
@@ -15,7 +13,6 @@
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Standstill;
-import dev.dunefront.store.Store;
 import dev.dunefront.wire.Order;
 import dev.dunefront.wire.Report;
 import dev.dunefront.wire.TaskId;
@@ -48,12 +45,9 @@
   private static final double FORGET_LEASES = 10;
 
   private final Settings settings;
-  private final Tunables tunables;
   private final Membership membership;
   private final Holds holds;
   private final JobTable jobs;
-  private final Catalog catalog;
-  private final Store store;
   private final Peers peers;
   private final Timers timers;
   private final Ward ward;
@@ -71,25 +65,20 @@
   private final Listening listening;
   private final Leaving leaving;
 
+  private final HoldChanges holdChanges;
   private final Neighbours neighbours;
   private final Reception reception;
   private final Standstill standstill;
   private final Dealing dealing;
   private final Inbox inbox;
 
-  /** The stamp of the roster by which machines without a record are held. */
-  private long rosterStamp;
-
   private double strangersAt;
 
   public Books(Desk desk, Caller caller) {
     this.settings = desk.settings();
-    this.tunables = desk.tunables();
     this.membership = desk.membership();
     this.holds = desk.holds();
     this.jobs = desk.jobs();
-    this.catalog = desk.catalog();
-    this.store = desk.store();
     this.peers = desk.peers();
     this.timers = desk.timers();
     this.ward = desk.ward();
@@ -100,6 +89,7 @@
     this.orders = new Orders(desk, caller, this, listening);
     this.starts = new Starts(desk, this, orders, views);
     this.upkeep = new Upkeep(desk);
+    this.holdChanges = new HoldChanges(desk, this);
     this.neighbours = new Neighbours(settings, membership);
     this.leaving = new Leaving(desk, neighbours);
     this.reception = new Reception(desk, neighbours, listening, this);
@@ -223,67 +213,21 @@
     }
   }
 
-  /**
-   * This controller has become another incarnation. Machines that nobody has taken meanwhile are
-   * held on: their records still name this controller.
-   */
+  /** This controller has become another incarnation. */
   public void reborn() {
-    for (Machine m : List.copyOf(held.values())) {
-      Holds.Hold hold = holds.of(m.host, m.zone);
-      if (hold == null || hold.stamp() != m.holdStamp && !m.raising) {
-        dropHold(m, "another controller has taken it");
-      }
-    }
+    holdChanges.reborn();
     reception.reborn();
   }
 
   /** The replica shows a changed hold record. */
   public void holdChanged(String host) {
-    Machine m = held.get(host);
-    Holds.Hold hold = holds.get(host);
-    if (m != null && hold == null && m.holdStamp > 0 && !m.raising) {
-      // Forgotten, as machines are that are gone; nothing more can be recorded under that stamp.
-      dropHold(m, "its record has been removed");
-    } else if (m != null && hold != null && hold.stamp() > m.holdStamp && !m.raising) {
-      if (hold.dead() || !holds.heldBy(settings.node(), hold) || hold.baton() != m.baton) {
-        dropHold(m, hold.dead() ? "deleted" : "another controller has taken it");
-      }
-    }
+    holdChanges.changed(host);
     if (!held.containsKey(host)) {
       // Held under another baton from now on, if ever again.
       fences.remove(host);
     }
   }
 
-  /**
-   * The roster has changed: machines without a record are held by its new baton from now on, or by
-   * another controller. Nothing can be recorded any more under the old one, so what was offered
-   * runs out; what was recorded and is on its way is shown by the worker's next report or, like
-   * after a raised baton, will never be carried out.
-   */
-  private void rosterChanged() {
-    for (Machine m : List.copyOf(held.values())) {
-      if (m.holdStamp > 0 || m.holdStamp == -rosterStamp) {
-        continue;
-      }
-      Holds.Hold hold = holds.of(m.host, m.zone);
-      if (m.raising || !holds.heldBy(settings.node(), hold) || !hold.natural()) {
-        dropHold(m, "by the new roster another controller holds it");
-      } else {
-        m.baton = hold.baton();
-        m.holdStamp = hold.stamp();
-        m.settled = false;
-        m.ours = false;
-        m.doubt = false;
-        m.resumed = false;
-        m.fence.clear();
-        m.offers.clear();
-        m.dirty = true;
-        act(m);
-      }
-    }
-  }
-
   /** A live record has changed; a job that must no longer run is stopped without being asked. */
   public void jobChanged(String id, JobTable.Entry before, JobTable.Entry entry) {
     boolean over = over(entry);
@@ -396,11 +340,7 @@
     if (!standstill.current()) {
       return;
     }
-    long stamp = holds.roster().stamp();
-    if (stamp != rosterStamp) {
-      rosterStamp = stamp;
-      rosterChanged();
-    }
+    holdChanges.tick();
     leaving.tick(now);
     for (Machine m : List.copyOf(held.values())) {
       // What cannot be done for one machine is no reason to leave the others alone.
