An end confirmed by the cloud while its lease's end is being recorded counts

A claim records that a machine's lease is over, on the condition of its hold; meanwhile the cloud confirms the machine's end, which changes the hold. The confirmation was passed over, for the end was believed already; then the record was refused, for the hold had changed; and as the last report had shown the task nobody looked again. The task counted as placed for ever: its job never ended, and its part of the team's limit stayed taken.

Ruled out: the dead record (there, once for all three machines), the repeated write (answered).

Change: an end whose proof no longer holds is looked at again.

Before: LateWordsTest.anEndThatIsConfirmed... red (nothing runs), now green.

--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -399,7 +399,10 @@
           e.conditional() && holdFailed(failed, e.placement().host(), e.holdStamp());
       Live l = c.live.get(e.number());
       if (proofGone && l != null) {
+        // Looked at again, for what has changed the hold may prove it as well: the machine's end,
+        // confirmed while this was believed, is not told of a second time.
         l.ending = false;
+        l.shown = false;
       } else {
         c.ends.add(e);
       }
--- a/src/test/java/dev/dunefront/story/LateWordsTest.java
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.dunefront.book.Holds;
 import dev.dunefront.peer.Message;
 import dev.dunefront.standin.WorkerStandIn;
 import dev.dunefront.wire.BadMessage;
@@ -214,4 +215,39 @@
     assertEquals(next, w.holder("host-1"));
     return w.overlaps;
   }
+
+  /**
+   * A machine's lease is over, and while that is recorded the cloud confirms the machine's end. The
+   * first proof no longer holds then, and the second came while the first was believed: it must not
+   * be passed over for that, or the task would count as placed for ever.
+   */
+  @Test
+  void anEndThatIsConfirmedWhileAnotherProofOfItIsRecordedCounts() {
+    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 2.0\n");
+    w.start().pass(2);
+    WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
+    w.pass(5);
+    assertEquals(201, w.submit("node-1", World.job("wk-1", 1, 2)).status());
+    w.pass(2);
+    assertEquals(1, m.running().size());
+    boolean[] struck = {false};
+    w.fates =
+        (from, path, body) -> {
+          if (struck[0] || !path.equals("/txn") || !body.contains("t/wk-1/0")) {
+            return World.Fate.ON_TIME;
+          }
+          struck[0] = true;
+          Doc dead = Holds.writeDead(w.timers.timeOfDayMs(), "x");
+          w.timers.after(0.05, () -> w.writeState("w/h/host-1", dead));
+          return World.Fate.LOST;
+        };
+    w.silent.add("host-1");
+    w.timers.after(5, () -> w.cloud.take("host-1"));
+    WorkerStandIn next = w.machine("host-2", "small", "a", "node-0");
+    w.pass(2 * World.LEASE_S);
+    assertTrue(struck[0], "the lease is over, and that was about to be recorded");
+    w.pass(10);
+    assertEquals(1, next.running().size());
+    assertEquals(List.of(), w.dayEnds());
+  }
 }
