--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -263,6 +263,13 @@
     if (dice.nextInt(5) == 0) {
       job.put("shape", "daemon");
     }
+    switch (dice.nextInt(10)) {
+      case 0 -> job.put("site", "b");
+      case 1 -> job.put("same_place", true);
+      case 2 -> job.put("apart", true);
+      case 3 -> job.put("flavors", List.of("large"));
+      default -> {}
+    }
     w.history.submitted("wk-" + n, cpus);
     if (dice.nextInt(4) == 0) {
       // Sent twice, and asked after at all controllers all the while.
@@ -291,7 +298,7 @@
     }
     w.start().pass(2);
     for (int i = 0; i < 10; i++) {
-      w.machine("host-" + i, "small", i < 6 ? "a" : "b", "node-" + i % 5);
+      w.machine("host-" + i, i == 3 ? "large" : "small", i < 6 ? "a" : "b", "node-" + i % 5);
     }
     w.pass(4);
     int n = 0;
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -143,6 +143,9 @@
   final OperationHistory history =
       new OperationHistory(workers.values(), everyWorker, accepted, cancelled);
 
+  /** Whether tasks are where their jobs allow them. */
+  final PlacementCheck placement = new PlacementCheck();
+
   /** Who waits beside room, once all troubles are over. */
   final StarvationCheck starvation =
       new StarvationCheck(
@@ -262,6 +265,7 @@
 
   private void watchOverlaps() {
     history.look();
+    placement.look(workers.values());
     Set<String> seen = new HashSet<>();
     for (WorkerStandIn w : workers.values()) {
       for (String task : w.running()) {
@@ -1092,6 +1096,7 @@
       if (said != null && (said.status() == 201 || said.status() == 200)) {
         accepted.put(job.text("id"), (int) job.count("pieces"));
         starvation.submitted(job.text("id"), job);
+        placement.submitted(job.text("id"), job);
       }
       noted(job.text("id"), sentAt, said);
     } catch (BadMessage e) {
@@ -1157,6 +1162,7 @@
                 if (body != null && (status == 200 || status == 201)) {
                   accepted.putIfAbsent(id, (int) body.count("pieces"));
                   starvation.submitted(id, body);
+                  placement.submitted(id, body);
                 }
                 noted(id, sentAt, new Said(status, said, pause));
               } catch (BadMessage e) {
@@ -1214,6 +1220,7 @@
     wrong.addAll(overlaps);
     wrong.addAll(history.wrong);
     wrong.addAll(starvation.wrong);
+    wrong.addAll(placement.wrong);
     return wrong;
   }
 
--- a/src/test/java/dev/dunefront/story/ZonesAndLinksTest.java
+++ b/src/test/java/dev/dunefront/story/ZonesAndLinksTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
+import dev.dunefront.wire.Order;
+import dev.dunefront.wire.TaskId;
+import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -207,4 +211,36 @@
     w.stateSlowS = () -> 0;
     assertEquals(List.of(), w.dayEnds());
   }
+
+  /** A check that finds nothing must be one that could. */
+  @Example
+  void theCheckNoticesWhatIsInAWrongPlace() throws BadMessage {
+    PlacementCheck check = new PlacementCheck();
+    check.submitted("wk-1", World.job("wk-1", 4, 1).put("site", "b"));
+    check.submitted("wk-2", World.job("wk-2", 4, 1).put("same_place", true));
+    check.submitted("wk-3", World.job("wk-3", 4, 1).put("apart", true));
+    check.submitted("wk-4", World.job("wk-4", 4, 1).put("flavors", List.of("large")));
+    WorkerStandIn a = new WorkerStandIn("host-1", "host-1:9", "small", "a");
+    WorkerStandIn b = new WorkerStandIn("host-2", "host-2:9", "small", "b");
+    run(a, "wk-2", 0);
+    run(a, "wk-3", 0, 1);
+    run(b, "wk-3", 2, 3);
+    run(b, "wk-1", 0);
+    check.look(List.of(a, b));
+    assertEquals(List.of(), check.wrong);
+    run(a, "wk-1", 1);
+    run(b, "wk-2", 1);
+    run(a, "wk-3", 2);
+    run(a, "wk-4", 0);
+    check.look(List.of(a, b));
+    assertEquals(4, check.wrong.size(), check.wrong.toString());
+  }
+
+  private static void run(WorkerStandIn m, String job, int... numbers) throws BadMessage {
+    List<Order> orders = new ArrayList<>();
+    for (int n : numbers) {
+      orders.add(new Order.Run(new TaskId(job, n), 1));
+    }
+    assertEquals(200, m.orders(Order.direct(1, 1, orders)).status());
+  }
 }
