--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -113,7 +113,7 @@
   /** When what waits to be recorded is written at the latest. */
   double flushDue = Double.POSITIVE_INFINITY;
 
-  /** Since when it has been granted more than it uses, while its team has little left. */
+  /** Since when it has been granted more of its team's limit than it is to have. */
   double unusedSince = Double.POSITIVE_INFINITY;
 
   /** Counts last told to the other controllers. */
