The search: once the troubles are over the cloud has machines again

In the protocol's cloud a returned machine's place can be rented again; the check itself is as it was.

--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -329,6 +329,9 @@
         finishSome(w, dice);
       }
     }
+    // The only large machine may have been returned for its silence: another is to be had again.
+    w.renting(3, 3);
+    w.cloud.capacity(6);
     return w;
   }
 
