Read again: a claim is taken up by its id, late acceptances found where final records are read

Claims.adopt merged what a caller had written with what the replica shows; every caller has shown it to the replica before, so it goes by that alone. An acceptance is answered in one place, when its record shows, be that by the watch or by its own answer; one that was over before it ever showed here is read, instead of being called queued. That a job was accepted while its final record was looked for is noticed in JobTable.readEnded, for cancellations and repeated submissions as for questions. Cancellations to be told of need no bound: each is forgotten with its live record. Books names the bound of a lease that it used twice.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -368,7 +368,8 @@
       m.dirty = true;
     }
     listening.tick(m, now);
-    if (!m.lost && m.ours && now - m.renewed() > lease * (1 + DRIFT) + 0.3) {
+    double surelyOver = lease * (1 + DRIFT) + 0.3;
+    if (!m.lost && m.ours && now - m.renewed() > surelyOver) {
       // No report of this session has been answered for longer than its lease lasts. A baton
       // raised since, which the worker may never see, changes nothing in that: a machine that
       // ended just after would otherwise never be called lost, and its jobs never end.
@@ -378,7 +379,7 @@
       m.dirty = true;
       LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
     }
-    if (!m.ours && now - m.heard > lease * (1 + DRIFT) + 0.3) {
+    if (!m.ours && now - m.heard > surelyOver) {
       // It never showed a baton of this hold, so its lease proves nothing here; a late copy of a
       // report may have come of a machine that is gone. Held on to it would be told of for ever as
       // one that is neither well nor lost, and nobody would have its end proven.
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -4,7 +4,6 @@
 import dev.dunefront.claim.Claim.End;
 import dev.dunefront.claim.Claim.Held;
 import dev.dunefront.claim.Claim.Live;
-import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.peer.Message;
@@ -108,25 +107,19 @@
   }
 
   /**
-   * Takes charge of a job whose record names this incarnation already. The record as it was written
-   * may be out of date by the time that the answer to its write is here: another controller has
-   * cancelled the job, and the replica has shown that to nobody's claim. Taken as it was written,
-   * the claim would wait for ever for a change that has been, and the cancellation never end.
+   * Takes charge of a job whose record names this incarnation already. It goes by the record as the
+   * replica shows it, not as it was written: another controller may have cancelled the job before
+   * the answer to the write was here. By what was written the claim would wait for ever for a
+   * change that has been, and the cancellation never end.
+   *
+   * @param fresh nothing of it can have been placed yet
    */
-  public void adopt(JobRecord written, long writtenStamp, boolean fresh) {
-    String id = written.spec().id();
-    if (claims.containsKey(id) || desk.membership().self() == null) {
+  public void adopt(String id, boolean fresh) {
+    JobTable.Entry e = desk.jobs().get(id);
+    if (claims.containsKey(id) || e == null || !e.record().heldBy(desk.membership().self())) {
       return;
     }
-    JobTable.Entry shown = desk.jobs().get(id);
-    boolean newer = shown != null && shown.stamp() > writtenStamp;
-    if (newer && !shown.record().heldBy(desk.membership().self())
-        || shown == null && desk.jobs().finalStatus(id) != null) {
-      return;
-    }
-    JobRecord record = newer ? shown.record() : written;
-    long stamp = newer ? shown.stamp() : writtenStamp;
-    Claim c = new Claim(record, stamp, desk.tunables().reach(), desk.now());
+    Claim c = new Claim(e.record(), e.stamp(), desk.tunables().reach(), desk.now());
     c.halted = desk.jobs().over(id);
     claims.put(c.id(), c);
     takeover.adopted(c.id());
--- a/src/main/java/dev/dunefront/claim/Takeover.java
+++ b/src/main/java/dev/dunefront/claim/Takeover.java
@@ -137,7 +137,7 @@
       // claimant, and were it not taken up here it would wait for ever.
       if (now - orphans.computeIfAbsent(e.record().spec().id(), k -> now) > UNADOPTED_S) {
         LOG.log(Level.INFO, "takes up {0}, whose acceptance was unclear", e.record().spec().id());
-        claims.adopt(e.record(), e.stamp(), false);
+        claims.adopt(e.record().spec().id(), false);
       }
     }
     if (!lapsed.isEmpty()) {
@@ -235,7 +235,7 @@
                   (id, record) -> {
                     LOG.log(Level.INFO, "claimed {0} in term {1}", id, record.term());
                     desk.jobs().wrote(id, record, mark, done.revision());
-                    claims.adopt(record, done.revision(), false);
+                    claims.adopt(id, false);
                   });
             });
   }
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -18,9 +18,8 @@
 import dev.dunefront.wire.JobSpec;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,9 +33,6 @@
   private static final System.Logger LOG = System.getLogger(JobApi.class.getName());
   private static final int TRIES = 5;
 
-  /** Far more cancellations than have no answer at any time. */
-  private static final int MOST_UNCLEAR = 1000;
-
   /** How long the proof that a cancelled job's tasks are gone mostly takes at the most. */
   private static final double END_S = 0.5;
 
@@ -54,15 +50,11 @@
   private final Submissions submissions;
   private int reading;
 
-  /** Cancellations that had no answer: if they show in the record, the others are to be told. */
-  private final Set<String> toTell =
-      Collections.newSetFromMap(
-          new LinkedHashMap<>() {
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-              return size() > MOST_UNCLEAR;
-            }
-          });
+  /**
+   * Live jobs whose cancellation had no answer: if it shows in the record, the others are to be
+   * told. Whatever becomes of it, each is forgotten when its live record is gone.
+   */
+  private final Set<String> toTell = new HashSet<>();
 
   /** Who waits for the end of a cancelled job. */
   private final Map<String, List<Answer>> ends = new HashMap<>();
@@ -137,15 +129,7 @@
   private void polled(String id, JobTable.Found found, Answer answer) {
     switch (found.outcome()) {
       case OK -> answer.send(200, Answers.status(claims, id, found.status(), found.entry()));
-      case MISSING -> {
-        // It may have been accepted since, while its final record was looked for.
-        JobTable.Found since = jobs.shown(id);
-        if (since == null) {
-          answer.send(404, Answers.error("no such job"));
-        } else {
-          answer.send(200, Answers.status(claims, id, since.status(), since.entry()));
-        }
-      }
+      case MISSING -> answer.send(404, Answers.error("no such job"));
       default -> Answers.again(answer);
     }
   }
--- a/src/main/java/dev/dunefront/job/JobTable.java
+++ b/src/main/java/dev/dunefront/job/JobTable.java
@@ -212,14 +212,16 @@
     return e == null ? null : new Found(Outcome.OK, e, saidOf(e.record));
   }
 
-  /** Reads the final state of a job that is known not to be live. */
+  /** Reads the final state of a job that was not live a moment ago; it may be by now. */
   void readEnded(String id, Urgency urgency, Consumer<Found> then) {
     store.get(
         JobRecord.finalKey(id),
         urgency,
         got -> {
           if (got.outcome() != Outcome.OK) {
-            then.accept(new Found(got.outcome(), null, null));
+            // It may have been accepted since, while its final record was looked for.
+            Found since = got.outcome() == Outcome.MISSING ? shown(id) : null;
+            then.accept(since != null ? since : new Found(got.outcome(), null, null));
             return;
           }
           try {
--- a/src/main/java/dev/dunefront/job/Submissions.java
+++ b/src/main/java/dev/dunefront/job/Submissions.java
@@ -95,7 +95,6 @@
             .put(JobRecord.key(spec.id()), record.write(mark)),
         Urgency.USER,
         done -> {
-          accepting.remove(spec.id(), under);
           if (done.ok()) {
             LOG.log(
                 Level.INFO,
@@ -105,16 +104,13 @@
                 spec.jobClass(),
                 spec.team());
             jobs.wrote(spec.id(), record, mark, done.revision());
-            if (claim != null && claim.equals(membership.self())) {
-              claims.adopt(record, done.revision(), true);
-            }
           }
+          accepting.remove(spec.id(), under);
           if (under.answered) {
             return;
           }
-          if (done.ok()) {
-            answer.send(201, Answers.status(claims, spec.id(), Status.OPEN, null));
-          } else if (done.outcome() == Outcome.CONFLICT) {
+          if (done.ok() || done.outcome() == Outcome.CONFLICT) {
+            // Known, though not by this write, or over before it was ever shown here.
             repeated(spec, null, answer);
           } else {
             Answers.again(answer);
@@ -145,7 +141,7 @@
     under.answered = true;
     JobRecord record = entry.record();
     if (record.heldBy(membership.self()) && record.term() == 1) {
-      claims.adopt(record, entry.stamp(), true);
+      claims.adopt(id, true);
     }
     under.answer.send(201, Answers.status(claims, id, jobs.shown(id).status(), entry));
   }
