Read again: one registry of submissions, one limit, one way to strike a transaction in the stories

Three checkers were each told of submissions, two of them when these were accepted; they share what users sent, from the sending on, so a task of a job whose acceptance is unclear is checked as well. World.limited sets a team's limit in the settings and in the checks that were given it by hand. World.strikeOnce replaces three copies, and CloseLooksTest uses World.of.

--- a/src/test/java/dev/dunefront/story/ChangingHandsTest.java
+++ b/src/test/java/dev/dunefront/story/ChangingHandsTest.java
@@ -6,6 +6,7 @@
 import dev.dunefront.standin.WorkerStandIn;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import net.jqwik.api.Example;
@@ -76,33 +77,29 @@
    */
   @Example
   void aJobCancelledWhileAnEndOfItIsUnclearEnds() {
-    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 3.0\n");
+    World w = World.limited(3, 3);
     w.start().pass(3);
     WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
     w.pass(4);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 1, 3)).status());
     w.pass(3);
     assertEquals(1, m.running().size());
-    boolean[] lost = {false};
-    w.fates =
-        (from, path, body) -> {
-          if (lost[0] || !path.equals("/txn") || !jobsIn(body).contains("wk-1")) {
-            return World.Fate.ON_TIME;
-          }
-          lost[0] = true;
-          w.timers.after(
-              0.3,
-              () -> {
-                w.cancelled.add("wk-1");
-                w.user("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 8);
-              });
-          return World.Fate.UNANSWERED;
-        };
+    BooleanSupplier lost =
+        w.strikeOnce(
+            "put=w/j/wk-1",
+            World.Fate.UNANSWERED,
+            from ->
+                w.timers.after(
+                    0.3,
+                    () -> {
+                      w.cancelled.add("wk-1");
+                      w.user("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 8);
+                    }));
     // Nothing can be placed again: the machine is gone.
     m.newSession();
     w.silent.add("host-1");
     w.pass(3 * World.LEASE_S);
-    assertTrue(lost[0], "the end was recorded");
+    assertTrue(lost.getAsBoolean(), "the end was recorded");
     for (String node : w.nodes.keySet()) {
       assertEquals("cancelled", w.poll(node, "wk-1").state());
     }
--- a/src/test/java/dev/dunefront/story/CloseLooksTest.java
+++ b/src/test/java/dev/dunefront/story/CloseLooksTest.java
@@ -67,16 +67,6 @@
     }
   }
 
-  private static World world() {
-    World w = new World(3);
-    w.start().pass(2);
-    for (int i = 0; i < 4; i++) {
-      w.machine("host-" + i, "small", "a", "node-" + i % 3);
-    }
-    w.pass(4);
-    return w;
-  }
-
   private static void calm(World w) {
     w.fates = (from, path, body) -> World.Fate.ON_TIME;
     w.stateSlowS = () -> 0;
@@ -96,7 +86,7 @@
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void cancelledRightAfterTheAcceptance(
       @ForAll Trouble trouble, @ForAll @IntRange(max = 5) int when) {
-    World w = world();
+    World w = World.of(4);
     Crowd users = new Crowd(w);
     strike(w, trouble);
     users.submit(World.job("wk-1", 2, 1), 0);
@@ -121,7 +111,7 @@
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void cancelledAsItsLastTaskEnds(
       @ForAll Trouble trouble, @ForAll @IntRange(min = -4, max = 4) int when) {
-    World w = world();
+    World w = World.of(4);
     Crowd users = new Crowd(w);
     users.submit(World.job("wk-1", 2, 1), 0);
     w.pass(1.5);
@@ -155,7 +145,7 @@
   /** Done, as all nodes see it, with nobody who cancels. */
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void askedAsItEnds(@ForAll Trouble trouble) {
-    World w = world();
+    World w = World.of(4);
     Crowd users = new Crowd(w);
     users.submit(World.job("wk-1", 2, 1), 0);
     w.pass(1.5);
--- a/src/test/java/dev/dunefront/story/Crowd.java
+++ b/src/test/java/dev/dunefront/story/Crowd.java
@@ -23,7 +23,6 @@
   void submit(Doc job, int node) {
     try {
       String id = job.text("id");
-      world.history.submitted(id, job.amount("vcpus"));
       world.user("POST", "/v1/jobs", job, id, node, TRIES);
       world.timers.after(0.4, () -> world.user("POST", "/v1/jobs", job, id, node + 1, TRIES));
       look(id, LOOK_S);
--- a/src/test/java/dev/dunefront/story/LateWordsTest.java
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -10,6 +10,7 @@
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
 /** Words that come when what they rest on no longer holds, and facts that others overwrite. */
@@ -223,29 +224,26 @@
    */
   @Test
   void anEndThatIsConfirmedWhileAnotherProofOfItIsRecordedCounts() {
-    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 2.0\n");
+    World w = World.limited(3, 2);
     w.start().pass(2);
     WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
     w.pass(5);
     assertEquals(201, w.submit("node-1", World.job("wk-1", 1, 2)).status());
     w.pass(2);
     assertEquals(1, m.running().size());
-    boolean[] struck = {false};
-    w.fates =
-        (from, path, body) -> {
-          if (struck[0] || !path.equals("/txn") || !body.contains("t/wk-1/0")) {
-            return World.Fate.ON_TIME;
-          }
-          struck[0] = true;
-          Doc dead = Holds.writeDead(w.timers.timeOfDayMs(), "x");
-          w.timers.after(0.05, () -> w.writeState("w/h/host-1", dead));
-          return World.Fate.LOST;
-        };
+    BooleanSupplier struck =
+        w.strikeOnce(
+            "t/wk-1/0",
+            World.Fate.LOST,
+            from -> {
+              Doc dead = Holds.writeDead(w.timers.timeOfDayMs(), "x");
+              w.timers.after(0.05, () -> w.writeState("w/h/host-1", dead));
+            });
     w.silent.add("host-1");
     w.timers.after(5, () -> w.cloud.take("host-1"));
     WorkerStandIn next = w.machine("host-2", "small", "a", "node-0");
     w.pass(2 * World.LEASE_S);
-    assertTrue(struck[0], "the lease is over, and that was about to be recorded");
+    assertTrue(struck.getAsBoolean(), "the lease is over, and that was about to be recorded");
     w.pass(10);
     assertEquals(1, next.running().size());
     assertEquals(List.of(), w.dayEnds());
--- a/src/test/java/dev/dunefront/story/LostAnswerTest.java
+++ b/src/test/java/dev/dunefront/story/LostAnswerTest.java
@@ -6,6 +6,7 @@
 import dev.dunefront.standin.WorkerStandIn;
 import dev.dunefront.wire.Doc;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
@@ -21,8 +22,7 @@
 
   /** Jobs come, end, are cancelled; a machine and a controller are lost; others come up. */
   private static World play(World.Fates fates) {
-    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 10.0\n").renting(2, 3);
-    w.history.limit(10);
+    World w = World.limited(3, 10).renting(2, 3);
     w.cloud.capacity(2);
     w.start().pass(2);
     for (int i = 0; i < 3; i++) {
@@ -184,21 +184,22 @@
     WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
     w.pass(6);
     String former = w.holder("host-1");
-    boolean[] struck = {false};
+    BooleanSupplier struck =
+        w.strikeOnce(
+            "put=w/h/host-1",
+            World.Fate.ANSWERED_LATE,
+            from -> {
+              String next =
+                  w.nodes.keySet().stream().filter(n -> !n.equals(from)).findFirst().get();
+              Doc hold = Doc.of().put("holder", w.incarnation("w/n/" + next)).put("baton", 50);
+              w.timers.after(0.2, () -> w.writeState("w/h/host-1", hold));
+            });
+    World.Fates holdWrites = w.fates;
     w.fates =
-        (from, path, body) -> {
-          if (write == HoldWrite.RAISED && body.contains("verb=run") && !struck[0]) {
-            return World.Fate.UNANSWERED;
-          }
-          if (struck[0] || !path.equals("/txn") || !body.contains("put=w/h/host-1")) {
-            return World.Fate.ON_TIME;
-          }
-          struck[0] = true;
-          String next = w.nodes.keySet().stream().filter(n -> !n.equals(from)).findFirst().get();
-          Doc hold = Doc.of().put("holder", w.incarnation("w/n/" + next)).put("baton", 50);
-          w.timers.after(0.2, () -> w.writeState("w/h/host-1", hold));
-          return World.Fate.ANSWERED_LATE;
-        };
+        (from, path, body) ->
+            write == HoldWrite.RAISED && body.contains("verb=run") && !struck.getAsBoolean()
+                ? World.Fate.UNANSWERED
+                : holdWrites.of(from, path, body);
     if (write == HoldWrite.TAKEN) {
       // Its holder is gone, and another takes it.
       w.nodes.get(former).crash();
@@ -207,7 +208,7 @@
     String user = w.nodes.keySet().stream().filter(n -> !n.equals(former)).findFirst().get();
     assertEquals(201, w.submit(user, World.job("wk-1", 2, 1)).status());
     w.pass(4 * World.LEASE_S);
-    assertTrue(struck[0], "its hold was written");
+    assertTrue(struck.getAsBoolean(), "its hold was written");
     assertTrue(m.baton() >= 50, "it has the baton of its holder, and not " + m.baton());
     assertEquals(2, m.running().size());
     assertEquals(List.of(), w.dayEnds());
--- a/src/test/java/dev/dunefront/story/MeetingsTest.java
+++ b/src/test/java/dev/dunefront/story/MeetingsTest.java
@@ -273,7 +273,6 @@
       case 3 -> job.put("flavors", List.of("large"));
       default -> {}
     }
-    w.history.submitted("wk-" + n, cpus);
     if (dice.nextInt(4) == 0) {
       // Sent twice, and asked after at all controllers all the while.
       new Crowd(w).submit(job, node);
@@ -288,12 +287,7 @@
 
   private static World play(List<Trouble> troubles, int seed, Predicate<String> unconditional) {
     Random dice = new Random(seed);
-    World w =
-        new World(
-            List.of("a", "a", "a", "b", "b"),
-            "[[facts.teams]]\nname = \"t\"\ncpus_max = " + LIMIT + "\n");
-    w.history.limit(LIMIT);
-    w.starvation.limit(LIMIT);
+    World w = World.limited(List.of("a", "a", "a", "b", "b"), LIMIT);
     w.unconditional = unconditional;
     if (dice.nextBoolean()) {
       w.renting(dice.nextBoolean() ? 3 : 1, 3);
--- a/src/test/java/dev/dunefront/story/NewLeaderTest.java
+++ b/src/test/java/dev/dunefront/story/NewLeaderTest.java
@@ -17,9 +17,7 @@
  */
 class NewLeaderTest {
   private static World world() {
-    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = 24.0\n");
-    w.history.limit(24);
-    w.starvation.limit(24);
+    World w = World.limited(3, 24);
     w.start().pass(2);
     for (int i = 0; i < 6; i++) {
       w.machine("host-" + i, "small", "a", "node-" + i % 3);
--- a/src/test/java/dev/dunefront/story/OperationHistory.java
+++ b/src/test/java/dev/dunefront/story/OperationHistory.java
@@ -1,6 +1,8 @@
 package dev.dunefront.story;
 
 import dev.dunefront.standin.WorkerStandIn;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -23,7 +25,7 @@
   private final Set<String> asked;
   private final Map<String, Last> ended = new HashMap<>();
   private final Map<String, Double> known = new HashMap<>();
-  private final Map<String, Double> cpus = new HashMap<>();
+  private final Map<String, Doc> specs;
   private double limit = Double.POSITIVE_INFINITY;
 
   /** What was found, without repeats. */
@@ -31,17 +33,19 @@
 
   /**
    * The workers are those that there are, and all that ever were; asked are the jobs whose users
-   * wanted them cancelled.
+   * wanted them cancelled; specs are what users have submitted, by job.
    */
   OperationHistory(
       Collection<WorkerStandIn> workers,
       Collection<WorkerStandIn> everyWorker,
       Map<String, Integer> accepted,
-      Set<String> asked) {
+      Set<String> asked,
+      Map<String, Doc> specs) {
     this.workers = workers;
     this.everyWorker = everyWorker;
     this.accepted = accepted;
     this.asked = asked;
+    this.specs = specs;
   }
 
   /** All jobs are of one team, whose tasks may use so much at most. */
@@ -49,11 +53,6 @@
     limit = cpusMax;
   }
 
-  /** A job is submitted, whose tasks take so much each. */
-  void submitted(String id, double cpusEach) {
-    cpus.put(id, cpusEach);
-  }
-
   /**
    * A user's question, submission or cancellation has been answered. What was told after it had
    * been sent does not count against the answer.
@@ -93,7 +92,7 @@
     for (WorkerStandIn w : workers) {
       for (String task : w.running()) {
         String job = task.substring(0, task.indexOf('/'));
-        used += cpus.getOrDefault(job, 0.0);
+        used += cpusEach(job);
         Last last = ended.get(job);
         note(last != null, task + " runs on " + w.host() + " though its user was told it is over");
       }
@@ -101,6 +100,14 @@
     note(used > limit, "more runs than the team's limit allows");
   }
 
+  private double cpusEach(String job) {
+    try {
+      return specs.containsKey(job) ? specs.get(job).amount("vcpus") : 0;
+    } catch (BadMessage e) {
+      throw new AssertionError(e);
+    }
+  }
+
   private long doneTasks(String id) {
     return done().stream().filter(task -> task.startsWith(id + "/")).count();
   }
--- a/src/test/java/dev/dunefront/story/PlacementCheck.java
+++ b/src/test/java/dev/dunefront/story/PlacementCheck.java
@@ -14,13 +14,14 @@
  * workers run, those that nobody can reach included.
  */
 final class PlacementCheck {
-  private final Map<String, Doc> specs = new HashMap<>();
+  private final Map<String, Doc> specs;
 
   /** What was found, without repeats. */
   final List<String> wrong = new ArrayList<>();
 
-  void submitted(String id, Doc spec) {
-    specs.put(id, spec);
+  /** The specs are what users have submitted, by job, as they are at any time. */
+  PlacementCheck(Map<String, Doc> specs) {
+    this.specs = specs;
   }
 
   void look(Iterable<WorkerStandIn> workers) {
--- a/src/test/java/dev/dunefront/story/StarvationCheck.java
+++ b/src/test/java/dev/dunefront/story/StarvationCheck.java
@@ -20,7 +20,7 @@
 final class StarvationCheck {
   static final double LONGEST_S = 90;
 
-  private final Map<String, Doc> specs = new HashMap<>();
+  private final Map<String, Doc> specs;
   private final Map<String, Double> since = new HashMap<>();
   private final Predicate<WorkerStandIn> reachable;
   private double limit = Double.POSITIVE_INFINITY;
@@ -28,7 +28,9 @@
   /** What was found, without repeats. */
   final List<String> wrong = new ArrayList<>();
 
-  StarvationCheck(Predicate<WorkerStandIn> reachable) {
+  /** The specs are what users have submitted, by job, as they are at any time. */
+  StarvationCheck(Map<String, Doc> specs, Predicate<WorkerStandIn> reachable) {
+    this.specs = specs;
     this.reachable = reachable;
   }
 
@@ -37,10 +39,6 @@
     limit = cpusMax;
   }
 
-  void submitted(String id, Doc spec) {
-    specs.put(id, spec);
-  }
-
   /**
    * Looks at what waits now.
    *
--- a/src/test/java/dev/dunefront/story/TeamLimitTest.java
+++ b/src/test/java/dev/dunefront/story/TeamLimitTest.java
@@ -16,9 +16,7 @@
 /** Teams at their limits: nothing above it ever runs, and nothing below it stays unused. */
 class TeamLimitTest {
   private static World world(int limit, int machines) {
-    World w = new World(3, "[[facts.teams]]\nname = \"t\"\ncpus_max = " + limit + ".0\n");
-    w.history.limit(limit);
-    w.starvation.limit(limit);
+    World w = World.limited(3, limit);
     w.start().pass(2);
     for (int i = 0; i < machines; i++) {
       w.machine("host-" + i, "small", "a", "node-" + i % 3);
@@ -34,7 +32,6 @@
   @Example
   void whatAJobCannotUseOfTheLimitItGivesBack() {
     World w = world(32, 8);
-    w.history.submitted("wk-1", 1);
     assertEquals(201, w.submit("node-0", World.job("wk-1", 12, 1)).status());
     w.pass(3);
     assertEquals(12, w.running("wk-1"));
@@ -44,7 +41,6 @@
         .forEach(
             m -> m.running().stream().filter(t -> ended[0]++ < 5).forEach(t -> m.exit(t, "done")));
     w.pass(5);
-    w.history.submitted("wk-2", 1);
     assertEquals(201, w.submit("node-1", World.job("wk-2", 30, 1)).status());
     w.pass(10);
     assertEquals(7, w.running("wk-1"));
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -30,6 +30,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiPredicate;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntConsumer;
@@ -139,16 +140,20 @@
   /** The jobs whose users have asked to cancel them. */
   final Set<String> cancelled = new HashSet<>();
 
+  /** What users have asked for, by job: the first submission of each counts. */
+  private final Map<String, Doc> specs = new HashMap<>();
+
   /** What users were told, held against what the workers did. */
   final OperationHistory history =
-      new OperationHistory(workers.values(), everyWorker, accepted, cancelled);
+      new OperationHistory(workers.values(), everyWorker, accepted, cancelled, specs);
 
   /** Whether tasks are where their jobs allow them. */
-  final PlacementCheck placement = new PlacementCheck();
+  final PlacementCheck placement = new PlacementCheck(specs);
 
   /** Who waits beside room, once all troubles are over. */
   final StarvationCheck starvation =
       new StarvationCheck(
+          specs,
           w -> !silent.contains(w.host()) && !deaf.contains(w.host()) && !hung.contains(w.host()));
 
   /** Decides what becomes of a call: by whom, of what path, with what body. */
@@ -158,6 +163,24 @@
 
   Fates fates = (from, path, body) -> Fate.ON_TIME;
 
+  /**
+   * The first transaction that writes such a thing meets a fate, and who made it is told at once.
+   * Says whether there has been one.
+   */
+  BooleanSupplier strikeOnce(String written, Fate fate, Consumer<String> meanwhile) {
+    boolean[] struck = {false};
+    fates =
+        (from, path, body) -> {
+          if (struck[0] || !path.equals("/txn") || !body.contains(written)) {
+            return Fate.ON_TIME;
+          }
+          struck[0] = true;
+          meanwhile.accept(from);
+          return fate;
+        };
+    return () -> struck[0];
+  }
+
   /** How late what is late arrives. */
   double lateS = 20;
 
@@ -208,6 +231,18 @@
     this(controllers, ONE_TEAM);
   }
 
+  /** All jobs are of one team, whose tasks may use so much at most; that is checked throughout. */
+  static World limited(List<String> zones, double cpusMax) {
+    World w = new World(zones, ONE_TEAM + "cpus_max = " + cpusMax + "\n");
+    w.history.limit(cpusMax);
+    w.starvation.limit(cpusMax);
+    return w;
+  }
+
+  static World limited(int controllers, double cpusMax) {
+    return limited(Collections.nCopies(controllers, "a"), cpusMax);
+  }
+
   /** Another controller is set up; those that are started from now on know of it. */
   Node add(String zone) {
     String name = "node-" + zones.size();
@@ -1091,18 +1126,16 @@
 
   Said submit(String node, Doc job) {
     double sentAt = timers.now();
-    Said said = ask(node, "POST", "/v1/jobs", job.encode());
     try {
+      specs.putIfAbsent(job.text("id"), job);
+      Said said = ask(node, "POST", "/v1/jobs", job.encode());
       if (said != null && (said.status() == 201 || said.status() == 200)) {
         accepted.put(job.text("id"), (int) job.count("pieces"));
-        starvation.submitted(job.text("id"), job);
-        placement.submitted(job.text("id"), job);
       }
-      noted(job.text("id"), sentAt, said);
+      return noted(job.text("id"), sentAt, said);
     } catch (BadMessage e) {
       throw new AssertionError(e);
     }
-    return said;
   }
 
   Said poll(String node, String id) {
@@ -1130,6 +1163,9 @@
     if (tries == 0) {
       return;
     }
+    if (body != null) {
+      specs.putIfAbsent(id, body);
+    }
     Runnable again =
         () -> timers.after(1.5, () -> user(method, path, body, id, node + 1, tries - 1));
     if (up.isEmpty()) {
@@ -1161,8 +1197,6 @@
                 Doc said = reply == null || reply.length == 0 ? Doc.of() : Doc.decode(reply);
                 if (body != null && (status == 200 || status == 201)) {
                   accepted.putIfAbsent(id, (int) body.count("pieces"));
-                  starvation.submitted(id, body);
-                  placement.submitted(id, body);
                 }
                 noted(id, sentAt, new Said(status, said, pause));
               } catch (BadMessage e) {
--- a/src/test/java/dev/dunefront/story/ZonesAndLinksTest.java
+++ b/src/test/java/dev/dunefront/story/ZonesAndLinksTest.java
@@ -9,7 +9,9 @@
 import dev.dunefront.wire.Order;
 import dev.dunefront.wire.TaskId;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
@@ -215,11 +217,12 @@
   /** A check that finds nothing must be one that could. */
   @Example
   void theCheckNoticesWhatIsInAWrongPlace() throws BadMessage {
-    PlacementCheck check = new PlacementCheck();
-    check.submitted("wk-1", World.job("wk-1", 4, 1).put("site", "b"));
-    check.submitted("wk-2", World.job("wk-2", 4, 1).put("same_place", true));
-    check.submitted("wk-3", World.job("wk-3", 4, 1).put("apart", true));
-    check.submitted("wk-4", World.job("wk-4", 4, 1).put("flavors", List.of("large")));
+    Map<String, Doc> specs = new HashMap<>();
+    PlacementCheck check = new PlacementCheck(specs);
+    specs.put("wk-1", World.job("wk-1", 4, 1).put("site", "b"));
+    specs.put("wk-2", World.job("wk-2", 4, 1).put("same_place", true));
+    specs.put("wk-3", World.job("wk-3", 4, 1).put("apart", true));
+    specs.put("wk-4", World.job("wk-4", 4, 1).put("flavors", List.of("large")));
     WorkerStandIn a = new WorkerStandIn("host-1", "host-1:9", "small", "a");
     WorkerStandIn b = new WorkerStandIn("host-2", "host-2:9", "small", "b");
     run(a, "wk-2", 0);
