A load command: real controllers in processes of their own, hollow workers that share one

Cause: nothing measured what a controller costs for each worker, start, job, team and controller. Change: dev.dunefront.load in the test sources (main programs, no tests); counters of what goes out to other controllers; the state stand-in looks at new changes alone, the cloud stand-in lists in pages and takes its zones. No behaviour of controllers changes. Not measured yet.

--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -153,6 +153,8 @@
     meters.gauge("dunefront.cancellations.oldest.seconds", jobs.cancellations()::oldestS);
     meters.gauge("dunefront.state.down", () -> store.down() ? 1 : 0);
     meters.gauge("dunefront.decisions.failed", loops::failures);
+    meters.gauge("dunefront.peer.sent.records", () -> (int) peers.sent().records());
+    meters.gauge("dunefront.peer.sent.kilobytes", () -> (int) (peers.sent().bytes() / 1024));
     for (Duty d : Duty.values()) {
       String name = "dunefront.duty." + d.label();
       meters.gauge(name + ".held", () -> duties.held(d));
--- a/src/main/java/dev/dunefront/peer/Peers.java
+++ b/src/main/java/dev/dunefront/peer/Peers.java
@@ -19,4 +19,14 @@
 
   /** To every controller, this one included. */
   void broadcast(Message message);
+
+  /** What has gone out to other controllers since the start. */
+  default Traffic sent() {
+    return Traffic.NONE;
+  }
+
+  /** Records and their bytes, lengths included, as handed to the sockets. */
+  record Traffic(long records, long bytes) {
+    static final Traffic NONE = new Traffic(0, 0);
+  }
 }
--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -35,6 +35,9 @@
   private final Map<String, Out> out = new HashMap<>();
   private final Map<String, In> in = new HashMap<>();
 
+  /** What has been queued for other controllers; written on the I/O thread alone. */
+  private volatile Traffic sent = Traffic.NONE;
+
   public XnioPeers(
       Settings settings, XnioWorker worker, Timers timers, Ward ward, Listener listener) {
     this.settings = settings;
@@ -85,6 +88,11 @@
     ward.then(() -> out.values().forEach(o -> o.send(record)));
   }
 
+  @Override
+  public Traffic sent() {
+    return sent;
+  }
+
   /** Bytes waiting to go out on one connection. */
   private static final class Queue {
     private final ArrayDeque<ByteBuffer> buffers = new ArrayDeque<>();
@@ -242,6 +250,7 @@
         return;
       }
       queue.add(record);
+      sent = new Traffic(sent.records() + 1, sent.bytes() + Integer.BYTES + record.length);
       if (queue.bytes > MAX_QUEUED) {
         close(connection, "too much is queued");
         return;
--- a/src/main/java/dev/dunefront/standin/CloudStandIn.java
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -19,6 +19,10 @@
   /** CPUs of the large type. */
   public static final double LARGE_CPUS = 16;
 
+  /** Machines in one page of the list at the most. */
+  private static final int LONGEST_PAGE = 500;
+
+  private final List<String> zones;
   private final TreeMap<String, Doc> machines = new TreeMap<>();
   private final Map<String, List<String>> hires = new HashMap<>();
   private final Set<String> deleted = new HashSet<>();
@@ -27,6 +31,16 @@
   private int capacity;
   private int rented;
 
+  /** A cloud with two zones, {@code a} and {@code b}. */
+  public CloudStandIn() {
+    this(List.of("a", "b"));
+  }
+
+  /** A cloud with these zones, each of which has both types. */
+  public CloudStandIn(List<String> zones) {
+    this.zones = List.copyOf(zones);
+  }
+
   /** How many machines may be rented from now on. */
   public void capacity(int machinesLeft) {
     capacity = machinesLeft;
@@ -99,14 +113,7 @@
                     List.of(type("small", SMALL_CPUS, 1), type("large", LARGE_CPUS, 4.4))));
       }
       if (path.startsWith("/machines?")) {
-        List<Doc> listed = new ArrayList<>();
-        machines.forEach(
-            (host, m) -> {
-              if (!hidden.contains(host)) {
-                listed.add(m);
-              }
-            });
-        return ok(Doc.of().put("hosts", listed).put("more", false));
+        return ok(list(path));
       }
       if (path.equals("/machines")) {
         return hire(Doc.decode(body));
@@ -124,6 +131,30 @@
     }
   }
 
+  private Doc list(String path) {
+    String from = "";
+    int page = LONGEST_PAGE;
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      if (part.startsWith("from=")) {
+        from = part.substring("from=".length());
+      } else if (part.startsWith("page=")) {
+        page = Math.min(page, Integer.parseInt(part.substring("page=".length())));
+      }
+    }
+    List<Doc> listed = new ArrayList<>();
+    boolean more = false;
+    for (var e : machines.tailMap(from, false).entrySet()) {
+      if (listed.size() == page) {
+        more = true;
+        break;
+      }
+      if (!hidden.contains(e.getKey())) {
+        listed.add(e.getValue());
+      }
+    }
+    return Doc.of().put("hosts", listed).put("more", more);
+  }
+
   private Reply hire(Doc d) throws BadMessage {
     String name = d.text("hire");
     if (!hires.containsKey(name)) {
@@ -157,7 +188,7 @@
         .put("held_s", 1.0);
   }
 
-  private static Doc type(String name, double cpus, double price) {
+  private Doc type(String name, double cpus, double price) {
     return Doc.of()
         .put("label", name)
         .put("vcpus", cpus)
@@ -168,7 +199,7 @@
         .put("rate", price)
         .put("spot_price", price / 3)
         .put("boot_s", 5.0)
-        .put("sites", List.of("a", "b"));
+        .put("sites", zones);
   }
 
   private static Reply ok(Doc doc) {
--- a/src/main/java/dev/dunefront/standin/StateStandIn.java
+++ b/src/main/java/dev/dunefront/standin/StateStandIn.java
@@ -208,8 +208,8 @@
 
   private void watch(String prefix, long from, double until, Consumer<Reply> then) {
     Map<String, Change> last = new LinkedHashMap<>();
-    for (Change c : changes) {
-      if (c.revision > from && c.key.startsWith(prefix)) {
+    for (Change c : changes.subList(firstAfter(from), changes.size())) {
+      if (c.key.startsWith(prefix)) {
         last.put(c.key, c);
       }
     }
@@ -234,6 +234,15 @@
     timers.after(Math.max(0.05, until - timers.now()), again);
   }
 
+  /** The place of the first change after a revision; changes are kept in their order. */
+  private int firstAfter(long from) {
+    int first = changes.size();
+    while (first > 0 && changes.get(first - 1).revision > from) {
+      first--;
+    }
+    return first;
+  }
+
   private void expire() {
     if (out) {
       return;
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/ControllerProcess.java
@@ -0,0 +1,182 @@
+package dev.dunefront.load;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A real controller, started as {@code deploy/service.toml} says, and what its process uses. */
+final class ControllerProcess {
+  /** Clock ticks of {@code /proc} in a second, as Linux has it on every common machine. */
+  private static final double TICKS_PER_S = 100;
+
+  private static final long END_S = 5;
+  private static final Duration LOOK = Duration.ofSeconds(5);
+  private static final HttpClient HTTP = HttpClient.newHttpClient();
+
+  /** Processor seconds, bytes through all system calls that read or write, records to peers. */
+  record Use(double cpuS, long bytes, long peerRecords, long peerKilobytes) {
+    Use plus(Use o) {
+      return new Use(
+          cpuS + o.cpuS,
+          bytes + o.bytes,
+          peerRecords + o.peerRecords,
+          peerKilobytes + o.peerKilobytes);
+    }
+
+    Use minus(Use o) {
+      return new Use(
+          cpuS - o.cpuS,
+          bytes - o.bytes,
+          peerRecords - o.peerRecords,
+          peerKilobytes - o.peerKilobytes);
+    }
+  }
+
+  private final Path directory;
+  private final Path settings;
+  private final String address;
+  private final int number;
+  private Process process;
+
+  ControllerProcess(Path directory, int number, String settingsText, String address)
+      throws IOException {
+    this.directory = directory;
+    this.number = number;
+    this.address = address;
+    settings = directory.resolve(LoadSettings.controller(number) + ".toml");
+    Files.writeString(settings, settingsText);
+  }
+
+  void start() throws IOException {
+    List<String> command = new ArrayList<>(runCommand());
+    command.add(settings.toString());
+    ProcessBuilder builder = new ProcessBuilder(command);
+    Path log = directory.resolve(LoadSettings.controller(number) + ".log");
+    builder.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+    builder.environment().putIfAbsent("LOG_LEVEL", "error");
+    process = builder.start();
+  }
+
+  /** The {@code run} line of the deploy file, as words. */
+  private static List<String> runCommand() throws IOException {
+    for (String line : Files.readAllLines(Path.of("deploy", "service.toml"))) {
+      if (line.startsWith("run = ")) {
+        return List.of(line.substring("run = ".length()).replace("\"", "").split(" "));
+      }
+    }
+    throw new IOException("deploy/service.toml has no run line");
+  }
+
+  boolean alive() {
+    return process != null && process.isAlive();
+  }
+
+  /** Ends the process without a signal that it could hear. */
+  void kill() {
+    if (process != null) {
+      process.destroyForcibly();
+      try {
+        process.waitFor(END_S, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  boolean up() {
+    try {
+      return get("/up").statusCode() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private HttpResponse<String> get(String path) throws IOException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(LOOK).build();
+    try {
+      return HTTP.send(request, HttpResponse.BodyHandlers.ofString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException(e);
+    }
+  }
+
+  Use use() throws IOException {
+    String stat = Files.readString(proc("stat"));
+    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    double cpuS = (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S;
+    long bytes = 0;
+    for (String line : Files.readAllLines(proc("io"))) {
+      if (line.startsWith("rchar:") || line.startsWith("wchar:")) {
+        bytes += Long.parseLong(line.substring(line.indexOf(' ') + 1));
+      }
+    }
+    String metrics = get("/metrics").body();
+    return new Use(
+        cpuS,
+        bytes,
+        metric(metrics, "dunefront_peer_sent_records"),
+        metric(metrics, "dunefront_peer_sent_kilobytes"));
+  }
+
+  private static long metric(String text, String name) {
+    for (String line : text.split("\n")) {
+      if (line.startsWith(name + " ")) {
+        return Math.round(Double.parseDouble(line.substring(name.length() + 1)));
+      }
+    }
+    return 0;
+  }
+
+  /** Resident memory in megabytes. */
+  double residentMb() throws IOException {
+    for (String line : Files.readAllLines(proc("status"))) {
+      if (line.startsWith("VmRSS:")) {
+        return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024.0;
+      }
+    }
+    return 0;
+  }
+
+  /** Heap in megabytes after a full collection. */
+  double heapMb() throws IOException {
+    jcmd("GC.run");
+    double kilobytes = 0;
+    for (String line : jcmd("GC.heap_info").split("\n")) {
+      int used = line.indexOf("used ");
+      if (used > 0 && line.contains("total") && !line.contains("Metaspace")) {
+        kilobytes += Long.parseLong(line.substring(used + 5, line.indexOf('K', used)));
+      }
+    }
+    return kilobytes / 1024;
+  }
+
+  private String jcmd(String order) throws IOException {
+    Process p =
+        new ProcessBuilder("jcmd", Long.toString(process.pid()), order)
+            .redirectErrorStream(true)
+            .start();
+    return new String(p.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+  }
+
+  /** Open files and sockets. */
+  int descriptors() throws IOException {
+    try (var all = Files.list(proc("fd"))) {
+      return (int) all.count();
+    }
+  }
+
+  private Path proc(String file) {
+    return Path.of("/proc", Long.toString(process.pid()), file);
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/JobSource.java
@@ -0,0 +1,166 @@
+package dev.dunefront.load;
+
+import dev.dunefront.net.Caller;
+import dev.dunefront.net.Caller.Reply;
+import dev.dunefront.net.Timers;
+import dev.dunefront.wire.BadMessage;
+import dev.dunefront.wire.Doc;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+
+/** The users: submit jobs at a steady rate and ask about each until it is done. */
+final class JobSource {
+  /** CPUs and gigabytes of each task. */
+  static final double TASK_CPUS = 0.5;
+
+  private static final double SUBMIT_S = 5;
+  private static final double POLL_S = 2;
+  private static final double POLL_PAUSE_S = 5;
+  private static final double RETRY_S = 1;
+  private static final int IMAGES = 20;
+
+  private final LoadOptions options;
+  private final List<String> controllers;
+  private final Caller caller;
+  private final Timers timers;
+  private final RuleChecker rules;
+  private final StartLog log;
+  private final Random random;
+  private boolean stopped;
+  private int submitted;
+  private int accepted;
+  private int open;
+  private int refused;
+
+  JobSource(
+      LoadOptions options,
+      List<String> controllers,
+      Caller caller,
+      Timers timers,
+      RuleChecker rules,
+      StartLog log) {
+    this.options = options;
+    this.controllers = controllers;
+    this.caller = caller;
+    this.timers = timers;
+    this.rules = rules;
+    this.log = log;
+    this.random = new Random(options.seed());
+  }
+
+  /** Submits until it is stopped. */
+  void start() {
+    double pauseS = options.tasksPerJob() / options.startsPerS();
+    next(timers.now(), pauseS);
+  }
+
+  private void next(double due, double pauseS) {
+    if (stopped) {
+      return;
+    }
+    submit();
+    double nextDue = due + pauseS;
+    timers.after(Math.max(0, nextDue - timers.now()), () -> next(nextDue, pauseS));
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  /** Jobs that were accepted and are not known to be done. */
+  int open() {
+    return open;
+  }
+
+  int accepted() {
+    return accepted;
+  }
+
+  /** Answers to submissions that asked for a retry. */
+  int refused() {
+    return refused;
+  }
+
+  private void submit() {
+    String id = String.format(Locale.ROOT, "wk-%06d", ++submitted);
+    boolean urgent = random.nextDouble() < options.urgentShare();
+    String team = LoadSettings.team(random.nextInt(options.teams()));
+    RuleChecker.Job job =
+        new RuleChecker.Job(id, team, options.tasksPerJob(), urgent, timers.now());
+    rules.submitted(job);
+    byte[] body =
+        Doc.of()
+            .put("id", id)
+            .put("batchclass", urgent ? LoadSettings.URGENT_CLASS : "bulk")
+            .put("owner", team)
+            .put("shape", "sweep")
+            .put("urgency", urgent ? "high" : "normal")
+            .put("pieces", options.tasksPerJob())
+            .put("vcpus", TASK_CPUS)
+            .put("cards", 0.0)
+            .put("ram_gb", TASK_CPUS)
+            .put("bundle", "img-" + random.nextInt(IMAGES))
+            .put("size_gb", 1.0)
+            .put("same_place", false)
+            .put("apart", false)
+            .put("loaners", true)
+            .put("expect_s", options.runS())
+            .put("snapshot_every_s", 0.0)
+            .put("snapshot_s", 0.0)
+            .encode();
+    post(job, body, submitted);
+  }
+
+  private void post(RuleChecker.Job job, byte[] body, int attempt) {
+    String controller = controllers.get(attempt % controllers.size());
+    caller.call(
+        controller,
+        "POST",
+        "/v1/jobs",
+        body,
+        SUBMIT_S,
+        reply -> {
+          if (reply.status() == 201 || reply.ok()) {
+            log.accepted(timers.now() - job.submittedAt());
+            accepted++;
+            open++;
+            timers.after(POLL_PAUSE_S, () -> poll(job.id(), attempt));
+          } else {
+            refused++;
+            timers.after(
+                Math.max(RETRY_S, reply.retryAfterS()), () -> post(job, body, attempt + 1));
+          }
+        });
+  }
+
+  private void poll(String id, int attempt) {
+    String controller = controllers.get(attempt % controllers.size());
+    caller.call(
+        controller,
+        "GET",
+        "/v1/jobs/" + id,
+        null,
+        POLL_S,
+        reply -> {
+          if (reply.status() == 404) {
+            rules.toldUnknown(id);
+          }
+          if (done(reply)) {
+            open--;
+            rules.toldDone(id);
+          } else {
+            int next = reply.status() == 0 ? attempt + 1 : attempt;
+            timers.after(POLL_PAUSE_S, () -> poll(id, next));
+          }
+        });
+  }
+
+  private static boolean done(Reply reply) {
+    try {
+      return reply.ok() && Doc.decode(reply.body()).text("status").equals("done");
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/LoadOptions.java
@@ -0,0 +1,115 @@
+package dev.dunefront.load;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+
+/**
+ * What a load run plays. Durations are in seconds, rates per second.
+ *
+ * @param controllers controller processes
+ * @param workers hollow workers that report from the start
+ * @param zones zones over which workers are spread evenly
+ * @param regions regions over which zones are spread; zone {@code k} is in region {@code k %
+ *     regions}
+ * @param teams teams, each with a limit
+ * @param limitTasks tasks that a team may run at once
+ * @param startsPerS tasks submitted in a second
+ * @param tasksPerJob tasks of each job
+ * @param runS mean run time of a task
+ * @param urgentShare part of the jobs that are urgent
+ * @param warmS played before anything is counted
+ * @param measureS counted
+ * @param troubles whether machines fail, a zone is lost and a region is cut off meanwhile
+ * @param seed seed of all random choices
+ */
+record LoadOptions(
+    int controllers,
+    int workers,
+    int zones,
+    int regions,
+    int teams,
+    int limitTasks,
+    double startsPerS,
+    int tasksPerJob,
+    double runS,
+    double urgentShare,
+    double warmS,
+    double measureS,
+    boolean troubles,
+    long seed) {
+
+  /** The size of the users' letter, without troubles. */
+  static final LoadOptions LETTER =
+      new LoadOptions(14, 1800, 23, 7, 730, 4000, 950, 240, 14, 0.25, 30, 30, false, 1);
+
+  /** Reads {@code name=value} arguments over the letter's values. */
+  static LoadOptions parse(List<String> arguments) {
+    LoadOptions options = LETTER;
+    for (String argument : arguments) {
+      int at = argument.indexOf('=');
+      if (at < 0) {
+        throw new IllegalArgumentException("not name=value: " + argument);
+      }
+      options = options.with(argument.substring(0, at), argument.substring(at + 1));
+    }
+    return options;
+  }
+
+  private LoadOptions with(String name, String value) {
+    boolean known =
+        List.of(
+                "controllers",
+                "workers",
+                "zones",
+                "regions",
+                "teams",
+                "limitTasks",
+                "startsPerS",
+                "tasksPerJob",
+                "runS",
+                "urgentShare",
+                "warmS",
+                "measureS",
+                "troubles",
+                "seed")
+            .contains(name);
+    if (!known) {
+      throw new IllegalArgumentException("no such option: " + name);
+    }
+    return new LoadOptions(
+        name.equals("controllers") ? Integer.parseInt(value) : controllers,
+        name.equals("workers") ? Integer.parseInt(value) : workers,
+        name.equals("zones") ? Integer.parseInt(value) : zones,
+        name.equals("regions") ? Integer.parseInt(value) : regions,
+        name.equals("teams") ? Integer.parseInt(value) : teams,
+        name.equals("limitTasks") ? Integer.parseInt(value) : limitTasks,
+        name.equals("startsPerS") ? Double.parseDouble(value) : startsPerS,
+        name.equals("tasksPerJob") ? Integer.parseInt(value) : tasksPerJob,
+        name.equals("runS") ? Double.parseDouble(value) : runS,
+        name.equals("urgentShare") ? Double.parseDouble(value) : urgentShare,
+        name.equals("warmS") ? Double.parseDouble(value) : warmS,
+        name.equals("measureS") ? Double.parseDouble(value) : measureS,
+        name.equals("troubles") ? Boolean.parseBoolean(value) : troubles,
+        name.equals("seed") ? Long.parseLong(value) : seed);
+  }
+
+  /** The names of the zones. */
+  List<String> zoneNames() {
+    return IntStream.range(0, zones).mapToObj(LoadOptions::zone).toList();
+  }
+
+  /** The zone of a controller; where there are fewer controllers than zones some have none. */
+  String zoneOfController(int controller) {
+    return zone(controller % zones);
+  }
+
+  /** The region of a controller. */
+  int regionOfController(int controller) {
+    return controller % zones % regions;
+  }
+
+  private static String zone(int number) {
+    return String.format(Locale.ROOT, "zone-%02d", number);
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/LoadRun.java
@@ -0,0 +1,247 @@
+package dev.dunefront.load;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.dunefront.net.NoManagement;
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.UndertowCaller;
+import dev.dunefront.net.XnioTimers;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * One load run: starts stand-ins, controllers and hollow workers, plays jobs, measures, ends all
+ * that it has started. Arguments are {@code name=value} of {@link LoadOptions}; {@code out=FILE}
+ * appends the result as a line of JSON.
+ */
+public final class LoadRun {
+  private static final double UP_S = 60;
+  private static final long PAUSE_MS = 200;
+
+  private final LoadOptions options;
+  private final LoadSettings.Addresses addresses;
+  private final Outside outside;
+  private final HollowFleet fleet;
+  private final RuleChecker rules;
+  private final StartLog log = new StartLog();
+  private final JobSource source;
+  private final XnioWorker users;
+  private final XnioWorker services;
+  private final List<ControllerProcess> controllers = new ArrayList<>();
+
+  private LoadRun(LoadOptions options, Path directory) throws IOException {
+    this.options = options;
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killControllers));
+    int count = options.controllers();
+    List<String> ports = freeAddresses(2 * count + 3);
+    addresses =
+        new LoadSettings.Addresses(
+            ports.get(2 * count),
+            ports.get(2 * count + 1),
+            ports.subList(0, count),
+            ports.subList(count, 2 * count));
+    services = worker("services");
+    users = worker("users");
+    outside =
+        new Outside(services, at(addresses.state()), at(addresses.cloud()), options.zoneNames());
+    rules = new RuleChecker(options.limitTasks());
+    Map<String, Integer> byName = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      byName.put(LoadSettings.controller(i), i);
+      String settings =
+          LoadSettings.of(options, addresses, addresses.peers(), addresses.state(), i);
+      controllers.add(new ControllerProcess(directory, i, settings, addresses.users().get(i)));
+    }
+    fleet =
+        new HollowFleet(
+            new HollowWorker.Common(addresses.users(), byName, rules, log, options.runS()),
+            at(ports.get(2 * count + 2)).getPort());
+    Timers timers = new XnioTimers(users.getIoThread());
+    UndertowCaller caller =
+        new UndertowCaller(
+            users.getIoThread(), new DefaultByteBufferPool(false, 8192, 64, 4), timers);
+    source = new JobSource(options, addresses.users(), caller, timers, rules, log);
+  }
+
+  private static XnioWorker worker(String name) throws IOException {
+    return Xnio.getInstance()
+        .createWorker(
+            OptionMap.builder()
+                .set(Options.WORKER_NAME, name)
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+  }
+
+  private static InetSocketAddress at(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        InetAddress.getLoopbackAddress(), Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  private static List<String> freeAddresses(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    List<String> addresses = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      sockets.add(socket);
+      addresses.add("127.0.0.1:" + socket.getLocalPort());
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return addresses;
+  }
+
+  public static void main(String[] arguments) throws Exception {
+    List<String> settings = new ArrayList<>();
+    Path out = null;
+    for (String argument : arguments) {
+      if (argument.startsWith("out=")) {
+        out = Path.of(argument.substring("out=".length()));
+      } else {
+        settings.add(argument);
+      }
+    }
+    Measurement result = play(LoadOptions.parse(settings));
+    String line = new ObjectMapper().writeValueAsString(result);
+    System.out.println(line);
+    if (out != null) {
+      Files.writeString(out, line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    }
+    System.exit(result.broken().isEmpty() ? 0 : 1);
+  }
+
+  /** Plays one run in a directory of its own under {@code target}. */
+  static Measurement play(LoadOptions options) throws IOException, InterruptedException {
+    NoManagement.install();
+    Path directory = Files.createDirectories(Path.of("target", "load"));
+    LoadRun run = new LoadRun(options, Files.createTempDirectory(directory, "run"));
+    try {
+      return run.play();
+    } finally {
+      run.close();
+    }
+  }
+
+  private Measurement play() throws IOException, InterruptedException {
+    for (int i = 0; i < options.workers(); i++) {
+      String zone = options.zoneNames().get(i % options.zones());
+      outside.add(fleet.add(zone).host(), zone);
+    }
+    for (ControllerProcess controller : controllers) {
+      controller.start();
+    }
+    awaitUp();
+    users.getIoThread().execute(source::start);
+    Thread.sleep(Math.round(options.warmS() * 1000));
+    log.count(true);
+    Sample before = sample();
+    Thread.sleep(Math.round(options.measureS() * 1000));
+    Sample after = sample();
+    log.count(false);
+    return measured(before, after);
+  }
+
+  private void awaitUp() throws InterruptedException, IOException {
+    long until = System.nanoTime() + Math.round(UP_S * 1e9);
+    for (ControllerProcess controller : controllers) {
+      while (!controller.up()) {
+        if (System.nanoTime() > until) {
+          throw new IOException("controllers are not up after " + UP_S + " s");
+        }
+        Thread.sleep(PAUSE_MS);
+      }
+    }
+  }
+
+  /** Everything that is counted, at one time. */
+  private record Sample(
+      double at,
+      ControllerProcess.Use controllers,
+      Outside.StateUse state,
+      FleetUse fleet,
+      double hollowCpuS) {}
+
+  private Sample sample() throws IOException, InterruptedException {
+    ControllerProcess.Use sum = new ControllerProcess.Use(0, 0, 0, 0);
+    for (ControllerProcess controller : controllers) {
+      sum = sum.plus(controller.use());
+    }
+    return new Sample(
+        System.nanoTime() / 1e9, sum, outside.use(), fleet.use(), ThreadUse.cpuS("hollow"));
+  }
+
+  private Measurement measured(Sample before, Sample after)
+      throws IOException, InterruptedException {
+    double spanS = after.at - before.at;
+    ControllerProcess.Use use = after.controllers.minus(before.controllers);
+    Outside.StateUse state = after.state.minus(before.state);
+    FleetUse said = after.fleet.minus(before.fleet);
+    double resident = 0;
+    double heap = 0;
+    int descriptors = 0;
+    int running = rules.running();
+    for (ControllerProcess controller : controllers) {
+      resident = Math.max(resident, controller.residentMb());
+      descriptors = Math.max(descriptors, controller.descriptors());
+    }
+    heap = controllers.get(0).heapMb();
+    int workers = options.workers();
+    return new Measurement(
+        options,
+        spanS,
+        log.starts(),
+        running,
+        rules.mostRunning(),
+        use.cpuS(),
+        use.bytes(),
+        use.peerRecords(),
+        use.peerKilobytes(),
+        resident,
+        heap,
+        descriptors,
+        state.requests(),
+        state.changes(),
+        state.conflicts(),
+        state.bytesIn(),
+        state.bytesOut(),
+        outside.values(),
+        said.reports,
+        said.orders,
+        (said.bytesIn + said.bytesOut) / spanS / workers,
+        (after.hollowCpuS - before.hollowCpuS) / spanS / workers,
+        log.urgentS(50),
+        log.urgentS(90),
+        log.urgentS(99),
+        log.othersS(90),
+        log.submissionMs(95),
+        source.refused(),
+        rules.broken());
+  }
+
+  private void killControllers() {
+    controllers.forEach(ControllerProcess::kill);
+  }
+
+  private void close() throws InterruptedException {
+    source.stop();
+    killControllers();
+    fleet.close();
+    users.shutdownNow();
+    services.shutdownNow();
+  }
+}
