Controllers hear of room while they look for it, not of every change of every machine

Cause: each change of each machine went to every controller: with 14 controllers a start cost some 25 peer records and 3 KB, most of them to controllers that had no use for them. Change: levels of interest (peer.Detail, Interest), declared by the receiver, repeated, lapsing by themselves; whoever has not declared lately is told everything. What proofs rest on and a controller's own tasks are told at once as before. Records to several controllers are encoded once.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -270,12 +270,17 @@
   // ---- messages ----
 
   public void received(String from, Message message) {
-    inbox.received(from, message);
+    if (message instanceof Message.Interest i) {
+      views.interested(from, i.detail());
+    } else {
+      inbox.received(from, message);
+    }
   }
 
   /** A controller's link is gone, and with it all that it wanted. */
   public void gone(String node) {
     neighbours.gone(node);
+    views.gone(node);
     for (Machine m : held.values()) {
       m.book.drop(node);
       if (m.offers.values().removeIf(o -> o.node().equals(node))) {
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -123,10 +123,8 @@
   /** It is about to be told to the others. */
   boolean telling;
 
-  /** What every controller was last told, without tasks, and what each was told of tasks. */
-  View told;
-
-  final Map<String, List<TaskState>> toldTasks = new HashMap<>();
+  /** What each controller was last told of it. */
+  final Map<String, View> toldTo = new HashMap<>();
 
   Machine(Report r, long baton, long holdStamp, double now) {
     this.host = r.host();
--- a/src/main/java/dev/dunefront/book/Views.java
+++ b/src/main/java/dev/dunefront/book/Views.java
@@ -5,6 +5,7 @@
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Timers;
 import dev.dunefront.net.Ward;
+import dev.dunefront.peer.Detail;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
@@ -17,7 +18,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** Tells the controllers of held machines: what room there is, and what has become of tasks. */
+/**
+ * Tells the controllers of held machines, each as much as it wants to hear: what proofs rest on and
+ * what has become of their tasks at once, room to those that look for it, everything to who rents.
+ */
 final class Views {
   /** Changes of machines gather this long before the other controllers hear of them. */
   private static final double TELL_S = 0.04;
@@ -39,6 +43,8 @@
   private final Map<String, Machine> held;
   private final List<Machine> toTell = new ArrayList<>();
 
+  private final Interests interests = new Interests();
+
   /** All controllers, this one included. */
   private final List<String> nodes = new ArrayList<>();
 
@@ -62,12 +68,23 @@
   /** A controller can be reached again: it hears of every held machine. */
   void reached(String node) {
     for (Machine m : held.values()) {
-      List<Message.TaskState> tasks = tasksFor(m).getOrDefault(node, List.of());
-      m.toldTasks.put(node, tasks);
-      peers.send(node, view(m).withTasks(tasks));
+      m.toldTo.remove(node);
+      tell(m, List.of(node));
+    }
+  }
+
+  /** A controller says how much it wants to hear; what it has missed it is told at once. */
+  void interested(String node, Detail detail) {
+    if (interests.declared(node, detail, timers.now())) {
+      held.values().forEach(m -> tell(m, List.of(node)));
     }
   }
 
+  /** A controller's link is gone, and with it what it has said. */
+  void gone(String node) {
+    interests.gone(node);
+  }
+
   private Message.View view(Machine m) {
     return new Message.View(
         m.host,
@@ -139,21 +156,37 @@
     toTell.clear();
     for (Machine m : all) {
       m.telling = false;
-      if (held.get(m.host) != m) {
-        continue;
+      if (held.get(m.host) == m) {
+        tell(m, nodes);
       }
-      Message.View view = view(m);
-      boolean changed = !view.saysTheSame(m.told);
-      m.told = view;
-      Map<String, List<Message.TaskState>> tasks = tasksFor(m);
-      for (String node : nodes) {
-        List<Message.TaskState> its = tasks.getOrDefault(node, List.of());
-        // What runs concerns the claimants only; what room there is concerns everybody.
-        if (changed || !its.equals(m.toldTasks.getOrDefault(node, List.of()))) {
-          m.toldTasks.put(node, its);
-          peers.send(node, view.withTasks(its));
+    }
+  }
+
+  /** Tells each controller of a machine if something has changed that it wants to hear. */
+  private void tell(Machine m, List<String> receivers) {
+    Message.View bare = view(m);
+    Map<String, List<Message.TaskState>> tasks = tasksFor(m);
+    List<String> withoutTasks = new ArrayList<>();
+    for (String node : receivers) {
+      List<Message.TaskState> its = tasks.getOrDefault(node, List.of());
+      if (isNews(m, node, bare, its)) {
+        Message.View told = its.isEmpty() ? bare : bare.withTasks(its);
+        m.toldTo.put(node, told);
+        if (its.isEmpty()) {
+          withoutTasks.add(node);
+        } else {
+          peers.send(node, told);
         }
       }
     }
+    peers.send(withoutTasks, bare);
+  }
+
+  private boolean isNews(
+      Machine m, String node, Message.View now, List<Message.TaskState> itsTasks) {
+    Message.View before = m.toldTo.get(node);
+    return before == null
+        || !itsTasks.equals(before.tasks())
+        || interests.of(node, timers.now()).differs(now, before);
   }
 }
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -34,6 +34,7 @@
   private final Desk desk;
   private final Quotas quotas;
   private final Room room = new Room();
+  private final RoomInterest interest;
   private final Turnover turnover;
   private final IdleRoom idle;
   private final Parking parking;
@@ -58,7 +59,9 @@
     quotas = new Quotas(desk.settings(), desk.replica(), this::reviewSoon);
     turnover = new Turnover(desk, room, this);
     idle = new IdleRoom(desk, room);
-    parking = new Parking(desk, room, idle, quotas, urgencies, zones, turnover);
+    interest =
+        new RoomInterest(desk.peers(), desk.timers(), () -> desk.ward().run(this::reviewSoon));
+    parking = new Parking(desk, room, interest, idle, quotas, urgencies, zones, turnover);
     recorder = new Recorder(desk, quotas, zones, parking, room, this);
     settling = new Settling(desk, room, urgencies, recorder, turnover);
     takeover = new Takeover(desk, this);
@@ -70,6 +73,11 @@
     return room;
   }
 
+  /** What this controller asks the others to tell of their machines. */
+  public RoomInterest interest() {
+    return interest;
+  }
+
   public Urgencies urgencies() {
     return urgencies;
   }
@@ -317,6 +325,7 @@
 
   /** A controller can be reached again: all wants are parked anew with it. */
   public void reached(String node) {
+    interest.reached(node);
     for (Room.Seen s : room.all()) {
       if (s.holder().equals(node)) {
         unpark(s.view().host());
@@ -393,6 +402,7 @@
               });
     }
     reviewAll();
+    interest.tick();
   }
 
   /** Names what the fleet has not served in time, once. */
--- a/src/main/java/dev/dunefront/claim/GivingWay.java
+++ b/src/main/java/dev/dunefront/claim/GivingWay.java
@@ -1,6 +1,7 @@
 package dev.dunefront.claim;
 
 import dev.dunefront.claim.Choosing.Choice;
+import dev.dunefront.peer.Detail;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Message.View;
 import dev.dunefront.wire.Priority;
@@ -24,12 +25,15 @@
   private static final double YOUNG_S = 15;
 
   private final Desk desk;
+  private final RoomInterest interest;
   private final Urgencies urgencies;
   private final Choosing choosing;
   private final Turnover turnover;
 
-  GivingWay(Desk desk, Urgencies urgencies, Choosing choosing, Turnover turnover) {
+  GivingWay(
+      Desk desk, RoomInterest interest, Urgencies urgencies, Choosing choosing, Turnover turnover) {
     this.desk = desk;
+    this.interest = interest;
     this.urgencies = urgencies;
     this.choosing = choosing;
     this.turnover = turnover;
@@ -79,6 +83,14 @@
               leftS);
     }
     need -= c.preempted;
+    if (need > 0 && priority.urgent()) {
+      // Which tasks are young is told to those alone who have to know.
+      double settledAt = interest.need(Detail.LOAD);
+      if (now < settledAt) {
+        c.lookAgain = Math.min(c.lookAgain, settledAt);
+        return;
+      }
+    }
     Queue<Choice> best = new PriorityQueue<>(need > 0 ? choices : List.of());
     for (Choice ch = best.poll(); ch != null; ch = best.poll()) {
       if (need <= 0) {
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/Parking.java
@@ -1,6 +1,7 @@
 package dev.dunefront.claim;
 
 import dev.dunefront.claim.Choosing.Choice;
+import dev.dunefront.peer.Detail;
 import dev.dunefront.peer.Message;
 import dev.dunefront.wire.Priority;
 import java.util.ArrayList;
@@ -28,6 +29,7 @@
 
   private final Desk desk;
   private final Room room;
+  private final RoomInterest interest;
   private final Quotas quotas;
   private final Urgencies urgencies;
   private final Choosing choosing;
@@ -38,6 +40,7 @@
   Parking(
       Desk desk,
       Room room,
+      RoomInterest interest,
       IdleRoom idle,
       Quotas quotas,
       Urgencies urgencies,
@@ -45,16 +48,18 @@
       Turnover turnover) {
     this.desk = desk;
     this.room = room;
+    this.interest = interest;
     this.quotas = quotas;
     this.urgencies = urgencies;
     this.choosing = new Choosing(desk, room, zones, turnover);
     this.idle = idle;
-    this.givingWay = new GivingWay(desk, urgencies, choosing, turnover);
+    this.givingWay = new GivingWay(desk, interest, urgencies, choosing, turnover);
   }
 
   /** Brings a job's parked wants up to date. */
   void review(Claim c) {
     double now = desk.now();
+    double settledAt = now;
     double ageS = c.ageS(desk.timers().timeOfDayMs());
     Begin.Standing before = c.standing;
     c.standing = begin.standing(c, ageS, desk.tunables().beginS(), now);
@@ -66,6 +71,10 @@
       served(c, now);
       return;
     }
+    if (now >= c.notBefore && unstarted(c) > 0) {
+      // Before it is looked how much room is idle, or nobody would ever be asked.
+      settledAt = interest.need(Detail.ROOM);
+    }
     int wanted = wanted(c);
     if (wanted <= 0 || now < c.notBefore) {
       withdraw(c);
@@ -93,6 +102,10 @@
       c.openings = room.openings();
       c.openingsAt = now;
       parkAnew(c, wanted, now);
+      if (now < settledAt) {
+        // What is known of room is old; what has changed is on its way here.
+        c.lookAgain = Math.min(c.lookAgain, settledAt);
+      }
     } else if (c.openings != room.openings() && now - c.openingsAt >= OPENINGS_S) {
       c.openings = room.openings();
       c.openingsAt = now;
--- a/src/main/java/dev/dunefront/claim/Room.java
+++ b/src/main/java/dev/dunefront/claim/Room.java
@@ -20,7 +20,7 @@
   public record Seen(String holder, View view, Kind kind, int mix, double at) {
     /** Whether anything may fit right now. */
     public boolean roomy() {
-      return view.open() && (view.free().cpu() > 0 || view.free().gpu() > 0);
+      return view.roomy();
     }
   }
 
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -126,7 +126,7 @@
             duties);
     books = new Books(desk, caller);
     claims = new Claims(desk);
-    fleet = new Fleet(desk, claims.room(), claims.urgencies(), caller);
+    fleet = new Fleet(desk, claims.room(), claims.interest(), claims.urgencies(), caller);
     cleanup = new Cleanup(desk);
     joining = new Joining(desk);
     Proofs proofs = new Proofs(store, replica, timers, ward, JobRecord.PREFIX);
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -2,6 +2,7 @@
 
 import dev.dunefront.claim.Desk;
 import dev.dunefront.claim.Room;
+import dev.dunefront.claim.RoomInterest;
 import dev.dunefront.claim.Urgencies;
 import dev.dunefront.duty.Duties;
 import dev.dunefront.duty.Duty;
@@ -9,6 +10,7 @@
 import dev.dunefront.fleet.Cloud.Hire;
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.Timers;
+import dev.dunefront.peer.Detail;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
@@ -46,6 +48,7 @@
   private final double lagS;
   private final Membership membership;
   private final Duties duties;
+  private final RoomInterest interest;
   private final Room room;
   private final Catalog catalog;
   private final Timers timers;
@@ -69,12 +72,13 @@
   private double nextPrices;
   private double since;
 
-  public Fleet(Desk desk, Room room, Urgencies urgencies, Caller caller) {
+  public Fleet(Desk desk, Room room, RoomInterest interest, Urgencies urgencies, Caller caller) {
     this.peers = desk.peers();
     this.lagS = desk.settings().cloudLimits().listLagS();
     this.membership = desk.membership();
     this.duties = desk.duties();
     this.room = room;
+    this.interest = interest;
     this.catalog = desk.catalog();
     this.timers = desk.timers();
     this.cloud = new Cloud(desk.settings(), caller, timers, desk.ward(), this::tick);
@@ -143,6 +147,7 @@
       term = 0;
       return;
     }
+    interest.need(Detail.LOAD);
     double now = timers.now();
     if (mine != term || acts.lost()) {
       begin(mine, now);
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -57,8 +57,8 @@
   }
 
   /**
-   * A held machine: what room it has, told to every controller when it changes, and those of its
-   * tasks whose jobs the receiver has claimed or nobody is known to have claimed.
+   * A held machine, told when something has changed that the receiver wants to hear of ({@link
+   * Interest}), and those of its tasks whose jobs the receiver has claimed.
    */
   record View(
       String host,
@@ -90,10 +90,9 @@
       List<Integer> young,
       List<TaskState> tasks)
       implements Message {
-    /** Whether the other says the same of the machine itself, whatever tasks it shows. */
-    public boolean saysTheSame(View o) {
-      return o != null
-          && baton == o.baton
+    /** Whether the other says the same of the hold, the session and the machine's condition. */
+    boolean standsLike(View o) {
+      return baton == o.baton
           && holdStamp == o.holdStamp
           && tenure == o.tenure
           && settled == o.settled
@@ -101,7 +100,12 @@
           && open == o.open
           && quarantined == o.quarantined
           && retiring == o.retiring
-          && deaf == o.deaf
+          && deaf == o.deaf;
+    }
+
+    /** Whether the other says the same of the machine itself, whatever tasks it shows. */
+    boolean saysTheSame(View o) {
+      return standsLike(o)
           && idleSinceMs == o.idleSinceMs
           && free.equals(o.free)
           && images.equals(o.images)
@@ -109,6 +113,11 @@
           && young.equals(o.young);
     }
 
+    /** Whether anything may fit right now. */
+    public boolean roomy() {
+      return open && (free.cpu() > 0 || free.gpu() > 0);
+    }
+
     /** How many young tasks there are of a lower priority. */
     public int youngBelow(Priority priority) {
       int n = 0;
@@ -168,6 +177,12 @@
     }
   }
 
+  /**
+   * How much the sender wants to hear of the receiver's machines, until it says otherwise. Said
+   * again and again, for a receiver that has not heard it lately tells everything.
+   */
+  record Interest(Detail detail) implements Message {}
+
   /** The sender no longer holds the machine. */
   record Unheld(String host) implements Message {}
 
--- a/src/main/java/dev/dunefront/peer/Peers.java
+++ b/src/main/java/dev/dunefront/peer/Peers.java
@@ -1,5 +1,7 @@
 package dev.dunefront.peer;
 
+import java.util.Collection;
+
 /**
  * Sends messages to controllers, this one included. A link that breaks loses what was under way;
  * the listener hears of it and says everything anew.
@@ -17,6 +19,11 @@
 
   void send(String node, Message message);
 
+  /** To several controllers; the same as to each of them, at less cost. */
+  default void send(Collection<String> nodes, Message message) {
+    nodes.forEach(node -> send(node, message));
+  }
+
   /** To every controller, this one included. */
   void broadcast(Message message);
 
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -13,6 +13,7 @@
 import dev.dunefront.peer.Message.Hello;
 import dev.dunefront.peer.Message.HoldAsk;
 import dev.dunefront.peer.Message.HoldSay;
+import dev.dunefront.peer.Message.Interest;
 import dev.dunefront.peer.Message.Offer;
 import dev.dunefront.peer.Message.Ping;
 import dev.dunefront.peer.Message.Preempt;
@@ -179,6 +180,9 @@
       out.writeByte(24);
       out.writeUTF(e.job());
       out.writeBoolean(e.done());
+    } else if (m instanceof Interest i) {
+      out.writeByte(25);
+      out.writeByte(i.detail().ordinal());
     } else if (m instanceof Cancelled c) {
       out.writeByte(16);
       out.writeUTF(c.job());
@@ -313,6 +317,7 @@
           case 14 -> new HoldAsk(in.readUTF(), in.readLong(), in.readLong(), in.readLong());
           case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
           case 24 -> new Ended(in.readUTF(), in.readBoolean());
+          case 25 -> new Interest(pick(Detail.values(), in.readByte()));
           case 16 -> new Cancelled(in.readUTF());
           case 22 -> new Retire(in.readUTF(), in.readLong());
           case 23 -> new DutyTerm(in.readUTF(), in.readLong());
--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -7,7 +7,10 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -81,11 +84,35 @@
     }
   }
 
+  @Override
+  public void send(Collection<String> nodes, Message message) {
+    List<Out> links = new ArrayList<>();
+    for (String node : nodes) {
+      Out link = out.get(node);
+      if (link == null) {
+        send(node, message);
+      } else {
+        links.add(link);
+      }
+    }
+    if (!links.isEmpty()) {
+      sendAll(links, message);
+    }
+  }
+
   @Override
   public void broadcast(Message message) {
     send(settings.node(), message);
-    byte[] record = Records.encode(message);
-    ward.then(() -> out.values().forEach(o -> o.send(record)));
+    sendAll(out.values(), message);
+  }
+
+  /** Encodes once for all links. */
+  private void sendAll(Collection<Out> links, Message message) {
+    ward.then(
+        () -> {
+          byte[] record = Records.encode(message);
+          links.forEach(link -> link.send(record));
+        });
   }
 
   @Override
--- a/src/main/java/dev/dunefront/standin/CloudStandIn.java
+++ b/src/main/java/dev/dunefront/standin/CloudStandIn.java
@@ -22,7 +22,11 @@
   /** Machines in one page of the list at the most. */
   private static final int LONGEST_PAGE = 500;
 
+  /** Boot time of both types unless said otherwise, in seconds. */
+  private static final double QUICK_BOOT_S = 5;
+
   private final List<String> zones;
+  private final double bootS;
   private final TreeMap<String, Doc> machines = new TreeMap<>();
   private final Map<String, List<String>> hires = new HashMap<>();
   private final Set<String> deleted = new HashSet<>();
@@ -33,12 +37,13 @@
 
   /** A cloud with two zones, {@code a} and {@code b}. */
   public CloudStandIn() {
-    this(List.of("a", "b"));
+    this(List.of("a", "b"), QUICK_BOOT_S);
   }
 
-  /** A cloud with these zones, each of which has both types. */
-  public CloudStandIn(List<String> zones) {
+  /** A cloud with these zones, each of which has both types, which boot in so many seconds. */
+  public CloudStandIn(List<String> zones, double bootS) {
     this.zones = List.copyOf(zones);
+    this.bootS = bootS;
   }
 
   /** How many machines may be rented from now on. */
@@ -198,7 +203,7 @@
         .put("pull_gb_per_s", 1.0)
         .put("rate", price)
         .put("spot_price", price / 3)
-        .put("boot_s", 5.0)
+        .put("boot_s", bootS)
         .put("sites", zones);
   }
 
--- a/src/test/java/dev/dunefront/load/ControllerProcess.java
+++ b/src/test/java/dev/dunefront/load/ControllerProcess.java
@@ -140,7 +140,12 @@
 
   /** Resident memory in megabytes. */
   double residentMb() throws IOException {
-    for (String line : Files.readAllLines(proc("status"))) {
+    return residentMb(proc("status"));
+  }
+
+  /** Resident memory in megabytes, by a process's status file. */
+  static double residentMb(Path status) throws IOException {
+    for (String line : Files.readAllLines(status)) {
       if (line.startsWith("VmRSS:")) {
         return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024.0;
       }
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/Fit.java
@@ -0,0 +1,28 @@
+package dev.dunefront.load;
+
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+/** A straight line through measured points, by least squares. */
+record Fit(double atZero, double slope, int points) {
+
+  static Fit of(
+      List<Measurement> points, ToDoubleFunction<Measurement> x, ToDoubleFunction<Measurement> y) {
+    int n = points.size();
+    double meanX = points.stream().mapToDouble(x).average().orElse(0);
+    double meanY = points.stream().mapToDouble(y).average().orElse(0);
+    double products = 0;
+    double squares = 0;
+    for (Measurement m : points) {
+      double distance = x.applyAsDouble(m) - meanX;
+      products += distance * (y.applyAsDouble(m) - meanY);
+      squares += distance * distance;
+    }
+    double slope = squares == 0 ? 0 : products / squares;
+    return new Fit(meanY - slope * meanX, slope, n);
+  }
+
+  double at(double x) {
+    return atZero + slope * x;
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/GrowSite.java
@@ -0,0 +1,192 @@
+package dev.dunefront.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Makes a copy of a bench site file with higher counts. Arguments: the site file, the copy, then
+ * {@code name=value} of: {@code machines} (factor on machines and capacity), {@code rates} (factor
+ * on arrivals), {@code controllers} (their number), {@code teams} (number of teams, the guarantees
+ * and limits of each original shared out among as many), {@code cores} (each controller's part of a
+ * core); and of a class of jobs {@code CLASS.rate} (arrivals a second), {@code CLASS.tasks}, {@code
+ * CLASS.run} (medians; the tails in proportion), {@code CLASS.cpus}. What is not named stays. Works
+ * on lines, so comments and order stay as well.
+ */
+public final class GrowSite {
+  private static final Pattern FIELD = Pattern.compile("^(\\w+) = (-?[0-9.]+)$");
+  private static final Pattern TEAMS = Pattern.compile("^teams = \\[(.*)]$");
+  private static final Pattern ARRIVALS = Pattern.compile("^arrivals = \\{ rate = ([0-9.]+)(.*)$");
+
+  private final Map<String, Double> factors;
+  private final List<String> out = new ArrayList<>();
+  private final Map<String, List<String>> namesOfTeam = new LinkedHashMap<>();
+  private String section = "";
+
+  /** The class of jobs whose lines are being copied. */
+  private String jobClass = "";
+
+  private GrowSite(Map<String, Double> factors) {
+    this.factors = factors;
+  }
+
+  public static void main(String[] arguments) throws IOException {
+    Map<String, Double> factors = new HashMap<>();
+    for (String argument : List.of(arguments).subList(2, arguments.length)) {
+      String[] parts = argument.split("=");
+      factors.put(parts[0], Double.parseDouble(parts[1]));
+    }
+    List<String> lines = Files.readAllLines(Path.of(arguments[0]));
+    Files.write(Path.of(arguments[1]), grown(lines, factors));
+  }
+
+  /** The lines of the copy. */
+  static List<String> grown(List<String> lines, Map<String, Double> factors) {
+    GrowSite site = new GrowSite(factors);
+    site.nameTeams(lines);
+    for (int i = 0; i < lines.size(); i++) {
+      if (lines.get(i).equals("[[teams]]")) {
+        int end = i + 1;
+        while (end < lines.size() && !lines.get(end).startsWith("[")) {
+          end++;
+        }
+        site.team(lines.subList(i, end));
+        i = end - 1;
+      } else {
+        if (lines.get(i).equals("[[jobs]]")) {
+          site.jobClass = nameIn(lines.subList(i + 1, lines.size()));
+        }
+        site.line(lines.get(i));
+      }
+    }
+    return site.out;
+  }
+
+  /** The first name in the lines. */
+  private static String nameIn(List<String> lines) {
+    for (String line : lines) {
+      if (line.startsWith("name = ")) {
+        return line.replaceAll("^name = \"(.*)\"$", "$1");
+      }
+    }
+    return "";
+  }
+
+  private Double ofClass(String name) {
+    return section.equals("jobs") ? factors.get(jobClass + "." + name) : null;
+  }
+
+  /** A distribution with this median and tails in proportion. */
+  private static String distribution(double median) {
+    return String.format(
+        Locale.ROOT,
+        "{ median = %.1f, p95 = %.1f, max = %.1f }",
+        median,
+        median * TAIL,
+        median * LONGEST);
+  }
+
+  private static final double TAIL = 1.5;
+  private static final double LONGEST = 2;
+
+  private double factor(String name) {
+    return factors.getOrDefault(name, 1.0);
+  }
+
+  /** Shares the wanted number of teams out among the original ones. */
+  private void nameTeams(List<String> lines) {
+    List<String> originals = new ArrayList<>();
+    for (int i = 0; i + 1 < lines.size(); i++) {
+      if (lines.get(i).equals("[[teams]]")) {
+        originals.add(lines.get(i + 1).replaceAll("^name = \"(.*)\"$", "$1"));
+      }
+    }
+    int wanted = factors.getOrDefault("teams", (double) originals.size()).intValue();
+    for (int i = 0; i < Math.max(wanted, originals.size()); i++) {
+      String original = originals.get(i % originals.size());
+      int number = i / originals.size();
+      String name =
+          number == 0 ? original : String.format(Locale.ROOT, "%s-%03d", original, number);
+      namesOfTeam.computeIfAbsent(original, o -> new ArrayList<>()).add(name);
+    }
+  }
+
+  private void team(List<String> block) {
+    List<String> names = namesOfTeam.get(block.get(1).replaceAll("^name = \"(.*)\"$", "$1"));
+    for (String name : names) {
+      for (String line : block) {
+        Matcher field = FIELD.matcher(line);
+        if (line.startsWith("name = ")) {
+          out.add("name = \"" + name + "\"");
+        } else if (field.matches() && !field.group(1).equals("weight")) {
+          double part = Double.parseDouble(field.group(2)) * factor("machines") / names.size();
+          // No job may need more than its team may have, so shares are not cut below a good part.
+          double least = Math.min(Double.parseDouble(field.group(2)), LEAST_LIMIT);
+          out.add(field.group(1) + " = " + Math.max(part, least));
+        } else {
+          out.add(line);
+        }
+      }
+    }
+  }
+
+  /** CPUs that a team's limit is not cut below when it is shared out. */
+  private static final double LEAST_LIMIT = 500;
+
+  private void line(String line) {
+    if (line.startsWith("[")) {
+      section = line.replaceAll("[\\[\\]]", "");
+    }
+    Matcher field = FIELD.matcher(line);
+    Matcher teams = TEAMS.matcher(line);
+    Matcher arrivals = ARRIVALS.matcher(line);
+    if (line.startsWith("tasks = {") && ofClass("tasks") != null) {
+      out.add("tasks = " + distribution(ofClass("tasks")));
+    } else if (line.startsWith("run_s = {") && ofClass("run") != null) {
+      out.add("run_s = " + distribution(ofClass("run")));
+    } else if (field.matches()) {
+      out.add(field.group(1) + " = " + value(field.group(1), field.group(2)));
+    } else if (teams.matches() && section.equals("jobs")) {
+      List<String> all = new ArrayList<>();
+      for (String quoted : teams.group(1).split(", *")) {
+        String original = quoted.replace("\"", "");
+        namesOfTeam.get(original).forEach(name -> all.add("\"" + name + "\""));
+      }
+      out.add("teams = [" + String.join(", ", all) + "]");
+    } else if (arrivals.matches()) {
+      Double named = ofClass("rate");
+      double rate = named != null ? named : Double.parseDouble(arrivals.group(1)) * factor("rates");
+      out.add("arrivals = { rate = " + rate + arrivals.group(2));
+    } else {
+      out.add(line);
+    }
+  }
+
+  private String value(String name, String value) {
+    boolean counts = section.equals("capacity") || section.equals("machines");
+    if (counts && (name.equals("count") || name.equals("spot"))) {
+      return Long.toString(Math.round(Double.parseDouble(value) * factor("machines")));
+    }
+    if (name.equals("cpus") && ofClass("cpus") != null) {
+      return Double.toString(ofClass("cpus"));
+    }
+    if (section.equals("jobs") && name.equals("initial")) {
+      return Long.toString(Math.round(Double.parseDouble(value) * factor("rates")));
+    }
+    if (section.equals("nodes") && name.equals("count") && factors.containsKey("controllers")) {
+      return Long.toString(Math.round(factors.get("controllers")));
+    }
+    if (section.equals("nodes") && name.equals("cpu_share") && factors.containsKey("cores")) {
+      return Double.toString(factors.get("cores"));
+    }
+    return value;
+  }
+}
--- a/src/test/java/dev/dunefront/load/HollowWorker.java
+++ b/src/test/java/dev/dunefront/load/HollowWorker.java
@@ -185,7 +185,9 @@
         });
   }
 
-  /** Something has changed: a report goes out soon, though not more often than every half second. */
+  /**
+   * Something has changed: a report goes out soon, though not more often than every half second.
+   */
   private void changed() {
     if (calling) {
       changedMeanwhile = true;
--- a/src/test/java/dev/dunefront/load/LoadRun.java
+++ b/src/test/java/dev/dunefront/load/LoadRun.java
@@ -148,6 +148,8 @@
     awaitUp();
     users.getIoThread().execute(source::start);
     Thread.sleep(Math.round(options.warmS() * 1000));
+    // The first look at the metrics of a process costs more than all later ones.
+    sample();
     log.count(true);
     Sample before = sample();
     Thread.sleep(Math.round(options.measureS() * 1000));
@@ -171,6 +173,7 @@
   /** Everything that is counted, at one time. */
   private record Sample(
       double at,
+      long starts,
       ControllerProcess.Use controllers,
       Outside.StateUse state,
       FleetUse fleet,
@@ -182,7 +185,12 @@
       sum = sum.plus(controller.use());
     }
     return new Sample(
-        System.nanoTime() / 1e9, sum, outside.use(), fleet.use(), ThreadUse.cpuS("hollow"));
+        System.nanoTime() / 1e9,
+        log.starts(),
+        sum,
+        outside.use(),
+        fleet.use(),
+        ThreadUse.cpuS("hollow"));
   }
 
   private Measurement measured(Sample before, Sample after)
@@ -204,7 +212,7 @@
     return new Measurement(
         options,
         spanS,
-        log.starts(),
+        after.starts - before.starts,
         running,
         rules.mostRunning(),
         use.cpuS(),
@@ -224,6 +232,7 @@
         said.orders,
         (said.bytesIn + said.bytesOut) / spanS / workers,
         (after.hollowCpuS - before.hollowCpuS) / spanS / workers,
+        ControllerProcess.residentMb(Path.of("/proc/self/status")),
         log.urgentS(50),
         log.urgentS(90),
         log.urgentS(99),
--- a/src/test/java/dev/dunefront/load/Measurement.java
+++ b/src/test/java/dev/dunefront/load/Measurement.java
@@ -19,6 +19,7 @@
  * @param values number and mean bytes of stored values, by the first part of the key
  * @param workerBytesPerS bytes that one worker says and hears in a second, without headers
  * @param workerCpu part of a core that one hollow worker needs
+ * @param hostResidentMb resident memory of the process with stand-ins and all hollow workers
  * @param urgentP50S wait of urgent tasks from submission to start, and so on
  * @param refused submissions that were answered with a retry, since the start
  * @param broken rules that were seen broken
@@ -46,6 +47,7 @@
     long orders,
     double workerBytesPerS,
     double workerCpu,
+    double hostResidentMb,
     double urgentP50S,
     double urgentP90S,
     double urgentP99S,
--- a/src/test/java/dev/dunefront/load/Outside.java
+++ b/src/test/java/dev/dunefront/load/Outside.java
@@ -27,6 +27,12 @@
     }
   }
 
+  /**
+   * Boot time that the catalog tells, in seconds: so long that idle machines are kept throughout,
+   * for what is measured is to be measured with as many workers as were asked for.
+   */
+  private static final double BOOT_S = 600;
+
   private final XnioIoThread thread;
   private final StateStandIn state;
   private final CloudStandIn cloud;
@@ -39,7 +45,7 @@
       XnioWorker worker, InetSocketAddress stateAt, InetSocketAddress cloudAt, List<String> zones) {
     thread = worker.getIoThread();
     state = new StateStandIn(new XnioTimers(thread));
-    cloud = new CloudStandIn(zones);
+    cloud = new CloudStandIn(zones, BOOT_S);
     DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 256, 4);
     HttpServer.start(worker, buffers, stateAt, this::state);
     HttpServer.start(worker, buffers, cloudAt, this::cloud);
