--- a/src/test/java/dev/dunefront/load/ControllerProcess.java
+++ b/src/test/java/dev/dunefront/load/ControllerProcess.java
@@ -45,6 +45,7 @@
   private final String address;
   private final int number;
   private Process process;
+  private Use earlierLives = new Use(0, 0, 0, 0);
 
   ControllerProcess(Path directory, int number, String settingsText, String address)
       throws IOException {
@@ -92,6 +93,12 @@
     }
   }
 
+  /** The same in the middle of a run; what it has used until now counts on. */
+  void crash() throws IOException {
+    earlierLives = use();
+    kill();
+  }
+
   boolean up() {
     try {
       return get("/up").statusCode() == 200;
@@ -122,11 +129,13 @@
       }
     }
     String metrics = get("/metrics").body();
-    return new Use(
-        cpuS,
-        bytes,
-        metric(metrics, "dunefront_peer_sent_records"),
-        metric(metrics, "dunefront_peer_sent_kilobytes"));
+    Use now =
+        new Use(
+            cpuS,
+            bytes,
+            metric(metrics, "dunefront_peer_sent_records"),
+            metric(metrics, "dunefront_peer_sent_kilobytes"));
+    return now.plus(earlierLives);
   }
 
   private static long metric(String text, String name) {
--- a/src/test/java/dev/dunefront/load/HollowWorker.java
+++ b/src/test/java/dev/dunefront/load/HollowWorker.java
@@ -30,7 +30,13 @@
       Map<String, Integer> controllerByName,
       RuleChecker rules,
       StartLog starts,
-      double meanRunS) {}
+      double meanRunS,
+      Reach reach) {}
+
+  /** Whether a worker in a zone reaches a controller now. */
+  interface Reach {
+    boolean reaches(String zone, int controller);
+  }
 
   private final WorkerStandIn worker;
   private final Common common;
@@ -129,19 +135,25 @@
     byte[] body = worker.report();
     use.reports++;
     use.bytesOut += body.length;
+    if (!common.reach().reaches(zone(), node)) {
+      timers.after(ANSWER_S, () -> heard(Reply.UNCLEAR, sent, inSession));
+      return;
+    }
     caller.call(
         common.controllers().get(node),
         "POST",
         "/hello",
         body,
         ANSWER_S,
-        reply -> {
-          calling = false;
-          use.bytesIn += reply.body().length;
-          if (!stopped) {
-            answered(reply, sent, inSession);
-          }
-        });
+        reply -> heard(reply, sent, inSession));
+  }
+
+  private void heard(Reply reply, double sent, int inSession) {
+    calling = false;
+    use.bytesIn += reply.body().length;
+    if (!stopped) {
+      answered(reply, sent, inSession);
+    }
   }
 
   private void answered(Reply reply, double sent, int inSession) {
--- a/src/test/java/dev/dunefront/load/LoadOptions.java
+++ b/src/test/java/dev/dunefront/load/LoadOptions.java
@@ -21,6 +21,8 @@
  * @param warmS played before anything is counted
  * @param measureS counted
  * @param troubles whether machines fail, a zone is lost and a region is cut off meanwhile
+ * @param stateRequests requests a second that the state service serves
+ * @param stateChanges changes a second that it serves
  * @param seed seed of all random choices
  */
 record LoadOptions(
@@ -37,11 +39,13 @@
     double warmS,
     double measureS,
     boolean troubles,
+    double stateRequests,
+    double stateChanges,
     long seed) {
 
   /** The size of the users' letter, without troubles. */
   static final LoadOptions LETTER =
-      new LoadOptions(14, 1800, 23, 7, 730, 4000, 950, 240, 14, 0.25, 30, 30, false, 1);
+      new LoadOptions(14, 1800, 23, 7, 730, 4000, 950, 240, 14, 0.25, 30, 30, false, 500, 90, 1);
 
   /** Reads {@code name=value} arguments over the letter's values. */
   static LoadOptions parse(List<String> arguments) {
@@ -72,6 +76,8 @@
                 "warmS",
                 "measureS",
                 "troubles",
+                "stateRequests",
+                "stateChanges",
                 "seed")
             .contains(name);
     if (!known) {
@@ -91,6 +97,8 @@
         name.equals("warmS") ? Double.parseDouble(value) : warmS,
         name.equals("measureS") ? Double.parseDouble(value) : measureS,
         name.equals("troubles") ? Boolean.parseBoolean(value) : troubles,
+        name.equals("stateRequests") ? Double.parseDouble(value) : stateRequests,
+        name.equals("stateChanges") ? Double.parseDouble(value) : stateChanges,
         name.equals("seed") ? Long.parseLong(value) : seed);
   }
 
@@ -109,6 +117,11 @@
     return controller % zones % regions;
   }
 
+  /** The region of a zone. */
+  int regionOfZone(String zone) {
+    return zoneNames().indexOf(zone) % regions;
+  }
+
   private static String zone(int number) {
     return String.format(Locale.ROOT, "zone-%02d", number);
   }
--- a/src/test/java/dev/dunefront/load/LoadRun.java
+++ b/src/test/java/dev/dunefront/load/LoadRun.java
@@ -31,6 +31,9 @@
   private static final double UP_S = 60;
   private static final long PAUSE_MS = 200;
 
+  /** How long jobs may take to end after the last submission of a run with troubles, in seconds. */
+  private static final double DRAIN_S = 180;
+
   private final LoadOptions options;
   private final LoadSettings.Addresses addresses;
   private final Outside outside;
@@ -41,6 +44,8 @@
   private final XnioWorker users;
   private final XnioWorker services;
   private final List<ControllerProcess> controllers = new ArrayList<>();
+  private final RegionNetwork network;
+  private final Troubles troubles;
 
   private LoadRun(LoadOptions options, Path directory) throws IOException {
     this.options = options;
@@ -58,24 +63,54 @@
     outside =
         new Outside(services, at(addresses.state()), at(addresses.cloud()), options.zoneNames());
     rules = new RuleChecker(options.limitTasks());
+    network = new RegionNetwork(options.regions());
+    new Thread(network, "network").start();
     Map<String, Integer> byName = new HashMap<>();
     for (int i = 0; i < count; i++) {
       byName.put(LoadSettings.controller(i), i);
-      String settings =
-          LoadSettings.of(options, addresses, addresses.peers(), addresses.state(), i);
+      String settings = LoadSettings.of(options, addresses, peersOf(i), stateOf(i), i);
       controllers.add(new ControllerProcess(directory, i, settings, addresses.users().get(i)));
     }
     fleet =
         new HollowFleet(
-            new HollowWorker.Common(addresses.users(), byName, rules, log, options.runS()),
+            new HollowWorker.Common(
+                addresses.users(), byName, rules, log, options.runS(), this::reaches),
             at(ports.get(2 * count + 2)).getPort());
     Timers timers = new XnioTimers(users.getIoThread());
     UndertowCaller caller =
         new UndertowCaller(
             users.getIoThread(), new DefaultByteBufferPool(false, 8192, 64, 4), timers);
+    troubles =
+        new Troubles(options, timers, users.getIoThread(), fleet, outside, network, controllers);
     source = new JobSource(options, addresses.users(), caller, timers, rules, log);
   }
 
+  private boolean reaches(String zone, int controller) {
+    return network.reaches(options.regionOfZone(zone), options.regionOfController(controller));
+  }
+
+  /** Where a controller reaches the others; with troubles through the network between regions. */
+  private List<String> peersOf(int own) throws IOException {
+    List<String> all = new ArrayList<>();
+    for (int other = 0; other < options.controllers(); other++) {
+      all.add(
+          through(
+              options.regionOfController(own),
+              options.regionOfController(other),
+              addresses.peers().get(other)));
+    }
+    return all;
+  }
+
+  /** Where a controller reaches the state service, which is in the first region. */
+  private String stateOf(int own) throws IOException {
+    return through(options.regionOfController(own), 0, addresses.state());
+  }
+
+  private String through(int from, int to, String target) throws IOException {
+    return options.troubles() && from != to ? network.relay(from, to, target) : target;
+  }
+
   private static XnioWorker worker(String name) throws IOException {
     return Xnio.getInstance()
         .createWorker(
@@ -152,12 +187,32 @@
     sample();
     log.count(true);
     Sample before = sample();
+    if (options.troubles()) {
+      troubles.start();
+    }
     Thread.sleep(Math.round(options.measureS() * 1000));
     Sample after = sample();
     log.count(false);
+    if (options.troubles()) {
+      drain();
+    }
     return measured(before, after);
   }
 
+  /** Submits no more and waits until every accepted job is done. */
+  private void drain() throws InterruptedException {
+    troubles.stop();
+    source.stop();
+    long until = System.nanoTime() + Math.round(DRAIN_S * 1e9);
+    while (openJobs() > 0 && System.nanoTime() < until) {
+      Thread.sleep(PAUSE_MS);
+    }
+  }
+
+  private int openJobs() throws InterruptedException {
+    return OnThread.get(users.getIoThread(), source::open);
+  }
+
   private void awaitUp() throws InterruptedException, IOException {
     long until = System.nanoTime() + Math.round(UP_S * 1e9);
     for (ControllerProcess controller : controllers) {
@@ -239,6 +294,8 @@
         log.othersS(90),
         log.submissionMs(95),
         source.refused(),
+        troubles.lost(),
+        options.troubles() ? openJobs() : 0,
         rules.broken());
   }
 
@@ -249,6 +306,7 @@
   private void close() throws InterruptedException {
     source.stop();
     killControllers();
+    network.close();
     fleet.close();
     users.shutdownNow();
     services.shutdownNow();
--- a/src/test/java/dev/dunefront/load/LoadSettings.java
+++ b/src/test/java/dev/dunefront/load/LoadSettings.java
@@ -24,8 +24,7 @@
   }
 
   /**
-   * The settings of one controller. The state service's limits are those of the larger of the known
-   * fleet deployments.
+   * The settings of one controller. *
    *
    * @param peerAddresses where this controller reaches each of the others, by number
    */
@@ -65,8 +64,8 @@
     line(text, "lease_s = %.1f", HollowWorker.LEASE_S);
     line(text, "cancel_s = 42.0");
     line(text, "[facts.state]");
-    line(text, "rps = 500.0");
-    line(text, "write_rps = 90.0");
+    line(text, "rps = %.1f", options.stateRequests());
+    line(text, "write_rps = %.1f", options.stateChanges());
     line(text, "value_kb = 32.0");
     line(text, "txn_ops = 24");
     line(text, "[facts.cloud]");
--- a/src/test/java/dev/dunefront/load/Measurement.java
+++ b/src/test/java/dev/dunefront/load/Measurement.java
@@ -22,6 +22,9 @@
  * @param hostResidentMb resident memory of the process with stand-ins and all hollow workers
  * @param urgentP50S wait of urgent tasks from submission to start, and so on
  * @param refused submissions that were answered with a retry, since the start
+ * @param machinesLost machines that failed or were replaced meanwhile
+ * @param unfinishedJobs accepted jobs that were not done some minutes after the last submission;
+ *     counted in runs with troubles alone
  * @param broken rules that were seen broken
  */
 record Measurement(
@@ -54,4 +57,6 @@
     double othersP90S,
     double submitP95Ms,
     int refused,
+    int machinesLost,
+    int unfinishedJobs,
     List<String> broken) {}
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/RegionNetwork.java
@@ -0,0 +1,201 @@
+package dev.dunefront.load;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+
+/**
+ * The network between regions: relays on loopback that deliver bytes after the time that a packet
+ * takes, in order, and hold them while one of the two regions is cut off. One thread serves all.
+ */
+final class RegionNetwork implements Runnable {
+  /** One way between neighbouring regions, and for each further one on the ring, in seconds. */
+  static final double NEXT_REGION_S = 0.010;
+
+  static final double FURTHER_S = 0.005;
+  private static final int BUFFER = 64 * 1024;
+  private static final long TURN_MS = 1;
+
+  private final int regions;
+  private final Selector selector = Selector.open();
+  private volatile int cutRegion = -1;
+  private volatile boolean closed;
+
+  RegionNetwork(int regions) throws IOException {
+    this.regions = regions;
+  }
+
+  /** One way between two regions, in seconds. */
+  static double delayS(int from, int to, int regions) {
+    int around = Math.abs(from - to);
+    int distance = Math.min(around, regions - around);
+    return distance == 0 ? 0 : NEXT_REGION_S + FURTHER_S * (distance - 1);
+  }
+
+  /** An address in one region at which a target in another is reached. */
+  String relay(int from, int to, String target) throws IOException {
+    ServerSocketChannel server = ServerSocketChannel.open();
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    server.configureBlocking(false);
+    server.register(selector, SelectionKey.OP_ACCEPT, new Route(from, to, target));
+    return "127.0.0.1:" + ((InetSocketAddress) server.getLocalAddress()).getPort();
+  }
+
+  /** Cuts a region off from all others; what is on its way is held. */
+  void cut(int region) {
+    cutRegion = region;
+  }
+
+  /** Ends the cut; what was held arrives. */
+  void heal() {
+    cutRegion = -1;
+  }
+
+  /** Whether something from one region reaches another now. */
+  boolean reaches(int from, int to) {
+    return from == to || from != cutRegion && to != cutRegion;
+  }
+
+  void close() {
+    closed = true;
+    selector.wakeup();
+  }
+
+  private record Route(int from, int to, String target) {}
+
+  /** Bytes and when they are due, in nanoseconds of the steady clock. */
+  private record Chunk(ByteBuffer bytes, long dueNs) {}
+
+  /** One direction of a connection. */
+  private final class Pipe {
+    private final Route route;
+    private final SocketChannel in;
+    private final SocketChannel out;
+    private final ArrayDeque<Chunk> chunks = new ArrayDeque<>();
+    private boolean ended;
+
+    Pipe(Route route, SocketChannel in, SocketChannel out) {
+      this.route = route;
+      this.in = in;
+      this.out = out;
+    }
+
+    void read() throws IOException {
+      ByteBuffer bytes = ByteBuffer.allocate(BUFFER);
+      int n = in.read(bytes);
+      if (n < 0) {
+        ended = true;
+      } else if (n > 0) {
+        double delayS = delayS(route.from, route.to, regions);
+        chunks.add(new Chunk(bytes.flip(), System.nanoTime() + Math.round(delayS * 1e9)));
+      }
+    }
+
+    void write(long nowNs) throws IOException {
+      if (!reaches(route.from, route.to)) {
+        return;
+      }
+      while (!chunks.isEmpty() && chunks.peek().dueNs <= nowNs) {
+        out.write(chunks.peek().bytes);
+        if (chunks.peek().bytes.hasRemaining()) {
+          return;
+        }
+        chunks.poll();
+      }
+      if (ended && chunks.isEmpty()) {
+        out.close();
+        in.close();
+      }
+    }
+  }
+
+  @Override
+  public void run() {
+    try {
+      while (!closed) {
+        selector.select(TURN_MS);
+        turn();
+      }
+      for (SelectionKey key : selector.keys()) {
+        key.channel().close();
+      }
+      selector.close();
+    } catch (IOException e) {
+      throw new IllegalStateException("the network between regions has failed", e);
+    }
+  }
+
+  private void turn() throws IOException {
+    for (SelectionKey key : selector.selectedKeys()) {
+      if (key.isValid() && key.isAcceptable()) {
+        accept(key);
+      }
+    }
+    for (SelectionKey key : selector.selectedKeys()) {
+      if (key.isValid() && key.attachment() instanceof Pipe pipe) {
+        guarded(pipe, pipe::read);
+        if (pipe.ended && key.isValid()) {
+          key.interestOps(0);
+        }
+      }
+    }
+    selector.selectedKeys().clear();
+    long nowNs = System.nanoTime();
+    for (SelectionKey key : selector.keys()) {
+      if (key.attachment() instanceof Pipe pipe) {
+        guarded(pipe, () -> pipe.write(nowNs));
+      }
+    }
+  }
+
+  private interface Step {
+    void run() throws IOException;
+  }
+
+  private static void guarded(Pipe pipe, Step step) throws IOException {
+    try {
+      step.run();
+    } catch (IOException | CancelledKeyException e) {
+      // One end is gone, and so the other.
+      pipe.in.close();
+      pipe.out.close();
+    }
+  }
+
+  private void accept(SelectionKey key) throws IOException {
+    Route route = (Route) key.attachment();
+    SocketChannel near = ((ServerSocketChannel) key.channel()).accept();
+    if (near == null) {
+      return;
+    }
+    int colon = route.target.lastIndexOf(':');
+    InetSocketAddress target =
+        new InetSocketAddress(
+            InetAddress.getLoopbackAddress(), Integer.parseInt(route.target.substring(colon + 1)));
+    try {
+      // On loopback this answers at once, be it with a refusal.
+      SocketChannel far = SocketChannel.open(target);
+      join(route, near, far);
+    } catch (IOException e) {
+      near.close();
+    }
+  }
+
+  private void join(Route route, SocketChannel near, SocketChannel far) throws IOException {
+    near.configureBlocking(false);
+    far.configureBlocking(false);
+    near.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    far.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    Route back = new Route(route.to, route.from, route.target);
+    near.register(selector, SelectionKey.OP_READ, new Pipe(route, near, far));
+    far.register(selector, SelectionKey.OP_READ, new Pipe(back, far, near));
+  }
+}
--- a/src/test/java/dev/dunefront/load/Target.java
+++ b/src/test/java/dev/dunefront/load/Target.java
@@ -18,8 +18,8 @@
   static final double WORKER_MB = 32;
   static final double WORKER_BYTES = 15_000;
 
-  /** Of the larger of the known fleet deployments: requests and changes a second. */
-  static final double STATE_REQUESTS = 250;
+  /** The larger that either known fleet deployment allows: requests, and changes, a second. */
+  static final double STATE_REQUESTS = 500;
 
   static final double STATE_CHANGES = 90;
 
