Controllers lend each other changes of the state service's rate

Cause: with 14 controllers each has 6.4 of 90 changes a second and saves up 5; a job that has just come waits for its controller's part while the others' lie idle. Change: a controller that lacks changes asks a few others in turn (LoanAsk, Loan); what is lent is taken from the lender first, what is not used at once is dropped, late loans are not used. Budget comes apart from HttpStore.

--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -45,6 +45,12 @@
 
   private static final double NO_PRESSURE_S = 0.05;
 
+  /** Changes of a transaction that places some tasks: the job, its team, two chunks. */
+  private static final int TYPICAL_CHANGES = 4;
+
+  /** By then other controllers have answered whether they lend changes, in seconds. */
+  private static final double LENT_S = 0.05;
+
   /**
    * What a job has been granted and does not use for so long it gives back; sooner where its team
    * has less left than that job has been granted.
@@ -119,6 +125,9 @@
       if (now + waitS < c.flushDue) {
         c.flushDue = now + waitS;
         desk.later(waitS, () -> flush(c));
+        if (!c.offers.isEmpty() && waitS > LENT_S) {
+          desk.later(LENT_S, () -> flush(c));
+        }
       }
       return false;
     }
@@ -139,6 +148,9 @@
     if (c.offers.isEmpty() && c.ends.isEmpty() && !over && !returns) {
       return;
     }
+    if (!c.offers.isEmpty()) {
+      desk.store().anticipate(TYPICAL_CHANGES);
+    }
     double pressure = pressureS();
     if (!over && !returns && !due(c, canGather(c, quota) ? GATHER_S * (1 + pressure) : pressure)) {
       return;
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -26,6 +26,7 @@
 import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
+import dev.dunefront.store.Lending;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Proofs;
 import dev.dunefront.store.Replica;
@@ -65,6 +66,7 @@
   private final Loops loops;
   private final Replica replica;
   private final Membership membership;
+  private final Lending lending;
   private final Duties duties;
   private final Catalog catalog;
   private final JobTable jobs;
@@ -101,6 +103,7 @@
     membership =
         new Membership(
             settings.node(), settings.zone(), store, replica, timers, tunables.nodeLeaseS(), loops);
+    lending = new Lending(settings.node(), store, membership, peers, timers);
     // A lease is renewed four times in its life: in a shorter pause it cannot have run out.
     Standstill standstill =
         new Standstill(replica, membership, timers, ward, loops, tunables.nodeLeaseS() / 2);
@@ -410,6 +413,10 @@
       books.cancelled(c.job());
     } else if (m instanceof Message.DutyTerm t) {
       duties.received(t);
+    } else if (m instanceof Message.LoanAsk a) {
+      lending.received(from, a);
+    } else if (m instanceof Message.Loan l) {
+      lending.received(l);
     } else if (m instanceof Message.Health h) {
       books.load(from, h.held(), h.lagS());
       duties.load(from, h.lagS());
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -285,6 +285,12 @@
   /** Asks to stop young tasks of lower priority, so that so many tasks of this size find room. */
   record Preempt(String host, int priority, Size size, int count) implements Message {}
 
+  /** The sender lacks changes of the state service's rate for what waits there. */
+  record LoanAsk(long number, int changes) implements Message {}
+
+  /** The sender gives so many of its own, to be used at once. */
+  record Loan(long number, int changes) implements Message {}
+
   /**
    * Whether the state service serves the sender, how much of it the sender asks a second, and how
    * many machines the sender holds, and by how much its timers are late.
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -14,6 +14,8 @@
 import dev.dunefront.peer.Message.HoldAsk;
 import dev.dunefront.peer.Message.HoldSay;
 import dev.dunefront.peer.Message.Interest;
+import dev.dunefront.peer.Message.Loan;
+import dev.dunefront.peer.Message.LoanAsk;
 import dev.dunefront.peer.Message.Offer;
 import dev.dunefront.peer.Message.Ping;
 import dev.dunefront.peer.Message.Preempt;
@@ -183,6 +185,14 @@
     } else if (m instanceof Interest i) {
       out.writeByte(25);
       out.writeByte(i.detail().ordinal());
+    } else if (m instanceof LoanAsk a) {
+      out.writeByte(26);
+      out.writeLong(a.number());
+      out.writeInt(a.changes());
+    } else if (m instanceof Loan l) {
+      out.writeByte(27);
+      out.writeLong(l.number());
+      out.writeInt(l.changes());
     } else if (m instanceof Cancelled c) {
       out.writeByte(16);
       out.writeUTF(c.job());
@@ -318,6 +328,8 @@
           case 15 -> new HoldSay(in.readUTF(), in.readBoolean(), in.readDouble());
           case 24 -> new Ended(in.readUTF(), in.readBoolean());
           case 25 -> new Interest(pick(Detail.values(), in.readByte()));
+          case 26 -> new LoanAsk(in.readLong(), in.readInt());
+          case 27 -> new Loan(in.readLong(), in.readInt());
           case 16 -> new Cancelled(in.readUTF());
           case 22 -> new Retire(in.readUTF(), in.readLong());
           case 23 -> new DutyTerm(in.readUTF(), in.readLong());
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
 /** The state service over HTTP, within this controller's part of the common budget. */
 public final class HttpStore implements Store {
@@ -28,11 +29,8 @@
   /** A request with a later deadline waits for changes, and may rightly have no answer for long. */
   private static final double LONGEST_READ_S = CALL_S * 2;
 
-  /** So many changes are left for users' requests. */
-  private static final double USERS_WRITES = 1;
-
-  /** How many seconds' worth may be saved up. */
-  private static final double BURST = 0.8;
+  /** A shorter wait for changes is not worth asking others for some, in seconds. */
+  private static final double SHORT_S = 0.03;
 
   private record Waiting(double until, int writes, Runnable start, Runnable refuse) {}
 
@@ -40,15 +38,10 @@
   private final Caller caller;
   private final Timers timers;
   private final Ward ward;
-  private final Share requestShare;
-  private final Share writeShare;
-  private double rps;
-  private double writeRps;
+  private final Budget budget;
   private final String markPrefix;
   private final Map<Urgency, ArrayDeque<Waiting>> queues = new EnumMap<>(Urgency.class);
-  private double requests;
-  private double writes;
-  private double refilled;
+  private IntConsumer shortOfChanges = missing -> {};
   private double asked;
   private double askedWrites;
   private double askedSince;
@@ -69,15 +62,8 @@
     this.caller = caller;
     this.timers = timers;
     this.ward = ward;
-    this.requestShare = new Share(settings.stateLimits().rps(), settings.controllers());
-    this.writeShare = new Share(settings.stateLimits().writeRps(), settings.controllers());
-    this.rps = requestShare.equalPart();
-    this.writeRps = writeShare.equalPart();
+    this.budget = new Budget(settings, timers.now());
     this.markPrefix = markPrefix;
-    // The burst is a part of the common one: all controllers may start at once.
-    this.requests = rps * BURST;
-    this.writes = writeRps * BURST;
-    this.refilled = timers.now();
     this.askedSince = timers.now();
     for (Urgency u : Urgency.values()) {
       queues.put(u, new ArrayDeque<>());
@@ -91,8 +77,8 @@
 
   @Override
   public double writeDelayS() {
-    refill();
-    return Math.max(0, (queuedWrites(Urgency.CORE) + 1 - writes) / writeRps);
+    budget.refill(timers.now());
+    return budget.delayS(queuedWrites(Urgency.CORE));
   }
 
   /** Changes that wait, of this and all greater urgencies. */
@@ -108,18 +94,6 @@
     return queued;
   }
 
-  /** What may be saved up; however small the part, one request at least, or none would ever go. */
-  private static double burst(double rate) {
-    return Math.max(1, rate * BURST);
-  }
-
-  private void refill() {
-    double now = timers.now();
-    requests = Math.min(burst(rps), requests + (now - refilled) * rps);
-    writes = Math.min(burst(writeRps), writes + (now - refilled) * writeRps);
-    refilled = now;
-  }
-
   @Override
   public Use use() {
     int queued = 0;
@@ -138,8 +112,36 @@
   @Override
   public void share(Use own, Collection<Use> others) {
     pump();
-    rps = requestShare.of(own.requests(), others.stream().map(Use::requests).toList());
-    writeRps = writeShare.of(own.writes(), others.stream().map(Use::writes).toList());
+    budget.share(own, others);
+  }
+
+  @Override
+  public void anticipate(int changes) {
+    budget.refill(timers.now());
+    askForMissing(budget.missing(Urgency.CORE, changes));
+  }
+
+  private void askForMissing(int missing) {
+    if (missing > 0 && budget.waitS(missing) > SHORT_S && !down()) {
+      shortOfChanges.accept(missing);
+    }
+  }
+
+  @Override
+  public void onShort(IntConsumer listener) {
+    shortOfChanges = listener;
+  }
+
+  @Override
+  public int lend(int changes) {
+    budget.refill(timers.now());
+    return down() || queuedWrites(Urgency.BACKGROUND) > 0 ? 0 : budget.lend(changes);
+  }
+
+  @Override
+  public void borrow(int changes) {
+    budget.borrow(changes, timers.now());
+    pump();
   }
 
   @Override
@@ -448,45 +450,38 @@
         });
   }
 
-  /**
-   * How many changes must be saved up before so many are sent. Users' may run into debt. All else
-   * leaves a little: after a transaction of twenty changes on a part of ten a second each
-   * submission would wait for two seconds.
-   */
-  private double needed(Urgency urgency, int changes) {
-    return urgency == Urgency.USER
-        ? Double.MIN_VALUE
-        : Math.min(changes + USERS_WRITES, burst(writeRps));
-  }
-
   private void pump() {
     double now = timers.now();
-    refill();
+    budget.refill(now);
     boolean left = false;
     boolean held = false;
+    int missing = 0;
     for (var e : queues.entrySet()) {
       ArrayDeque<Waiting> queue = e.getValue();
       while (!queue.isEmpty()) {
         Waiting w = queue.peek();
-        boolean writable = w.writes == 0 || !held && writes >= needed(e.getKey(), w.writes);
+        boolean writable = w.writes == 0 || !held && budget.allowsChanges(e.getKey(), w.writes);
         if (w.until < now) {
           queue.poll();
           ward.then(w.refuse);
-        } else if (requests >= 1 && writable) {
+        } else if (budget.allowsRequest() && writable) {
           queue.poll();
-          requests -= 1;
-          writes -= w.writes;
+          budget.spend(w.writes);
           asked++;
           askedWrites += w.writes;
           ward.then(w.start);
         } else {
           // What is less urgent must not take what this saves up for.
-          held |= !writable;
+          if (!writable && !held) {
+            held = true;
+            missing = e.getKey() == Urgency.BACKGROUND ? 0 : budget.missing(e.getKey(), w.writes);
+          }
           left = true;
           break;
         }
       }
     }
+    askForMissing(missing);
     if (left && !pumping) {
       pumping = true;
       timers.after(
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
 /** What the rest of the program may ask of the state service. Answers come outside any lock. */
 public interface Store {
@@ -77,6 +78,18 @@
   /** How long a change would wait now before it is sent. */
   double writeDelayS();
 
+  /** So many changes are about to be asked for; what lacks is borrowed, if others have some. */
+  void anticipate(int changes);
+
+  /** Hears of how many changes are lacking for what waits or is about to come. */
+  void onShort(IntConsumer listener);
+
+  /** Gives away up to so many changes that nothing here waits for; says how many. */
+  int lend(int changes);
+
+  /** Another controller has given so many of its changes. */
+  void borrow(int changes);
+
   /** What a controller asks of the service in a second. */
   record Use(double requests, double writes) {}
 
--- a/src/test/java/dev/dunefront/peer/MessageTest.java
+++ b/src/test/java/dev/dunefront/peer/MessageTest.java
@@ -40,6 +40,8 @@
               List.of(0, 1, 0, 0),
               List.of(new TaskState("wk-1", 2, 3, State.EXITED, Why.DONE))),
           new Message.Interest(Detail.ROOM),
+          new Message.LoanAsk(1, 2),
+          new Message.Loan(1, 2),
           new Message.Unheld("h"),
           new Message.Progress(List.of(new Message.Count("wk-1", 2, 3, 4))),
           new Message.Want("h", "wk-1", 1, 2, new Size(1, 2, 3), 4),
