--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -1,14 +1,14 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
 import dev.dunefront.evidence.Freshness;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
@@ -50,7 +50,7 @@
   private final JobTable jobs;
   private final Peers peers;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Map<String, Machine> held = new HashMap<>();
 
   /** What was called gone on machines let go of since without a new baton; see {@link #hold}. */
@@ -74,28 +74,28 @@
 
   private double strangersAt;
 
-  public Books(Desk desk, Caller caller) {
-    this.settings = desk.settings();
-    this.membership = desk.membership();
-    this.holds = desk.holds();
-    this.jobs = desk.jobs();
-    this.peers = desk.peers();
-    this.timers = desk.timers();
-    this.ward = desk.ward();
-    this.views = new Views(desk, held);
-    this.preemption = new Preemption(desk, views);
-    this.reports = new Reports(desk);
-    this.listening = new Listening(desk, caller, this, reports);
-    this.orders = new Orders(desk, caller, this, listening);
-    this.starts = new Starts(desk, this, orders, views);
-    this.upkeep = new Upkeep(desk);
-    this.holdChanges = new HoldChanges(desk, this);
+  public Books(ControllerContext context, Caller caller) {
+    this.settings = context.settings();
+    this.membership = context.membership();
+    this.holds = context.holds();
+    this.jobs = context.jobs();
+    this.peers = context.peers();
+    this.timers = context.timers();
+    this.decisionLock = context.decisionLock();
+    this.views = new Views(context, held);
+    this.preemption = new Preemption(context, views);
+    this.reports = new Reports(context);
+    this.listening = new Listening(context, caller, this, reports);
+    this.orders = new Orders(context, caller, this, listening);
+    this.starts = new Starts(context, this, orders, views);
+    this.upkeep = new Upkeep(context);
+    this.holdChanges = new HoldChanges(context, this);
     this.neighbours = new Neighbours(settings, membership);
-    this.leaving = new Leaving(desk, neighbours);
-    this.reception = new Reception(desk, neighbours, listening, this);
-    this.standstill = desk.standstill();
-    this.dealing = new Dealing(desk, neighbours, views);
-    this.inbox = new Inbox(desk, this, starts, preemption, reception);
+    this.leaving = new Leaving(context, neighbours);
+    this.reception = new Reception(context, neighbours, listening, this);
+    this.standstill = context.standstill();
+    this.dealing = new Dealing(context, neighbours, views);
+    this.inbox = new Inbox(context, this, starts, preemption, reception);
     standstill.listen(reception::woken);
   }
 
@@ -349,7 +349,7 @@
     leaving.tick(now);
     for (Machine m : List.copyOf(held.values())) {
       // What cannot be done for one machine is no reason to leave the others alone.
-      ward.run(() -> tick(m, now, lease));
+      decisionLock.run(() -> tick(m, now, lease));
     }
     if (now - strangersAt > IDLE_LOOK_S) {
       strangersAt = now;
--- a/src/main/java/dev/dunefront/book/Dealing.java
+++ b/src/main/java/dev/dunefront/book/Dealing.java
@@ -1,6 +1,6 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.net.Timers;
@@ -30,13 +30,13 @@
   /** No earlier incarnation's offers have these numbers. */
   private long offers;
 
-  Dealing(Desk desk, Neighbours neighbours, Views views) {
-    this.tunables = desk.tunables();
-    this.catalog = desk.catalog();
-    this.store = desk.store();
-    this.peers = desk.peers();
-    this.timers = desk.timers();
-    this.standstill = desk.standstill();
+  Dealing(ControllerContext context, Neighbours neighbours, Views views) {
+    this.tunables = context.tunables();
+    this.catalog = context.catalog();
+    this.store = context.store();
+    this.peers = context.peers();
+    this.timers = context.timers();
+    this.standstill = context.standstill();
     this.neighbours = neighbours;
     this.views = views;
     this.offers = timers.timeOfDayMs() << 16;
--- a/src/main/java/dev/dunefront/book/HoldChanges.java
+++ b/src/main/java/dev/dunefront/book/HoldChanges.java
@@ -1,6 +1,6 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
 import java.util.List;
 
@@ -13,9 +13,9 @@
   /** The stamp of the roster by which machines without a record are held. */
   private long rosterStamp;
 
-  HoldChanges(Desk desk, Books books) {
-    this.settings = desk.settings();
-    this.holds = desk.holds();
+  HoldChanges(ControllerContext context, Books books) {
+    this.settings = context.settings();
+    this.holds = context.holds();
     this.books = books;
   }
 
--- a/src/main/java/dev/dunefront/book/Inbox.java
+++ b/src/main/java/dev/dunefront/book/Inbox.java
@@ -1,6 +1,6 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
 import dev.dunefront.duty.Duties;
 import dev.dunefront.duty.Duty;
@@ -29,11 +29,16 @@
   private final Preemption preemption;
   private final Reception reception;
 
-  Inbox(Desk desk, Books books, Starts starts, Preemption preemption, Reception reception) {
-    this.settings = desk.settings();
-    this.jobs = desk.jobs();
-    this.timers = desk.timers();
-    this.duties = desk.duties();
+  Inbox(
+      ControllerContext context,
+      Books books,
+      Starts starts,
+      Preemption preemption,
+      Reception reception) {
+    this.settings = context.settings();
+    this.jobs = context.jobs();
+    this.timers = context.timers();
+    this.duties = context.duties();
     this.books = books;
     this.starts = starts;
     this.preemption = preemption;
--- a/src/main/java/dev/dunefront/book/Leaving.java
+++ b/src/main/java/dev/dunefront/book/Leaving.java
@@ -1,8 +1,8 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
-import dev.dunefront.evidence.Alone;
+import dev.dunefront.evidence.Isolation;
 import dev.dunefront.net.Timers;
 import dev.dunefront.store.Store;
 import java.lang.System.Logger.Level;
@@ -12,7 +12,7 @@
 
 /**
  * Sends workers away from a controller that has lost the state service and all others: see {@link
- * Alone}. A worker that is sent on keeps its lease for as long as it finds another in time; the
+ * Isolation}. A worker that is sent on keeps its lease for as long as it finds another in time; the
  * hold's record still names this controller, so one that comes back is held on without a write.
  */
 final class Leaving {
@@ -26,15 +26,15 @@
   private final Timers timers;
   private final Neighbours neighbours;
   private final List<String> others = new ArrayList<>();
-  private Alone alone = Alone.NOT;
+  private Isolation alone = Isolation.NOT;
   private int turn;
   private double next;
   private int sent;
 
-  Leaving(Desk desk, Neighbours neighbours) {
-    this.settings = desk.settings();
-    this.store = desk.store();
-    this.timers = desk.timers();
+  Leaving(ControllerContext context, Neighbours neighbours) {
+    this.settings = context.settings();
+    this.store = context.store();
+    this.timers = context.timers();
     this.neighbours = neighbours;
     // Those of this zone first: they hear its machines when it is cut off.
     settings.peers().stream()
@@ -56,16 +56,16 @@
 
   /** Time has passed. */
   void tick(double now) {
-    Alone.Step before = alone.step();
+    Isolation.Step before = alone.step();
     alone = alone.passed(now, alone(), others.size(), settings.workers().leaseS());
-    if (alone.step() != before && alone.step() == Alone.Step.GO) {
+    if (alone.step() != before && alone.step() == Isolation.Step.GO) {
       LOG.log(Level.INFO, "alone, and {0} found somebody else: the others follow", alone.trial());
     }
   }
 
   /** A machine's report has come. */
   void reported(String host) {
-    Alone.Step before = alone.step();
+    Isolation.Step before = alone.step();
     alone = alone.reported(host, timers.now());
     if (before != alone.step()) {
       LOG.log(Level.INFO, "alone, and {0} came back: nobody else is to be had", host);
@@ -78,8 +78,8 @@
    */
   String whereTo(Machine m, Collection<Machine> held) {
     double now = timers.now();
-    boolean first = alone.step() == Alone.Step.TRY;
-    if (!first && (alone.step() != Alone.Step.GO || now < next)) {
+    boolean first = alone.step() == Isolation.Step.TRY;
+    if (!first && (alone.step() != Isolation.Step.GO || now < next)) {
       return null;
     }
     if (first && !m.unfinished().isEmpty() && anyIdle(held)) {
--- a/src/main/java/dev/dunefront/book/Listening.java
+++ b/src/main/java/dev/dunefront/book/Listening.java
@@ -1,11 +1,11 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
 import dev.dunefront.evidence.Freshness;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
@@ -35,18 +35,18 @@
   private final Settings settings;
   private final Caller caller;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Books books;
   private final Reports reports;
   private double lateS;
   private int copies;
   private int deafened;
 
-  Listening(Desk desk, Caller caller, Books books, Reports reports) {
-    this.settings = desk.settings();
+  Listening(ControllerContext context, Caller caller, Books books, Reports reports) {
+    this.settings = context.settings();
     this.caller = caller;
-    this.timers = desk.timers();
-    this.ward = desk.ward();
+    this.timers = context.timers();
+    this.decisionLock = context.decisionLock();
     this.books = books;
     this.reports = reports;
   }
@@ -72,7 +72,7 @@
       then.accept(null);
       return;
     }
-    ward.then(
+    decisionLock.then(
         () ->
             caller.call(
                 endpoint,
@@ -80,7 +80,7 @@
                 "/status",
                 null,
                 QUESTION_S,
-                reply -> ward.run(() -> then.accept(read(reply)))));
+                reply -> decisionLock.run(() -> then.accept(read(reply)))));
   }
 
   private static Report read(Caller.Reply reply) {
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -2,7 +2,7 @@
 
 import dev.dunefront.evidence.Blame;
 import dev.dunefront.evidence.Freshness;
-import dev.dunefront.evidence.Hearing;
+import dev.dunefront.evidence.Responsiveness;
 import dev.dunefront.peer.Message.State;
 import dev.dunefront.peer.Message.TaskState;
 import dev.dunefront.peer.Message.View;
@@ -80,7 +80,7 @@
   Freshness fresh = Freshness.NONE;
 
   /** Whether what is said to it arrives. */
-  Hearing hearing = Hearing.GOOD;
+  Responsiveness hearing = Responsiveness.GOOD;
 
   /** It has been asked what it is at, and the answer is not here yet. */
   boolean questioned;
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -1,10 +1,10 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.evidence.Freshness;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Standstill;
 import dev.dunefront.store.Store;
@@ -36,7 +36,7 @@
   private final Store store;
   private final Caller caller;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Books books;
   private final Listening listening;
   private final Standstill standstill;
@@ -44,17 +44,17 @@
   /** A clear that has waited so long goes out on its own, in seconds. */
   private final double clearAloneS;
 
-  Orders(Desk desk, Caller caller, Books books, Listening listening) {
+  Orders(ControllerContext context, Caller caller, Books books, Listening listening) {
     this.listening = listening;
-    this.membership = desk.membership();
-    this.holds = desk.holds();
-    this.store = desk.store();
+    this.membership = context.membership();
+    this.holds = context.holds();
+    this.store = context.store();
     this.caller = caller;
-    this.timers = desk.timers();
-    this.ward = desk.ward();
+    this.timers = context.timers();
+    this.decisionLock = context.decisionLock();
     this.books = books;
-    this.standstill = desk.standstill();
-    this.clearAloneS = desk.settings().workers().reportS() * LONGEST_REPORT;
+    this.standstill = context.standstill();
+    this.clearAloneS = context.settings().workers().reportS() * LONGEST_REPORT;
   }
 
   /** Raises the baton, so that orders of unknown fate are refused by the worker from now on. */
@@ -193,7 +193,7 @@
     }
     String endpoint = m.endpoint;
     Freshness known = m.fresh;
-    ward.then(
+    decisionLock.then(
         () ->
             caller.call(
                 endpoint,
@@ -201,7 +201,7 @@
                 "/orders",
                 body,
                 ORDER_S,
-                reply -> ward.run(() -> ordered(m, known, runs, reply))));
+                reply -> decisionLock.run(() -> ordered(m, known, runs, reply))));
   }
 
   private void ordered(Machine m, Freshness known, List<TaskId> runs, Caller.Reply reply) {
--- a/src/main/java/dev/dunefront/book/Preemption.java
+++ b/src/main/java/dev/dunefront/book/Preemption.java
@@ -1,6 +1,6 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Timers;
@@ -39,10 +39,10 @@
   private final Timers timers;
   private final Views views;
 
-  Preemption(Desk desk, Views views) {
-    this.jobs = desk.jobs();
-    this.catalog = desk.catalog();
-    this.timers = desk.timers();
+  Preemption(ControllerContext context, Views views) {
+    this.jobs = context.jobs();
+    this.catalog = context.catalog();
+    this.timers = context.timers();
     this.views = views;
   }
 
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -1,11 +1,11 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
 import dev.dunefront.fleet.Catalog;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
@@ -43,7 +43,7 @@
   private final Store store;
   private final Peers peers;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Neighbours neighbours;
   private final Listening listening;
   private final Books books;
@@ -77,15 +77,15 @@
 
   private double begun;
 
-  Reception(Desk desk, Neighbours neighbours, Listening listening, Books books) {
-    this.settings = desk.settings();
-    this.membership = desk.membership();
-    this.holds = desk.holds();
-    this.catalog = desk.catalog();
-    this.store = desk.store();
-    this.peers = desk.peers();
-    this.timers = desk.timers();
-    this.ward = desk.ward();
+  Reception(ControllerContext context, Neighbours neighbours, Listening listening, Books books) {
+    this.settings = context.settings();
+    this.membership = context.membership();
+    this.holds = context.holds();
+    this.catalog = context.catalog();
+    this.store = context.store();
+    this.peers = context.peers();
+    this.timers = context.timers();
+    this.decisionLock = context.decisionLock();
     this.neighbours = neighbours;
     this.listening = listening;
     this.books = books;
@@ -243,7 +243,7 @@
   private void ask(String holder, Report r, Answer answer) {
     await(r, answer);
     peers.send(holder, new Message.HoldAsk(r.host(), r.tenure(), r.serial(), r.baton()));
-    timers.after(ASK_S, () -> ward.run(() -> settleAsk(r.host(), null)));
+    timers.after(ASK_S, () -> decisionLock.run(() -> settleAsk(r.host(), null)));
   }
 
   /** Another controller asks whether this one hears a machine. */
--- a/src/main/java/dev/dunefront/book/Reports.java
+++ b/src/main/java/dev/dunefront/book/Reports.java
@@ -1,6 +1,6 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.evidence.Blame;
 import dev.dunefront.evidence.Freshness;
 import dev.dunefront.job.JobTable;
@@ -19,9 +19,9 @@
   private final JobTable jobs;
   private final Timers timers;
 
-  Reports(Desk desk) {
-    this.jobs = desk.jobs();
-    this.timers = desk.timers();
+  Reports(ControllerContext context) {
+    this.jobs = context.jobs();
+    this.timers = context.timers();
   }
 
   /** Takes over a report that came by itself and is no copy of an old one. */
--- a/src/main/java/dev/dunefront/book/Starts.java
+++ b/src/main/java/dev/dunefront/book/Starts.java
@@ -1,6 +1,6 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Timers;
@@ -23,12 +23,12 @@
   private final Orders orders;
   private final Views views;
 
-  Starts(Desk desk, Books books, Orders orders, Views views) {
-    this.jobs = desk.jobs();
-    this.catalog = desk.catalog();
-    this.peers = desk.peers();
-    this.timers = desk.timers();
-    this.standstill = desk.standstill();
+  Starts(ControllerContext context, Books books, Orders orders, Views views) {
+    this.jobs = context.jobs();
+    this.catalog = context.catalog();
+    this.peers = context.peers();
+    this.timers = context.timers();
+    this.standstill = context.standstill();
     this.books = books;
     this.orders = orders;
     this.views = views;
--- a/src/main/java/dev/dunefront/book/Upkeep.java
+++ b/src/main/java/dev/dunefront/book/Upkeep.java
@@ -1,6 +1,6 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.store.Store;
@@ -19,9 +19,9 @@
   private final JobTable jobs;
   private final Map<String, Double> lookedUp = new HashMap<>();
 
-  Upkeep(Desk desk) {
-    this.settings = desk.settings();
-    this.jobs = desk.jobs();
+  Upkeep(ControllerContext context) {
+    this.settings = context.settings();
+    this.jobs = context.jobs();
   }
 
   /**
--- a/src/main/java/dev/dunefront/book/Views.java
+++ b/src/main/java/dev/dunefront/book/Views.java
@@ -1,10 +1,10 @@
 package dev.dunefront.book;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Detail;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
@@ -39,7 +39,7 @@
   private final Catalog catalog;
   private final Peers peers;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Map<String, Machine> held;
   private final List<Machine> toTell = new ArrayList<>();
 
@@ -48,15 +48,15 @@
   /** All controllers, this one included. */
   private final List<String> nodes = new ArrayList<>();
 
-  Views(Desk desk, Map<String, Machine> held) {
-    this.jobs = desk.jobs();
-    this.catalog = desk.catalog();
-    this.peers = desk.peers();
-    this.timers = desk.timers();
-    this.ward = desk.ward();
+  Views(ControllerContext context, Map<String, Machine> held) {
+    this.jobs = context.jobs();
+    this.catalog = context.catalog();
+    this.peers = context.peers();
+    this.timers = context.timers();
+    this.decisionLock = context.decisionLock();
     this.held = held;
-    nodes.add(desk.settings().node());
-    desk.settings().peers().forEach(p -> nodes.add(p.node()));
+    nodes.add(context.settings().node());
+    context.settings().peers().forEach(p -> nodes.add(p.node()));
   }
 
   /** What a task of the job takes, or null if the job is not known. */
@@ -147,7 +147,7 @@
     toTell.add(m);
     if (toTell.size() == 1) {
       double longer = Math.max(1, Math.min(LONGEST, held.size() / MACHINES));
-      timers.after(TELL_S * longer, () -> ward.run(this::tell));
+      timers.after(TELL_S * longer, () -> decisionLock.run(this::tell));
     }
   }
 
--- a/src/main/java/dev/dunefront/claim/Account.java
+++ b/src/main/java/dev/dunefront/claim/Account.java
@@ -13,7 +13,7 @@
 
 /** What users, operators and the other controllers are told of jobs: counts, and what waits. */
 public final class Account {
-  private final Desk desk;
+  private final ControllerContext context;
   private final Map<String, Claim> claims;
   private final Quotas quotas;
   private final Zones zones;
@@ -23,8 +23,9 @@
   private final Map<String, Counts> elsewhere = new HashMap<>();
 
   /** The claims are those of this controller, by job, as they are at any time. */
-  Account(Desk desk, Map<String, Claim> claims, Quotas quotas, Zones zones, Room room) {
-    this.desk = desk;
+  Account(
+      ControllerContext context, Map<String, Claim> claims, Quotas quotas, Zones zones, Room room) {
+    this.context = context;
     this.claims = claims;
     this.quotas = quotas;
     this.zones = zones;
@@ -39,7 +40,7 @@
   /** Another controller tells of the jobs that it has claimed. */
   void told(Message.Progress progress) {
     for (Message.Count n : progress.counts()) {
-      if (!claims.containsKey(n.job()) && desk.jobs().get(n.job()) != null) {
+      if (!claims.containsKey(n.job()) && context.jobs().get(n.job()) != null) {
         elsewhere.put(n.job(), new Counts(n.done(), n.running(), n.placed()));
       }
     }
@@ -96,9 +97,9 @@
 
   /** By group the age in seconds of its oldest open job of which nothing has ever been placed. */
   public Map<Group, Integer> unbegunS() {
-    long now = desk.timers().timeOfDayMs();
+    long now = context.timers().timeOfDayMs();
     Map<Group, Integer> oldest = new HashMap<>();
-    for (JobTable.Entry e : desk.jobs().all()) {
+    for (JobTable.Entry e : context.jobs().all()) {
       JobSpec spec = e.record().spec();
       if (e.record().status() == Status.OPEN && unstarted(spec) == spec.tasks()) {
         int ageS = (int) (Math.max(0, now - e.record().acceptedMs()) / 1000);
@@ -127,7 +128,7 @@
     List<Message.Waiting> waiting = new ArrayList<>();
     Map<Queue.Shape, Integer> heads = new HashMap<>();
     Map<Queue.Shape, Integer> behind = new HashMap<>();
-    double now = desk.now();
+    double now = context.now();
     for (Claim c : claims.values()) {
       int n = c.unstarted();
       Quotas.Quota q = quotas.of(c.spec.team());
@@ -135,7 +136,7 @@
         n = Math.min(n, c.allowed(q));
       }
       if (n > 0 && !c.suspect() && now >= c.notBefore) {
-        Map<String, Integer> left = zones.left(c, desk.catalog().zones());
+        Map<String, Integer> left = zones.left(c, context.catalog().zones());
         if (c.queued && left.isEmpty()) {
           // In the place of the one at the head of the line, whoever that is.
           behind.merge(c.shape, n, Integer::sum);
--- a/src/main/java/dev/dunefront/claim/Choosing.java
+++ b/src/main/java/dev/dunefront/claim/Choosing.java
@@ -69,13 +69,13 @@
     }
   }
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Room room;
   private final Zones zones;
   private final Turnover turnover;
 
-  Choosing(Desk desk, Room room, Zones zones, Turnover turnover) {
-    this.desk = desk;
+  Choosing(ControllerContext context, Room room, Zones zones, Turnover turnover) {
+    this.context = context;
     this.room = room;
     this.zones = zones;
     this.turnover = turnover;
@@ -92,7 +92,7 @@
     if (known != null) {
       return known;
     }
-    MachineType type = desk.catalog().type(kind.type());
+    MachineType type = context.catalog().type(kind.type());
     if (type == null) {
       return new Fit(0, false, 0, 0);
     }
@@ -100,11 +100,11 @@
     int ever = spec.allows(kind.type(), kind.zone(), kind.spot()) ? c.size.timesIn(type.size()) : 0;
     double fetch =
         spec.image() == null || type.fetchGbPerS() <= 0 ? 0 : spec.imageGb() / type.fetchGbPerS();
-    boolean large = ever >= Catalog.OVERSIZE && desk.catalog().leavesLarge(spec);
+    boolean large = ever >= Catalog.OVERSIZE && context.catalog().leavesLarge(spec);
     // A replica stays where it starts, so it waits for the type on which it costs least for as long
     // as such a machine takes to come.
-    boolean dear = !large && desk.catalog().dear(spec, type);
-    double comes = dear ? desk.catalog().home(spec).bootS() + HOME_S : 0;
+    boolean dear = !large && context.catalog().dear(spec, type);
+    double comes = dear ? context.catalog().home(spec).bootS() + HOME_S : 0;
     Fit fit = new Fit(ever, large, fetch, comes);
     c.fits.set(kind.index(), fit);
     return fit;
@@ -133,7 +133,8 @@
     boolean spare =
         fit.large
             && !urgent
-            && now - c.unservedSince < desk.tunables().gatherTicks() * desk.tunables().tickS();
+            && now - c.unservedSince
+                < context.tunables().gatherTicks() * context.tunables().tickS();
     boolean slow = fit.fetchS > c.slowFetchS && !warm(c, v);
     int tier = slow ? LAST : fits == 0 ? FULL : spare ? LAST : HERE;
     return new Choice(s, fit.ever, fits, tier, costS(c, s, fit), s.mix() ^ c.mix);
@@ -148,7 +149,7 @@
         && !v.spot()
         && !spec.priority().urgent()
         && v.runsUrgent()
-        && desk.catalog().urgentHome(v.type());
+        && context.catalog().urgentHome(v.type());
   }
 
   private static boolean warm(Claim c, View v) {
@@ -204,7 +205,7 @@
       cost += SPREAD_OUT_S * c.size.timesIn(s.view().free()) / Math.max(1, fit.ever);
     }
     if (c.spec.spot() && !s.view().spot() && !c.spec.priority().urgent()) {
-      cost += desk.catalog().ordinaryNeeded() ? ORDINARY_S : 0;
+      cost += context.catalog().ordinaryNeeded() ? ORDINARY_S : 0;
     }
     return cost + (fit.large ? OVERSIZE_S : 0);
   }
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -103,7 +103,7 @@
   int parkedFor;
 
   double lookAgain;
-  double lookPause = Parking.LOOK_AGAIN_S;
+  double lookPause = WantPlacement.LOOK_AGAIN_S;
 
   /** The openings of room that have been looked at, and when. */
   long openings;
--- a/src/main/java/dev/dunefront/claim/ClaimShare.java
+++ b/src/main/java/dev/dunefront/claim/ClaimShare.java
@@ -8,11 +8,11 @@
 
 /** How much a controller claims: its part of the room that fits, and a little ahead. */
 final class ClaimShare {
-  private final Desk desk;
+  private final ControllerContext context;
   private final Room room;
 
-  ClaimShare(Desk desk, Room room) {
-    this.desk = desk;
+  ClaimShare(ControllerContext context, Room room) {
+    this.context = context;
     this.room = room;
   }
 
@@ -22,7 +22,7 @@
    * dozen small ones would keep a large one unclaimed that waits for other machines.
    */
   boolean admits(JobSpec spec, Collection<Claim> claims) {
-    if (desk.membership().self() == null) {
+    if (context.membership().self() == null) {
       return false;
     }
     boolean any = false;
@@ -39,8 +39,8 @@
       return true;
     }
     long fitting = fittingRoom(spec);
-    int controllers = Math.max(1, desk.membership().liveNodes().size());
-    long share = (fitting + controllers - 1) / controllers + desk.tunables().headroom();
+    int controllers = Math.max(1, context.membership().liveNodes().size());
+    long share = (fitting + controllers - 1) / controllers + context.tunables().headroom();
     return load * fitting + Math.min(spec.tasks(), share) <= share;
   }
 
@@ -49,7 +49,7 @@
    * it and wait unclaimed for room go first.
    */
   boolean admitsAtOnce(JobSpec spec, Collection<Claim> claims) {
-    for (JobTable.Entry e : desk.jobs().all()) {
+    for (JobTable.Entry e : context.jobs().all()) {
       if (e.record().claim() == null
           && e.record().status() == Status.OPEN
           && e.record().spec().priority().compareTo(spec.priority()) <= 0) {
@@ -63,7 +63,7 @@
   private long fittingRoom(JobSpec spec) {
     long fitting = 0;
     for (Room.Kind k : room.kinds()) {
-      MachineType t = desk.catalog().type(k.type());
+      MachineType t = context.catalog().type(k.type());
       if (t != null && spec.allows(k.type(), k.zone(), k.spot())) {
         fitting += (long) room.count(k) * spec.size().timesIn(t.size());
       }
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -23,23 +23,23 @@
 
 /**
  * The jobs that this controller has claimed: claims them and gives them up, and hands what happens
- * to {@link Parking}, which asks for room, {@link Recorder}, which writes what is placed and what
- * has ended, and {@link Settling}, which finds out how attempts ended.
+ * to {@link WantPlacement}, which asks for room, {@link Recorder}, which writes what is placed and
+ * what has ended, and {@link Reconciliation}, which finds out how attempts ended.
  */
 public final class Claims {
   private static final System.Logger LOG = System.getLogger(Claims.class.getName());
   private static final double REPEAT_S = 1.5;
   private static final double REVIEW_S = 0.02;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Quotas quotas;
   private final Room room = new Room();
   private final RoomInterest interest;
   private final Turnover turnover;
   private final IdleRoom idle;
-  private final Parking parking;
+  private final WantPlacement wantPlacement;
   private final Recorder recorder;
-  private final Settling settling;
+  private final Reconciliation reconciliation;
   private final Urgencies urgencies;
   private final Zones zones;
   private final Map<String, Claim> claims = new HashMap<>();
@@ -52,21 +52,23 @@
 
   private boolean reviewing;
 
-  public Claims(Desk desk) {
-    this.desk = desk;
-    urgencies = new Urgencies(desk.settings());
+  public Claims(ControllerContext context) {
+    this.context = context;
+    urgencies = new Urgencies(context.settings());
     zones = new Zones(room);
-    quotas = new Quotas(desk.settings(), desk.replica(), this::reviewSoon);
-    turnover = new Turnover(desk, room, this);
-    idle = new IdleRoom(desk, room);
+    quotas = new Quotas(context.settings(), context.replica(), this::reviewSoon);
+    turnover = new Turnover(context, room, this);
+    idle = new IdleRoom(context, room);
     interest =
-        new RoomInterest(desk.peers(), desk.timers(), () -> desk.ward().run(this::reviewSoon));
-    parking = new Parking(desk, room, interest, idle, quotas, urgencies, zones, turnover);
-    recorder = new Recorder(desk, quotas, zones, parking, room, this);
-    settling = new Settling(desk, room, urgencies, recorder, turnover);
-    takeover = new Takeover(desk, this);
-    share = new ClaimShare(desk, room);
-    account = new Account(desk, claims, quotas, zones, room);
+        new RoomInterest(
+            context.peers(), context.timers(), () -> context.decisionLock().run(this::reviewSoon));
+    wantPlacement =
+        new WantPlacement(context, room, interest, idle, quotas, urgencies, zones, turnover);
+    recorder = new Recorder(context, quotas, zones, wantPlacement, room, this);
+    reconciliation = new Reconciliation(context, room, urgencies, recorder, turnover);
+    takeover = new Takeover(context, this);
+    share = new ClaimShare(context, room);
+    account = new Account(context, claims, quotas, zones, room);
   }
 
   public Room room() {
@@ -123,12 +125,12 @@
    * @param fresh nothing of it can have been placed yet
    */
   public void adopt(String id, boolean fresh) {
-    JobTable.Entry e = desk.jobs().get(id);
-    if (claims.containsKey(id) || e == null || !e.record().heldBy(desk.membership().self())) {
+    JobTable.Entry e = context.jobs().get(id);
+    if (claims.containsKey(id) || e == null || !e.record().heldBy(context.membership().self())) {
       return;
     }
-    Claim c = new Claim(e.record(), e.stamp(), desk.tunables().reach(), desk.now());
-    c.halted = desk.jobs().over(id);
+    Claim c = new Claim(e.record(), e.stamp(), context.tunables().reach(), context.now());
+    c.halted = context.jobs().over(id);
     claims.put(c.id(), c);
     takeover.adopted(c.id());
     account.forget(c.id());
@@ -141,7 +143,8 @@
 
   private void load(Claim c) {
     c.loading = true;
-    desk.store()
+    context
+        .store()
         .range(
             Chunk.prefix(c.id()),
             Store.Urgency.CORE,
@@ -150,7 +153,7 @@
                 return;
               }
               if (range.outcome() != Outcome.OK) {
-                desk.later(0.3, () -> load(c));
+                context.later(0.3, () -> load(c));
                 return;
               }
               c.forgetChunks();
@@ -163,11 +166,11 @@
                 }
               }
               c.loading = false;
-              double now = desk.now();
+              double now = context.now();
               // Holders that have yet to learn who claims the job now show it in a moment.
               c.live.values().forEach(l -> l.probedAt = now);
               for (String host : List.copyOf(c.hosts())) {
-                settling.compare(c, room.get(host));
+                reconciliation.compare(c, room.get(host));
               }
               review(c);
             });
@@ -176,7 +179,8 @@
   /** Reads the job's record anew, and with it whether the claim still stands. */
   void reload(Claim c) {
     c.loading = true;
-    desk.jobs()
+    context
+        .jobs()
         .read(
             c.id(),
             Store.Urgency.CORE,
@@ -185,7 +189,7 @@
                 return;
               }
               if (found.outcome() == Outcome.OK && found.entry() != null) {
-                String self = desk.membership().self();
+                String self = context.membership().self();
                 if (self == null || !self.equals(found.entry().record().claim())) {
                   drop(c);
                   return;
@@ -196,14 +200,14 @@
               } else if (found.outcome() == Outcome.OK || found.outcome() == Outcome.MISSING) {
                 drop(c);
               } else {
-                desk.later(0.3, () -> reload(c));
+                context.later(0.3, () -> reload(c));
               }
             });
   }
 
   private void drop(Claim c) {
     c.dropped = true;
-    parking.withdraw(c);
+    wantPlacement.withdraw(c);
     recorder.declineAll(c);
     claims.remove(c.id(), c);
   }
@@ -213,7 +217,7 @@
     Claim c = claims.get(id);
     if (c != null && c.starts()) {
       c.halted = true;
-      parking.withdraw(c);
+      wantPlacement.withdraw(c);
       recorder.declineAll(c);
     }
   }
@@ -222,12 +226,12 @@
   void finished(Claim c, Status last, long revision) {
     c.dropped = true;
     claims.remove(c.id(), c);
-    parking.withdraw(c);
+    wantPlacement.withdraw(c);
     recorder.declineAll(c);
     LOG.log(Level.INFO, "{0} is {1}", c.id(), last);
-    desk.jobs().finished(c.id(), last, revision);
+    context.jobs().finished(c.id(), last, revision);
     // Users ask anywhere; told so, nobody need read it.
-    desk.peers().broadcast(new Message.Ended(c.id(), last == Status.DONE));
+    context.peers().broadcast(new Message.Ended(c.id(), last == Status.DONE));
   }
 
   /** Forgets all claims, for this controller has become another incarnation. */
@@ -252,14 +256,14 @@
     if (c == null || entry != null && entry.stamp() <= c.stamp) {
       return;
     }
-    if (entry == null || !entry.record().heldBy(desk.membership().self())) {
+    if (entry == null || !entry.record().heldBy(context.membership().self())) {
       drop(c);
       return;
     }
     c.record = entry.record();
     c.stamp = entry.stamp();
     if (!c.open()) {
-      parking.withdraw(c);
+      wantPlacement.withdraw(c);
       recorder.declineAll(c);
     }
     review(c);
@@ -269,11 +273,11 @@
 
   public void received(String from, Message message) {
     if (message instanceof View v) {
-      Room.Seen old = room.put(from, v, desk.now());
+      Room.Seen old = room.put(from, v, context.now());
       if (old != null && (!old.holder().equals(from) || old.view().baton() != v.baton())) {
         unpark(v.host());
       }
-      settling.heard(room.get(v.host()), claims);
+      reconciliation.heard(room.get(v.host()), claims);
       reviewSoon();
     } else if (message instanceof Message.Unheld u) {
       if (room.remove(from, u.host())) {
@@ -289,7 +293,7 @@
           && !l.ending
           && l.placement.attempt() == a.attempt()
           && l.placement.host().equals(a.host())) {
-        settling.end(c, a.number(), l, End.GONE, a.holdStamp());
+        reconciliation.end(c, a.number(), l, End.GONE, a.holdStamp());
         recorder.flush(c);
       }
     } else if (message instanceof Message.Progress p) {
@@ -306,11 +310,11 @@
     if (c == null
         || c.loading
         || !c.starts()
-        || desk.store().down()
-        || !desk.standstill().current()) {
-      desk.peers().send(from, new Message.Decline(o.offer(), o.host()));
+        || context.store().down()
+        || !context.standstill().current()) {
+      context.peers().send(from, new Message.Decline(o.offer(), o.host()));
     } else {
-      c.offers.add(new Held(from, o, desk.now()));
+      c.offers.add(new Held(from, o, context.now()));
       recorder.chooseSoon(c);
     }
   }
@@ -336,17 +340,17 @@
 
   /** The hold record of a machine has changed; only its confirmed end matters here. */
   public void holdChanged(String host) {
-    Holds.Hold hold = desk.holds().get(host);
+    Holds.Hold hold = context.holds().get(host);
     if (hold != null && hold.dead()) {
       for (Claim c : List.copyOf(claims.values())) {
-        settling.endAllOn(c, host);
+        reconciliation.endAllOn(c, host);
       }
     }
   }
 
   private void unpark(String host) {
     for (Claim c : claims.values()) {
-      parking.lostBook(c, host);
+      wantPlacement.lostBook(c, host);
     }
   }
 
@@ -358,7 +362,7 @@
       return;
     }
     reviewing = true;
-    desk.later(
+    context.later(
         REVIEW_S,
         () -> {
           reviewing = false;
@@ -372,7 +376,7 @@
         Comparator.comparing((Claim c) -> c.spec.priority())
             .thenComparing(c -> c.record.acceptedMs()));
     Queue.line(all);
-    all.forEach(c -> desk.ward().run(() -> review(c)));
+    all.forEach(c -> context.decisionLock().run(() -> review(c)));
   }
 
   void review(Claim c) {
@@ -380,24 +384,25 @@
       return;
     }
     recorder.flush(c);
-    if (!c.dropped && !desk.store().down()) {
-      parking.review(c);
+    if (!c.dropped && !context.store().down()) {
+      wantPlacement.review(c);
     }
   }
 
   /** Called several times a second. */
   public void tick() {
-    double now = desk.now();
+    double now = context.now();
     takeover.tick(now);
     for (Claim c : List.copyOf(claims.values())) {
       // What cannot be done for one job is no reason to leave the others alone.
-      desk.ward()
+      context
+          .decisionLock()
           .run(
               () -> {
                 if (!c.starts() && !c.loading) {
                   stopAll(c, now);
                 }
-                settling.lookAgain(c);
+                reconciliation.lookAgain(c);
                 sayIfLate(c);
               });
     }
@@ -410,8 +415,8 @@
     if (c.saidLate || c.loading || Begin.begun(c)) {
       return;
     }
-    double ageS = c.ageS(desk.timers().timeOfDayMs());
-    if (ageS > desk.tunables().beginS()) {
+    double ageS = c.ageS(context.timers().timeOfDayMs());
+    if (ageS > context.tunables().beginS()) {
       c.saidLate = true;
       LOG.log(
           Level.INFO,
@@ -432,7 +437,8 @@
       Room.Seen s = room.get(l.placement.host());
       if (s != null && now - l.stoppedAt > REPEAT_S) {
         l.stoppedAt = now;
-        desk.peers()
+        context
+            .peers()
             .send(
                 s.holder(),
                 new Message.Stop(
--- a/src/main/java/dev/dunefront/claim/Desk.java
+++ b/src/main/java/dev/dunefront/claim/ControllerContext.java
@@ -6,8 +6,8 @@
 import dev.dunefront.duty.Duties;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
@@ -15,7 +15,7 @@
 import dev.dunefront.store.Store;
 
 /** What the parts of a controller share. */
-public record Desk(
+public record ControllerContext(
     Settings settings,
     Tunables tunables,
     Membership membership,
@@ -26,7 +26,7 @@
     Store store,
     Peers peers,
     Timers timers,
-    Ward ward,
+    DecisionLock decisionLock,
     Standstill standstill,
     Duties duties) {
 
@@ -36,6 +36,6 @@
 
   /** Runs a decision after a while. */
   void later(double seconds, Runnable decision) {
-    timers.after(seconds, () -> ward.run(decision));
+    timers.after(seconds, () -> decisionLock.run(decision));
   }
 }
--- a/src/main/java/dev/dunefront/claim/GivingWay.java
+++ b/src/main/java/dev/dunefront/claim/GivingWay.java
@@ -24,15 +24,19 @@
   /** How long a holder's word that there are young tasks is taken for true. */
   private static final double YOUNG_S = 15;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final RoomInterest interest;
   private final Urgencies urgencies;
   private final Choosing choosing;
   private final Turnover turnover;
 
   GivingWay(
-      Desk desk, RoomInterest interest, Urgencies urgencies, Choosing choosing, Turnover turnover) {
-    this.desk = desk;
+      ControllerContext context,
+      RoomInterest interest,
+      Urgencies urgencies,
+      Choosing choosing,
+      Turnover turnover) {
+    this.context = context;
     this.interest = interest;
     this.urgencies = urgencies;
     this.choosing = choosing;
@@ -58,7 +62,7 @@
         || now - c.preemptedAt < PREEMPT_AGAIN_S) {
       return;
     }
-    if (desk.store().writeDelayS() > PREEMPT_AFTER_S) {
+    if (context.store().writeDelayS() > PREEMPT_AFTER_S) {
       // What waits then is the record, not room; stopped tasks would only have to be recorded too.
       return;
     }
@@ -72,7 +76,7 @@
       need -= ch.here() ? ch.fits() : 0;
     }
     if (priority.urgent() && !yielding) {
-      double ageS = c.ageS(desk.timers().timeOfDayMs());
+      double ageS = c.ageS(context.timers().timeOfDayMs());
       // Room that becomes free is mostly where the image has yet to be fetched.
       double leftS = urgencies.startSlackS(c.spec, ageS) - choosing.quickFetchS(c);
       need =
@@ -105,7 +109,8 @@
         need -= n;
         c.preempted += n;
         c.preemptedAt = now;
-        desk.peers()
+        context
+            .peers()
             .send(
                 ch.seen().holder(),
                 new Message.Preempt(ch.seen().view().host(), priority.ordinal(), c.size, n));
--- a/src/main/java/dev/dunefront/claim/IdleRoom.java
+++ b/src/main/java/dev/dunefront/claim/IdleRoom.java
@@ -17,7 +17,7 @@
   /** How long a count is good for, in seconds. */
   private static final double FRESH_S = 0.25;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Room room;
 
   /** Jobs that have come lately, whatever has become of them since. */
@@ -28,8 +28,8 @@
   private double countedAt = Double.NEGATIVE_INFINITY;
   private long idleCpu;
 
-  IdleRoom(Desk desk, Room room) {
-    this.desk = desk;
+  IdleRoom(ControllerContext context, Room room) {
+    this.context = context;
     this.room = room;
   }
 
@@ -38,12 +38,12 @@
     if (spec.priority() != Priority.BEST_EFFORT || spec.size().cpu() <= 0) {
       return Integer.MAX_VALUE;
     }
-    double now = desk.now();
+    double now = context.now();
     if (now - countedAt > FRESH_S) {
       countedAt = now;
       idleCpu = free() - expected();
     }
-    int controllers = Math.max(1, desk.membership().liveNodes().size());
+    int controllers = Math.max(1, context.membership().liveNodes().size());
     long part = Math.max(0, idleCpu) / controllers;
     return (int) Math.min(Integer.MAX_VALUE, (part + spec.size().cpu() - 1) / spec.size().cpu());
   }
@@ -57,7 +57,7 @@
   }
 
   private long expected() {
-    long since = desk.timers().timeOfDayMs() - Math.round(COMES_S * 1000);
+    long since = context.timers().timeOfDayMs() - Math.round(COMES_S * 1000);
     while (!came.isEmpty() && came.peek().atMs() < since) {
       cameCpu -= came.poll().cpu();
     }
@@ -67,7 +67,7 @@
   /** A job has been seen for the first time. */
   void came(JobRecord job) {
     JobSpec spec = job.spec();
-    long since = desk.timers().timeOfDayMs() - Math.round(COMES_S * 1000);
+    long since = context.timers().timeOfDayMs() - Math.round(COMES_S * 1000);
     if (spec.priority() != Priority.BEST_EFFORT && job.acceptedMs() >= since) {
       Arrival a = new Arrival(job.acceptedMs(), spec.tasks() * spec.size().cpu());
       came.add(a);
--- a/src/main/java/dev/dunefront/claim/Planning.java
+++ b/src/main/java/dev/dunefront/claim/Planning.java
@@ -24,14 +24,14 @@
   /** A part of what is left of a team's limit, shared by all controllers, may be granted ahead. */
   private static final int AHEAD = 4;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Zones zones;
-  private final Parking parking;
+  private final WantPlacement wantPlacement;
 
-  Planning(Desk desk, Zones zones, Parking parking) {
-    this.desk = desk;
+  Planning(ControllerContext context, Zones zones, WantPlacement wantPlacement) {
+    this.context = context;
     this.zones = zones;
-    this.parking = parking;
+    this.wantPlacement = wantPlacement;
   }
 
   record Starting(Held held, int number, Placement placement) {}
@@ -46,7 +46,7 @@
    * @param returned whether what the claim does not use of its team's limit goes back with it
    */
   Flight plan(Claim c, Quotas.Quota quota, boolean returned, Consumer<Held> declined) {
-    int txnOps = desk.settings().stateLimits().txnOps();
+    int txnOps = context.settings().stateLimits().txnOps();
     int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
     // Conditions may be four times as many as changes; some are on the job, its chunks, its
     // team, the roster.
@@ -81,7 +81,7 @@
         chunk.tries.remove(n);
       }
     }
-    parking.sortOffers(c);
+    wantPlacement.sortOffers(c);
     int placed = c.live.size() - ends.size();
     int limit =
         quota == null
@@ -90,7 +90,7 @@
     // What each chunk may still grow: with long names fewer than all its tasks may be placed at
     // once.
     Map<Integer, Integer> growth = new HashMap<>();
-    int most = (int) (desk.settings().stateLimits().valueKb() * 1024);
+    int most = (int) (context.settings().stateLimits().valueKb() * 1024);
     int number = 0;
     int allowed = c.suspect() ? Math.max(0, 1 - c.live.size()) : Integer.MAX_VALUE;
     List<String> startHosts = new ArrayList<>();
@@ -98,7 +98,7 @@
     List<Held> kept = new ArrayList<>();
     for (Held h : offers) {
       Message.Offer o = h.offer();
-      if (desk.now() - h.at() > desk.tunables().offerWaitS()) {
+      if (context.now() - h.at() > context.tunables().offerWaitS()) {
         declined.accept(h);
         continue;
       }
@@ -114,7 +114,7 @@
               && number < c.spec.tasks()
               && starts.size() < allowed
               && placed + starts.size() < limit
-              && desk.now() >= c.notBefore
+              && context.now() >= c.notBefore
               && (next.containsKey(index) || next.size() < maxChunks)
               && growth.computeIfAbsent(index, i -> most - size(c, next, i))
                   >= Chunk.bytesFor(o.host())
@@ -154,7 +154,7 @@
   private int ahead(Claim c, Quotas.Quota quota, int placed, long finished) {
     int unstarted =
         (int) Math.max(0, c.spec.tasks() - c.done - finished - placed) * (c.open() ? 1 : 0);
-    return Math.min(unstarted, quota.room(c.size) / (AHEAD * desk.settings().controllers()));
+    return Math.min(unstarted, quota.room(c.size) / (AHEAD * context.settings().controllers()));
   }
 
   /**
--- a/src/main/java/dev/dunefront/claim/Settling.java
+++ b/src/main/java/dev/dunefront/claim/Reconciliation.java
@@ -21,20 +21,25 @@
  * Compares what is recorded with what holders say, and finds out how attempts ended: by their exit,
  * or by a proof that they are gone.
  */
-final class Settling {
-  private static final System.Logger LOG = System.getLogger(Settling.class.getName());
+final class Reconciliation {
+  private static final System.Logger LOG = System.getLogger(Reconciliation.class.getName());
   private static final double REPEAT_S = 1.5;
   private static final double AVOID_S = 15;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Room room;
   private final Urgencies urgencies;
   private final Recorder recorder;
   private final Turnover turnover;
 
-  Settling(Desk desk, Room room, Urgencies urgencies, Recorder recorder, Turnover turnover) {
+  Reconciliation(
+      ControllerContext context,
+      Room room,
+      Urgencies urgencies,
+      Recorder recorder,
+      Turnover turnover) {
     this.turnover = turnover;
-    this.desk = desk;
+    this.context = context;
     this.room = room;
     this.urgencies = urgencies;
     this.recorder = recorder;
@@ -65,7 +70,7 @@
       return;
     }
     View v = seen.view();
-    double now = desk.now();
+    double now = context.now();
     Map<Integer, TaskState> current = new HashMap<>();
     List<TaskState> strays = new ArrayList<>();
     Map<Integer, Live> live = c.liveOn(v.host());
@@ -105,7 +110,8 @@
         l.state = t.state();
       } else if (v.settled() && now - l.probedAt > REPEAT_S) {
         l.probedAt = now;
-        desk.peers()
+        context
+            .peers()
             .send(
                 seen.holder(),
                 new Message.Probe(
@@ -115,7 +121,8 @@
     if (!c.flying) {
       for (TaskState t : strays) {
         // Not recorded, so it must not run.
-        desk.peers()
+        context
+            .peers()
             .send(
                 seen.holder(),
                 t.exited()
@@ -142,7 +149,7 @@
     }
     if (unshown != null) {
       for (String host : unshown) {
-        Holds.Hold hold = desk.holds().get(host);
+        Holds.Hold hold = context.holds().get(host);
         if (hold != null && hold.dead()) {
           endAllOn(c, host);
         } else {
@@ -177,7 +184,7 @@
     l.ending = true;
     LOG.log(Level.DEBUG, "{0}/{1} is over on {2}: {3}", c.id(), number, l.placement.host(), end);
     c.ends.add(new Ended(number, l.placement, end, holdStamp));
-    double now = desk.now();
+    double now = context.now();
     String host = l.placement.host();
     if (end == End.DONE) {
       ran(c, now);
@@ -196,7 +203,7 @@
   private void blame(Claim c, String host, int weight) {
     Room.Seen s = room.get(host);
     if (s != null) {
-      desk.peers().send(s.holder(), new Message.Blame(host, c.id(), weight));
+      context.peers().send(s.holder(), new Message.Blame(host, c.id(), weight));
     }
   }
 
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -59,20 +59,26 @@
 
   private static final double UNUSED_TIGHT_S = 5;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Quotas quotas;
-  private final Parking parking;
+  private final WantPlacement wantPlacement;
   private final Room room;
   private final Claims claims;
   private final Planning planning;
 
-  Recorder(Desk desk, Quotas quotas, Zones zones, Parking parking, Room room, Claims claims) {
-    this.desk = desk;
+  Recorder(
+      ControllerContext context,
+      Quotas quotas,
+      Zones zones,
+      WantPlacement wantPlacement,
+      Room room,
+      Claims claims) {
+    this.context = context;
     this.quotas = quotas;
-    this.parking = parking;
+    this.wantPlacement = wantPlacement;
     this.room = room;
     this.claims = claims;
-    this.planning = new Planning(desk, zones, parking);
+    this.planning = new Planning(context, zones, wantPlacement);
   }
 
   void chooseSoon(Claim c) {
@@ -80,7 +86,7 @@
       return;
     }
     c.choosing = true;
-    desk.later(
+    context.later(
         CHOOSE_S,
         () -> {
           c.choosing = false;
@@ -94,7 +100,7 @@
   }
 
   private void decline(Held h) {
-    desk.peers().send(h.holder(), new Message.Decline(h.offer().offer(), h.offer().host()));
+    context.peers().send(h.holder(), new Message.Decline(h.offer().offer(), h.offer().host()));
   }
 
   /** Whether what there is to record can wait for more. */
@@ -114,19 +120,19 @@
   }
 
   private double pressureS() {
-    double delay = desk.store().writeDelayS();
+    double delay = context.store().writeDelayS();
     return delay < NO_PRESSURE_S ? 0 : Math.min(PRESSED_S, delay);
   }
 
   /** Whether what there is has waited long enough; if not, it is looked at again in time. */
   private boolean due(Claim c, double waitS) {
-    double now = desk.now();
+    double now = context.now();
     if (waitS > 0 && now + 0.002 < c.flushDue) {
       if (now + waitS < c.flushDue) {
         c.flushDue = now + waitS;
-        desk.later(waitS, () -> flush(c));
+        context.later(waitS, () -> flush(c));
         if (!c.offers.isEmpty() && waitS > LENT_S) {
-          desk.later(LENT_S, () -> flush(c));
+          context.later(LENT_S, () -> flush(c));
         }
       }
       return false;
@@ -149,7 +155,7 @@
       return;
     }
     if (!c.offers.isEmpty()) {
-      desk.store().anticipate(TYPICAL_CHANGES);
+      context.store().anticipate(TYPICAL_CHANGES);
     }
     double pressure = pressureS();
     if (!over && !returns && !due(c, canGather(c, quota) ? GATHER_S * (1 + pressure) : pressure)) {
@@ -177,15 +183,15 @@
       c.unusedSince = Double.POSITIVE_INFINITY;
       return false;
     }
-    double now = desk.now();
+    double now = context.now();
     c.unusedSince = Math.min(c.unusedSince, now);
     boolean tight = quota.room(c.size) < c.record.granted();
     return now - c.unusedSince >= (tight ? UNUSED_TIGHT_S : UNUSED_S);
   }
 
   private void write(Claim c, Flight f, Quotas.Quota quota) {
-    String mark = desk.store().newMark();
-    int txnOps = desk.settings().stateLimits().txnOps();
+    String mark = context.store().newMark();
+    int txnOps = context.settings().stateLimits().txnOps();
     Txn txn = new Txn().when(JobRecord.key(c.id()), c.stamp);
     int doneAfter = c.done;
     boolean anyPlaced = false;
@@ -245,18 +251,19 @@
       quota.busy = true;
       txn.when(quota.key(), quota.stamp).put(quota.key(), Quotas.write(used, mark));
     }
-    if (desk.store().writeDelayS() > NO_PRESSURE_S) {
+    if (context.store().writeDelayS() > NO_PRESSURE_S) {
       // The record may come later than offers live: their holders hear that they are answered.
       for (Starting s : f.starts()) {
         Message.Offer o = s.held().offer();
-        desk.peers().send(s.held().holder(), new Message.Taking(o.offer(), o.host()));
+        context.peers().send(s.held().holder(), new Message.Taking(o.offer(), o.host()));
       }
     }
     c.flying = true;
     c.starting = f.starts().size();
     Status finalStatus = last;
     JobRecord record = rewritten;
-    desk.store()
+    context
+        .store()
         .commit(
             txn,
             mark,
@@ -269,7 +276,8 @@
                   quotas.saw(quota, Quotas.write(used, mark), done.revision());
                 }
                 // Whatever comes of it, the team's record is free for others again.
-                desk.ward()
+                context
+                    .decisionLock()
                     .run(() -> written(c, f, finalStatus, record, emptied, mark, done.revision()));
               } else if (!c.dropped) {
                 refused(c, f, done);
@@ -311,7 +319,8 @@
       if (e.end() != End.GONE) {
         Room.Seen s = room.get(e.placement().host());
         if (s != null) {
-          desk.peers()
+          context
+              .peers()
               .send(
                   s.holder(),
                   new Message.Clear(
@@ -340,7 +349,8 @@
         continue;
       }
       LOG.log(Level.DEBUG, "placed {0}/{1} on {2}", c.id(), s.number(), o.host());
-      desk.peers()
+      context
+          .peers()
           .send(
               s.held().holder(),
               new Message.Start(
@@ -360,7 +370,7 @@
         c.record = rewritten;
         c.stamp = revision;
       }
-      desk.jobs().wrote(c.id(), rewritten, mark, revision);
+      context.jobs().wrote(c.id(), rewritten, mark, revision);
     }
     if (last != null) {
       emptied.forEach(c.chunks::remove);
@@ -369,17 +379,18 @@
       return;
     }
     f.next().forEach((i, chunk) -> c.install(i, chunk.copy(revision)));
-    double now = desk.now();
+    double now = context.now();
     f.starts().forEach(s -> c.live.get(s.number()).probedAt = now);
     if (!f.starts().isEmpty()) {
-      parking.served(c, now);
+      wantPlacement.served(c, now);
     }
     claims.review(c);
   }
 
   /** Another controller has changed the team's record: it is read before it is changed again. */
   private void refresh(Quotas.Quota quota, Claim c) {
-    desk.store()
+    context
+        .store()
         .get(
             quota.key(),
             Store.Urgency.CORE,
@@ -424,6 +435,6 @@
       claims.reload(c);
       return;
     }
-    desk.later(0.05, () -> flush(c));
+    context.later(0.05, () -> flush(c));
   }
 }
--- a/src/main/java/dev/dunefront/claim/Takeover.java
+++ b/src/main/java/dev/dunefront/claim/Takeover.java
@@ -35,7 +35,7 @@
   /** The answer to a write comes sooner than this, if it ever does. */
   private static final double UNADOPTED_S = 2;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Claims claims;
   private final Set<String> claiming = new HashSet<>();
 
@@ -45,8 +45,8 @@
   /** When a controller was last seen to have taken a job from another. */
   private final Map<String, Double> progress = new HashMap<>();
 
-  Takeover(Desk desk, Claims claims) {
-    this.desk = desk;
+  Takeover(ControllerContext context, Claims claims) {
+    this.context = context;
     this.claims = claims;
   }
 
@@ -103,27 +103,27 @@
     String from = before == null ? null : before.record().claim();
     String claim = entry == null ? null : entry.record().claim();
     if (from != null && claim != null && !claim.equals(from)) {
-      progress.put(Membership.nodeOf(claim), desk.now());
+      progress.put(Membership.nodeOf(claim), context.now());
     }
   }
 
   /** Called several times a second. */
   void tick(double now) {
-    String self = desk.membership().self();
+    String self = context.membership().self();
     if (self == null
-        || !desk.replica().ready()
-        || !desk.standstill().current()
-        || !desk.catalog().known()
-        || desk.store().down()) {
+        || !context.replica().ready()
+        || !context.standstill().current()
+        || !context.catalog().known()
+        || context.store().down()) {
       return;
     }
     Map<String, JobTable.Entry> lapsed = new LinkedHashMap<>();
     List<JobTable.Entry> ours = new ArrayList<>();
     Set<String> seen = new HashSet<>();
-    for (JobTable.Entry e : desk.jobs().all()) {
+    for (JobTable.Entry e : context.jobs().all()) {
       String claim = e.record().claim();
       String id = e.record().spec().id();
-      if (claim == null || !desk.membership().alive(claim)) {
+      if (claim == null || !context.membership().alive(claim)) {
         lapsed.put(id, e);
         seen.add(id);
       } else if (e.record().heldBy(self) && !claims.has(id) && !claiming.contains(id)) {
@@ -183,8 +183,8 @@
   }
 
   private boolean overdue(JobTable.Entry e) {
-    double ageS = (desk.timers().timeOfDayMs() - e.record().acceptedMs()) / 1000.0;
-    return Begin.of(false, ageS, desk.tunables().beginS()) != Begin.Standing.ORDINARY;
+    double ageS = (context.timers().timeOfDayMs() - e.record().acceptedMs()) / 1000.0;
+    return Begin.of(false, ageS, context.tunables().beginS()) != Begin.Standing.ORDINARY;
   }
 
   private static boolean fresh(JobTable.Entry e) {
@@ -193,9 +193,9 @@
 
   /** The controllers that may take the job before this one. */
   private List<String> before(String id) {
-    int mine = draw(id, desk.settings().node());
+    int mine = draw(id, context.settings().node());
     List<String> before = new ArrayList<>();
-    for (String node : desk.membership().liveNodes()) {
+    for (String node : context.membership().liveNodes()) {
       if (draw(id, node) < mine) {
         before.add(node);
       }
@@ -208,8 +208,8 @@
   }
 
   private void write(List<JobTable.Entry> taken) {
-    String self = desk.membership().self();
-    String mark = desk.store().newMark();
+    String self = context.membership().self();
+    String mark = context.store().newMark();
     Txn txn = new Txn();
     Map<String, JobRecord> next = new HashMap<>();
     for (JobTable.Entry e : taken) {
@@ -219,12 +219,13 @@
       claiming.add(id);
       txn.when(JobRecord.key(id), e.stamp()).put(JobRecord.key(id), record.write(mark));
     }
-    desk.store()
+    context
+        .store()
         .commit(
             txn,
             mark,
             done -> {
-              if (!self.equals(desk.membership().self())) {
+              if (!self.equals(context.membership().self())) {
                 return;
               }
               claiming.removeAll(next.keySet());
@@ -234,7 +235,7 @@
               next.forEach(
                   (id, record) -> {
                     LOG.log(Level.INFO, "claimed {0} in term {1}", id, record.term());
-                    desk.jobs().wrote(id, record, mark, done.revision());
+                    context.jobs().wrote(id, record, mark, done.revision());
                     claims.adopt(id, false);
                   });
             });
--- a/src/main/java/dev/dunefront/claim/Turnover.java
+++ b/src/main/java/dev/dunefront/claim/Turnover.java
@@ -35,15 +35,15 @@
     }
   }
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Room room;
   private final Claims claims;
   private final List<Flow> flows = new ArrayList<>();
   private final long[] waiting = new long[Priority.values().length];
   private double waitingAt = Double.NEGATIVE_INFINITY;
 
-  Turnover(Desk desk, Room room, Claims claims) {
-    this.desk = desk;
+  Turnover(ControllerContext context, Room room, Claims claims) {
+    this.context = context;
     this.room = room;
     this.claims = claims;
   }
@@ -67,20 +67,20 @@
     double cpu = 0;
     for (int kind = 0; kind < flows.size(); kind++) {
       if (fits.test(kind)) {
-        cpu += flows.get(kind).at(desk.now());
+        cpu += flows.get(kind).at(context.now());
       }
     }
-    int controllers = Math.max(1, desk.membership().liveNodes().size());
+    int controllers = Math.max(1, context.membership().liveNodes().size());
     return size.cpu() <= 0 ? 0 : cpu / SPAN_S * controllers / size.cpu();
   }
 
   /** Tasks of this or a greater priority that wait for room, at all controllers together. */
   long waiting(Priority priority) {
-    double now = desk.now();
+    double now = context.now();
     if (now - waitingAt > FRESH_S) {
       waitingAt = now;
       Arrays.fill(waiting, 0);
-      for (JobTable.Entry e : desk.jobs().all()) {
+      for (JobTable.Entry e : context.jobs().all()) {
         if (e.record().status() == Status.OPEN) {
           JobSpec spec = e.record().spec();
           waiting[spec.priority().ordinal()] += claims.account().unstarted(spec);
--- a/src/main/java/dev/dunefront/claim/Parking.java
+++ b/src/main/java/dev/dunefront/claim/WantPlacement.java
@@ -17,7 +17,7 @@
  * looks over all machines; after that it looks again at growing intervals up to the design's tick,
  * and in between only at machines where room has opened.
  */
-final class Parking {
+final class WantPlacement {
   /** How soon an unserved job looks over all machines again; doubled up to the tick. */
   static final double LOOK_AGAIN_S = 0.25;
 
@@ -27,7 +27,7 @@
   /** Wants parked where there is room now, as a multiple of what is wanted: others want it too. */
   private static final double SURPLUS = 1.5;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final Room room;
   private final RoomInterest interest;
   private final Quotas quotas;
@@ -37,8 +37,8 @@
   private final Begin begin = new Begin();
   private final IdleRoom idle;
 
-  Parking(
-      Desk desk,
+  WantPlacement(
+      ControllerContext context,
       Room room,
       RoomInterest interest,
       IdleRoom idle,
@@ -46,23 +46,23 @@
       Urgencies urgencies,
       Zones zones,
       Turnover turnover) {
-    this.desk = desk;
+    this.context = context;
     this.room = room;
     this.interest = interest;
     this.quotas = quotas;
     this.urgencies = urgencies;
-    this.choosing = new Choosing(desk, room, zones, turnover);
+    this.choosing = new Choosing(context, room, zones, turnover);
     this.idle = idle;
-    this.givingWay = new GivingWay(desk, interest, urgencies, choosing, turnover);
+    this.givingWay = new GivingWay(context, interest, urgencies, choosing, turnover);
   }
 
   /** Brings a job's parked wants up to date. */
   void review(Claim c) {
-    double now = desk.now();
+    double now = context.now();
     double settledAt = now;
-    double ageS = c.ageS(desk.timers().timeOfDayMs());
+    double ageS = c.ageS(context.timers().timeOfDayMs());
     Begin.Standing before = c.standing;
-    c.standing = begin.standing(c, ageS, desk.tunables().beginS(), now);
+    c.standing = begin.standing(c, ageS, context.tunables().beginS(), now);
     if (c.standing != before) {
       c.lookAgain = now;
     }
@@ -84,20 +84,20 @@
       }
       return;
     }
-    if (now - c.unservedSince > desk.tunables().waitS()) {
+    if (now - c.unservedSince > context.tunables().waitS()) {
       served(c, now);
-      c.notBefore = now + desk.tunables().requeueDelayS();
+      c.notBefore = now + context.tunables().requeueDelayS();
       withdraw(c);
       return;
     }
     if (now >= c.nextTick) {
-      c.nextTick = now + desk.tunables().tickS();
-      c.reach = Math.min(desk.tunables().reachCap(), c.reach + 1);
+      c.nextTick = now + context.tunables().tickS();
+      c.reach = Math.min(context.tunables().reachCap(), c.reach + 1);
     }
     if (wanted > c.parkedFor || now >= c.lookAgain) {
       c.parkedFor = wanted;
       c.lookAgain = now + c.lookPause;
-      double longest = desk.tunables().tickS() / (c.spec.priority().urgent() ? 4 : 1);
+      double longest = context.tunables().tickS() / (c.spec.priority().urgent() ? 4 : 1);
       c.lookPause = Math.min(longest, c.lookPause * 2);
       c.openings = room.openings();
       c.openingsAt = now;
@@ -133,8 +133,8 @@
   /** The job waits no longer, or has just been served: its reach starts from the least again. */
   void served(Claim c, double now) {
     c.unservedSince = now;
-    c.nextTick = now + desk.tunables().tickS();
-    c.reach = desk.tunables().reach();
+    c.nextTick = now + context.tunables().tickS();
+    c.reach = context.tunables().reach();
     c.parkedFor = Math.min(c.parkedFor, Math.max(0, c.unstarted()));
   }
 
@@ -173,7 +173,7 @@
         want(c, host, 0);
       }
     }
-    double ageS = c.ageS(desk.timers().timeOfDayMs());
+    double ageS = c.ageS(context.timers().timeOfDayMs());
     int rank = urgencies.rank(c.spec, c.unstarted(), ageS, fetchS);
     if (c.standing != Begin.Standing.ORDINARY) {
       rank = Urgencies.PRESSING;
@@ -252,7 +252,8 @@
     }
     Room.Seen s = room.get(host);
     if (s != null) {
-      desk.peers()
+      context
+          .peers()
           .send(s.holder(), new Message.Want(host, c.id(), c.priority, c.rank, c.size, count));
     }
   }
@@ -274,7 +275,7 @@
   /** The machine's book has lost the job's wants, or there is no such book any more. */
   void lostBook(Claim c, String host) {
     if (c.parked.remove(host) != null) {
-      c.lookAgain = Math.min(c.lookAgain, desk.now() + LOOK_AGAIN_S);
+      c.lookAgain = Math.min(c.lookAgain, context.now() + LOOK_AGAIN_S);
     }
   }
 }
--- a/src/main/java/dev/dunefront/cleanup/Cleanup.java
+++ b/src/main/java/dev/dunefront/cleanup/Cleanup.java
@@ -1,7 +1,7 @@
 package dev.dunefront.cleanup;
 
 import dev.dunefront.book.Holds;
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.duty.Duty;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Txn;
@@ -28,7 +28,7 @@
   /** The part of the state service's changes that this may take. */
   private static final double BUDGET_PART = 0.03;
 
-  private final Desk desk;
+  private final ControllerContext context;
   private final int most;
   private double next;
   private long term;
@@ -36,33 +36,33 @@
   private boolean writing;
   private int removed;
 
-  public Cleanup(Desk desk) {
-    this.desk = desk;
-    double changes = desk.settings().stateLimits().writeRps() * BUDGET_PART * EVERY_S;
-    this.most = Math.max(1, Math.min(desk.settings().stateLimits().txnOps(), (int) changes));
+  public Cleanup(ControllerContext context) {
+    this.context = context;
+    double changes = context.settings().stateLimits().writeRps() * BUDGET_PART * EVERY_S;
+    this.most = Math.max(1, Math.min(context.settings().stateLimits().txnOps(), (int) changes));
   }
 
   /** Called several times a second. */
   public void tick() {
-    long mine = desk.duties().term(Duty.CLEANUP);
-    double now = desk.timers().now();
+    long mine = context.duties().term(Duty.CLEANUP);
+    double now = context.timers().now();
     if (mine != term) {
       term = mine;
       since = now;
       writing = false;
     }
-    if (mine == 0 || writing || now < next || desk.store().down()) {
+    if (mine == 0 || writing || now < next || context.store().down()) {
       return;
     }
     next = now + EVERY_S;
-    if (desk.store().writeDelayS() > 0) {
+    if (context.store().writeDelayS() > 0) {
       return;
     }
-    long nowMs = desk.timers().timeOfDayMs();
-    double keepMs = desk.tunables().burialS() * 1000;
-    boolean watched = now - since > desk.tunables().burialS();
+    long nowMs = context.timers().timeOfDayMs();
+    double keepMs = context.tunables().burialS() * 1000;
+    boolean watched = now - since > context.tunables().burialS();
     List<Holds.Hold> old =
-        desk.holds().dead().stream()
+        context.holds().dead().stream()
             // A record of an earlier version has no time: it is old once it was seen for so long.
             .filter(h -> h.deadAtMs() > 0 ? nowMs - h.deadAtMs() > keepMs : watched)
             .limit(most)
@@ -73,12 +73,13 @@
   }
 
   private void remove(List<Holds.Hold> old, long inTerm) {
-    Txn txn = desk.duties().guard(Duty.CLEANUP, inTerm, new Txn());
+    Txn txn = context.duties().guard(Duty.CLEANUP, inTerm, new Txn());
     for (Holds.Hold h : old) {
       txn.when(Holds.key(h.host()), h.stamp()).remove(Holds.key(h.host()));
     }
     writing = true;
-    desk.store()
+    context
+        .store()
         .tryTxn(
             txn,
             Store.Urgency.BACKGROUND,
@@ -90,7 +91,8 @@
               if (done.ok()) {
                 removed += old.size();
                 LOG.log(Level.DEBUG, "forgets {0} machines that are gone", old.size());
-                old.forEach(h -> desk.replica().apply(Holds.key(h.host()), null, done.revision()));
+                old.forEach(
+                    h -> context.replica().apply(Holds.key(h.host()), null, done.revision()));
               }
             });
   }
--- a/src/main/java/dev/dunefront/cleanup/Joining.java
+++ b/src/main/java/dev/dunefront/cleanup/Joining.java
@@ -2,7 +2,7 @@
 
 import dev.dunefront.book.Holds;
 import dev.dunefront.book.Roster;
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
 import dev.dunefront.duty.Duty;
 import dev.dunefront.store.Store;
@@ -30,7 +30,7 @@
   /** After a change machines find their holders within a report or two; then the next may come. */
   private static final double PAUSE_S = 15;
 
-  private final Desk desk;
+  private final ControllerContext context;
 
   /** Since when a controller lives, and when it was last seen to live. */
   private final Map<String, Double> liveSince = new HashMap<>();
@@ -40,14 +40,14 @@
   private double began;
   private double next;
 
-  public Joining(Desk desk) {
-    this.desk = desk;
+  public Joining(ControllerContext context) {
+    this.context = context;
   }
 
   /** Called several times a second. */
   public void tick() {
-    long mine = desk.duties().term(Duty.CLEANUP);
-    double now = desk.timers().now();
+    long mine = context.duties().term(Duty.CLEANUP);
+    double now = context.timers().now();
     if (mine != term) {
       term = mine;
       began = now;
@@ -58,27 +58,27 @@
     if (mine == 0) {
       return;
     }
-    Set<String> live = desk.membership().liveNodes();
+    Set<String> live = context.membership().liveNodes();
     liveSince.keySet().retainAll(live);
     for (String node : live) {
       liveSince.putIfAbsent(node, now);
       liveAt.put(node, now);
     }
     liveAt.values().removeIf(at -> now - at > LEFT_S);
-    if (now < next || desk.store().down()) {
+    if (now < next || context.store().down()) {
       return;
     }
     Map<String, String> settled = new HashMap<>();
     liveSince.forEach(
         (node, since) -> {
-          String zone = desk.membership().zone(node);
+          String zone = context.membership().zone(node);
           if (now - since > JOINED_S && !zone.isEmpty()) {
             settled.put(node, zone);
           }
         });
-    Set<String> named = new HashSet<>(Set.of(desk.settings().node()));
-    desk.settings().peers().stream().map(Settings.Peer::node).forEach(named::add);
-    Roster roster = desk.holds().roster();
+    Set<String> named = new HashSet<>(Set.of(context.settings().node()));
+    context.settings().peers().stream().map(Settings.Peer::node).forEach(named::add);
+    Roster roster = context.holds().roster();
     if (now - began < LEFT_S) {
       // Who has not lived for a while must have been missed by this controller for as long.
       roster.members().forEach(m -> named.add(m.node()));
@@ -92,9 +92,10 @@
 
   private void write(Roster now, Roster next, long inTerm) {
     LOG.log(Level.INFO, "the roster becomes {0}, in epoch {1}", next.members(), next.epoch());
-    desk.store()
+    context
+        .store()
         .tryTxn(
-            Holds.change(desk.duties().guard(Duty.CLEANUP, inTerm, new Txn()), now, next),
+            Holds.change(context.duties().guard(Duty.CLEANUP, inTerm, new Txn()), now, next),
             Store.Urgency.BACKGROUND,
             // Whatever comes of it, the watch shows it, and what is left to do is seen again.
             done -> {});
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -3,7 +3,7 @@
 import dev.dunefront.book.Books;
 import dev.dunefront.book.Holds;
 import dev.dunefront.claim.Claims;
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.cleanup.Cleanup;
 import dev.dunefront.cleanup.Joining;
 import dev.dunefront.config.Settings;
@@ -17,13 +17,13 @@
 import dev.dunefront.job.JobTable;
 import dev.dunefront.metrics.Meters;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.HttpServer.Request;
 import dev.dunefront.net.Lag;
 import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Lending;
@@ -62,7 +62,7 @@
   private final Settings settings;
   private final Store store;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Loops loops;
   private final Replica replica;
   private final Membership membership;
@@ -90,30 +90,31 @@
       Store store,
       Caller caller,
       Timers timers,
-      Ward ward,
+      DecisionLock decisionLock,
       Loops loops,
-      BiFunction<Ward, Peers.Listener, Peers> peersMaker) {
+      BiFunction<DecisionLock, Peers.Listener, Peers> peersMaker) {
     this.settings = settings;
     this.store = store;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.loops = loops;
-    peers = peersMaker.apply(ward, this);
-    replica = new Replica(store, timers, ward, loops);
+    peers = peersMaker.apply(decisionLock, this);
+    replica = new Replica(store, timers, decisionLock, loops);
     membership =
         new Membership(
             settings.node(), settings.zone(), store, replica, timers, tunables.nodeLeaseS(), loops);
     lending = new Lending(settings.node(), store, membership, peers, timers);
     // A lease is renewed four times in its life: in a shorter pause it cannot have run out.
     Standstill standstill =
-        new Standstill(replica, membership, timers, ward, loops, tunables.nodeLeaseS() / 2);
+        new Standstill(replica, membership, timers, decisionLock, loops, tunables.nodeLeaseS() / 2);
     duties =
-        new Duties(settings.node(), store, replica, membership, peers, timers, ward, standstill);
-    catalog = new Catalog(settings.cloud(), caller, store, timers, ward);
+        new Duties(
+            settings.node(), store, replica, membership, peers, timers, decisionLock, standstill);
+    catalog = new Catalog(settings.cloud(), caller, store, timers, decisionLock);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica, timers);
-    Desk desk =
-        new Desk(
+    ControllerContext context =
+        new ControllerContext(
             settings,
             tunables,
             membership,
@@ -124,17 +125,27 @@
             store,
             peers,
             timers,
-            ward,
+            decisionLock,
             standstill,
             duties);
-    books = new Books(desk, caller);
-    claims = new Claims(desk);
-    fleet = new Fleet(desk, claims.room(), claims.interest(), claims.urgencies(), caller);
-    cleanup = new Cleanup(desk);
-    joining = new Joining(desk);
-    Proofs proofs = new Proofs(store, replica, timers, ward, JobRecord.PREFIX);
+    books = new Books(context, caller);
+    claims = new Claims(context);
+    fleet = new Fleet(context, claims.room(), claims.interest(), claims.urgencies(), caller);
+    cleanup = new Cleanup(context);
+    joining = new Joining(context);
+    Proofs proofs = new Proofs(store, replica, timers, decisionLock, JobRecord.PREFIX);
     api =
-        new JobApi(settings, membership, jobs, claims, catalog, store, proofs, peers, timers, ward);
+        new JobApi(
+            settings,
+            membership,
+            jobs,
+            claims,
+            catalog,
+            store,
+            proofs,
+            peers,
+            timers,
+            decisionLock);
     meters.gauge("dunefront.polls.waiting", proofs::waiting);
     meters.gauge("dunefront.polls.oldest.ms", () -> (int) Math.round(proofs.oldestS() * 1000));
     meters.gauge("dunefront.polls.proofs", proofs::made);
@@ -197,12 +208,12 @@
   }
 
   /** The lock round this controller's decisions. */
-  public Ward ward() {
-    return ward;
+  public DecisionLock decisionLock() {
+    return decisionLock;
   }
 
   public void start() {
-    ward.run(
+    decisionLock.run(
         () -> {
           replica.start(() -> holds.establish(settings, store));
           membership.start();
@@ -214,7 +225,7 @@
 
   /** This process is about to end: hands over what only one controller may do. */
   public void leave(Runnable then) {
-    ward.run(() -> duties.leave(then));
+    decisionLock.run(() -> duties.leave(then));
   }
 
   /** Whether requests can be answered with knowledge. */
@@ -224,25 +235,25 @@
 
   private void tick() {
     lag.fired(timers.now(), TICK_S);
-    ward.run(
+    decisionLock.run(
         () -> {
           // Each of its own: what fails in one must not keep the others from their turn.
-          ward.run(() -> books.tick(lag.seconds()));
-          ward.run(claims::tick);
-          ward.run(() -> duties.tick(lag.seconds()));
-          ward.run(fleet::tick);
-          ward.run(cleanup::tick);
-          ward.run(joining::tick);
+          decisionLock.run(() -> books.tick(lag.seconds()));
+          decisionLock.run(claims::tick);
+          decisionLock.run(() -> duties.tick(lag.seconds()));
+          decisionLock.run(fleet::tick);
+          decisionLock.run(cleanup::tick);
+          decisionLock.run(joining::tick);
           loops.turned("tick", timers.now(), STALLED_S);
         });
     timers.after(TICK_S, this::tick);
   }
 
   private void slowTick() {
-    ward.run(
+    decisionLock.run(
         () -> {
           loops.turned("slow tick", timers.now(), STALLED_S);
-          ward.run(this::shareBudget);
+          decisionLock.run(this::shareBudget);
           holds.establish(settings, store);
           jobs.tidy();
           Message.Progress progress = claims.account().progress();
@@ -312,7 +323,7 @@
   // ---- requests ----
 
   public void handle(Request request, Answer answer) {
-    ward.run(
+    decisionLock.run(
         () -> {
           Answer out = outside(answer);
           try {
@@ -327,7 +338,8 @@
 
   /** Answers are sent outside the lock. */
   private Answer outside(Answer answer) {
-    return (status, body, retryAfterS) -> ward.then(() -> answer.send(status, body, retryAfterS));
+    return (status, body, retryAfterS) ->
+        decisionLock.then(() -> answer.send(status, body, retryAfterS));
   }
 
   /** Counts the answer on its way out. */
--- a/src/main/java/dev/dunefront/cli/Log.java
+++ b/src/main/java/dev/dunefront/cli/Log.java
@@ -41,14 +41,16 @@
       return pattern;
     }
     StringBuilder out = new StringBuilder(pattern.length() + 40);
-    for (int i = 0; i < pattern.length(); i++) {
+    int i = 0;
+    while (i < pattern.length()) {
       char c = pattern.charAt(i);
       int n = c == '{' && i + 2 < pattern.length() ? pattern.charAt(i + 1) - '0' : -1;
       if (n >= 0 && n < parameters.length && pattern.charAt(i + 2) == '}') {
         out.append(parameters[n]);
-        i += 2;
+        i += 3;
       } else {
         out.append(c);
+        i++;
       }
     }
     return out.toString();
--- a/src/main/java/dev/dunefront/cli/Main.java
+++ b/src/main/java/dev/dunefront/cli/Main.java
@@ -4,11 +4,11 @@
 import dev.dunefront.config.Script;
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer;
 import dev.dunefront.net.Loops;
 import dev.dunefront.net.NoManagement;
 import dev.dunefront.net.UndertowCaller;
-import dev.dunefront.net.Ward;
 import dev.dunefront.net.XnioTimers;
 import dev.dunefront.peer.XnioPeers;
 import dev.dunefront.store.HttpStore;
@@ -110,9 +110,9 @@
     DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 64, 4);
     UndertowCaller caller = new UndertowCaller(thread, buffers, timers);
     Loops loops = new Loops();
-    Ward ward = new Ward(loops::failed);
+    DecisionLock decisionLock = new DecisionLock(loops::failed);
     String marks = settings.node() + "-" + UUID.randomUUID().toString().substring(0, 13);
-    HttpStore store = new HttpStore(settings, caller, timers, ward, marks);
+    HttpStore store = new HttpStore(settings, caller, timers, decisionLock, marks);
     XnioPeers[] links = new XnioPeers[1];
     Daemon daemon =
         new Daemon(
@@ -121,7 +121,7 @@
             store,
             caller,
             timers,
-            ward,
+            decisionLock,
             loops,
             (w, listener) -> links[0] = new XnioPeers(settings, worker, timers, w, listener));
     links[0].start();
--- a/src/main/java/dev/dunefront/config/Settings.java
+++ b/src/main/java/dev/dunefront/config/Settings.java
@@ -34,6 +34,7 @@
     CloudLimits cloudLimits,
     Limits limits) {
 
+  /** Another controller: its name, zone and address for peers. */
   public record Peer(String node, String zone, InetSocketAddress address) {}
 
   /** A team's guarantee and limit; a limit of 0 means none is set. */
@@ -55,12 +56,16 @@
    */
   public record StartAim(String jobClass, double withinS) {}
 
+  /** The workers' rhythm in seconds: between reports, of a lease, for a cancellation. */
   public record Workers(double reportS, double leaseS, double cancelS) {}
 
+  /** What the state service allows: requests and changes a second, value size, changes at once. */
   public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
 
+  /** What the cloud allows: calls a second; and by how many seconds its list lags. */
   public record CloudLimits(double rps, double listLagS) {}
 
+  /** What this process may use: part of a core, megabytes, sockets. */
   public record Limits(double cores, double memoryMb, int sockets) {}
 
   /** How many controllers there are, this one included. */
--- a/src/main/java/dev/dunefront/duty/Duties.java
+++ b/src/main/java/dev/dunefront/duty/Duties.java
@@ -1,7 +1,7 @@
 package dev.dunefront.duty;
 
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
@@ -34,7 +34,7 @@
   private final Membership membership;
   private final Peers peers;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Standstill standstill;
   private final Map<Duty, Seat> seats = new EnumMap<>(Duty.class);
 
@@ -45,7 +45,7 @@
 
   /** What is known of one duty here. */
   private static final class Seat {
-    Post post = Post.VACANT;
+    DutyRecord post = DutyRecord.VACANT;
 
     /** The highest term that anybody has named; above that of the record while that lags. */
     long highest;
@@ -72,7 +72,7 @@
       Membership membership,
       Peers peers,
       Timers timers,
-      Ward ward,
+      DecisionLock decisionLock,
       Standstill standstill) {
     this.node = node;
     this.store = store;
@@ -80,15 +80,15 @@
     this.membership = membership;
     this.peers = peers;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.standstill = standstill;
     for (Duty d : Duty.values()) {
       seats.put(d, new Seat());
-      replica.listen(d.key(), (rest, value, stamp) -> shown(d, Post.read(value, stamp)));
+      replica.listen(d.key(), (rest, value, stamp) -> shown(d, DutyRecord.read(value, stamp)));
     }
   }
 
-  private void shown(Duty duty, Post post) {
+  private void shown(Duty duty, DutyRecord post) {
     Seat seat = seats.get(duty);
     boolean before = seat.post.heldBy(membership.self());
     double now = timers.now();
@@ -117,7 +117,7 @@
 
   /** The node that has the duty, or null. */
   public String holder(Duty duty) {
-    Post post = seats.get(duty).post;
+    DutyRecord post = seats.get(duty).post;
     return post.vacant() ? null : Membership.nodeOf(post.holder());
   }
 
@@ -222,7 +222,7 @@
           Election.next(
               new Election.Sight(
                   duty,
-                  vacant ? Post.VACANT : seat.post,
+                  vacant ? DutyRecord.VACANT : seat.post,
                   self,
                   live,
                   since(seat.vacantSince, now),
@@ -249,7 +249,7 @@
    * Whether nobody has the duty: there is no record, or it names an earlier life of a controller
    * that has come back before its lease ran out.
    */
-  private boolean vacant(Post post) {
+  private boolean vacant(DutyRecord post) {
     if (post.vacant()) {
       return true;
     }
@@ -286,7 +286,7 @@
     seat.asking = true;
     seat.givenTo = incarnation;
     long term = seat.post.term();
-    Doc value = Post.write(incarnation, store.newMark());
+    Doc value = DutyRecord.write(incarnation, store.newMark());
     long lease = Membership.leaseOf(incarnation);
     store.tryTxn(
         new Txn().when(duty.key(), term).put(duty.key(), value, lease),
@@ -296,7 +296,7 @@
           if (done.ok()) {
             replica.apply(duty.key(), value, done.revision());
           }
-          timers.after(PAUSE_S, () -> ward.run(() -> seat.asking = false));
+          timers.after(PAUSE_S, () -> decisionLock.run(() -> seat.asking = false));
         });
   }
 
@@ -322,7 +322,9 @@
         } else {
           String mark = store.newMark();
           txn.put(
-              duty.key(), Post.write(to.incarnation(), mark), Membership.leaseOf(to.incarnation()));
+              duty.key(),
+              DutyRecord.write(to.incarnation(), mark),
+              Membership.leaseOf(to.incarnation()));
         }
       }
     }
--- a/src/main/java/dev/dunefront/duty/Post.java
+++ b/src/main/java/dev/dunefront/duty/DutyRecord.java
@@ -12,18 +12,18 @@
  * @param holder the incarnation that has the duty, or null while nobody has
  * @param term the record's stamp, 0 while there is none
  */
-record Post(String holder, long term) {
-  static final Post VACANT = new Post(null, 0);
+record DutyRecord(String holder, long term) {
+  static final DutyRecord VACANT = new DutyRecord(null, 0);
 
   /** A record that cannot be read has a holder whom nobody knows; it ends with its lease. */
-  static Post read(Doc value, long stamp) {
+  static DutyRecord read(Doc value, long stamp) {
     if (value == null) {
       return VACANT;
     }
     try {
-      return new Post(value.text("inc"), stamp);
+      return new DutyRecord(value.text("inc"), stamp);
     } catch (BadMessage e) {
-      return new Post("", stamp);
+      return new DutyRecord("", stamp);
     }
   }
 
--- a/src/main/java/dev/dunefront/duty/Election.java
+++ b/src/main/java/dev/dunefront/duty/Election.java
@@ -53,7 +53,7 @@
    */
   record Sight(
       Duty duty,
-      Post post,
+      DutyRecord post,
       String self,
       List<Candidate> live,
       double vacantS,
--- a/src/main/java/dev/dunefront/evidence/Alone.java
+++ b/src/main/java/dev/dunefront/evidence/Isolation.java
@@ -13,7 +13,7 @@
  * @param trial the machine sent ahead, or null
  * @param trials how many have come back
  */
-public record Alone(Step step, double since, String trial, int trials) {
+public record Isolation(Step step, double since, String trial, int trials) {
   /** What it is at. */
   public enum Step {
     /** It hears others, or has not been alone for long. */
@@ -34,7 +34,7 @@
   /** The part of a worker's lease for which being alone is borne. */
   private static final double PATIENCE = 0.5;
 
-  public static final Alone NOT = new Alone(Step.STAY, Double.NaN, null, 0);
+  public static final Isolation NOT = new Isolation(Step.STAY, Double.NaN, null, 0);
 
   /**
    * Time has passed.
@@ -42,34 +42,34 @@
    * @param alone whether neither the state service nor another controller answers
    * @param others how many other controllers there are
    */
-  public Alone passed(double now, boolean alone, int others, double leaseS) {
+  public Isolation passed(double now, boolean alone, int others, double leaseS) {
     if (!alone || others == 0) {
       return NOT;
     }
     if (Double.isNaN(since)) {
-      return new Alone(Step.STAY, now, null, 0);
+      return new Isolation(Step.STAY, now, null, 0);
     }
     return switch (step) {
       // Each trial that comes back may have cost a lease: the next waits twice as long.
       case STAY ->
           now - since >= leaseS * PATIENCE * Math.pow(2, Math.min(6, trials))
-              ? new Alone(Step.TRY, now, null, trials)
+              ? new Isolation(Step.TRY, now, null, trials)
               : this;
       case WAIT ->
-          now - since >= others * ROUND_S + 2 ? new Alone(Step.GO, now, trial, trials) : this;
+          now - since >= others * ROUND_S + 2 ? new Isolation(Step.GO, now, trial, trials) : this;
       case TRY, GO -> this;
     };
   }
 
   /** A machine has been sent ahead. */
-  public Alone sent(String host, double now) {
-    return step == Step.TRY ? new Alone(Step.WAIT, now, host, trials) : this;
+  public Isolation sent(String host, double now) {
+    return step == Step.TRY ? new Isolation(Step.WAIT, now, host, trials) : this;
   }
 
   /** A machine reports here. */
-  public Alone reported(String host, double now) {
+  public Isolation reported(String host, double now) {
     return (step == Step.WAIT || step == Step.GO) && host.equals(trial)
-        ? new Alone(Step.STAY, now, null, trials + 1)
+        ? new Isolation(Step.STAY, now, null, trials + 1)
         : this;
   }
 }
--- a/src/main/java/dev/dunefront/evidence/Hearing.java
+++ b/src/main/java/dev/dunefront/evidence/Responsiveness.java
@@ -13,7 +13,7 @@
  * @param nextAsk not asked again before this time
  * @param pauseS how long is waited after the next question that has no answer
  */
-public record Hearing(State state, int lapses, double since, double nextAsk, double pauseS) {
+public record Responsiveness(State state, int lapses, double since, double nextAsk, double pauseS) {
   /** What is believed of a machine's hearing. */
   public enum State {
     HEARS,
@@ -29,8 +29,8 @@
   private static final double LONGEST_PAUSE_S = 8;
   private static final int MOST_DOUBLINGS = 5;
 
-  public static final Hearing GOOD =
-      new Hearing(State.HEARS, 0, Double.NEGATIVE_INFINITY, 0, FIRST_PAUSE_S);
+  public static final Responsiveness GOOD =
+      new Responsiveness(State.HEARS, 0, Double.NEGATIVE_INFINITY, 0, FIRST_PAUSE_S);
 
   /** Whether it may be given work. */
   public boolean trusted() {
@@ -42,9 +42,9 @@
   }
 
   /** There is evidence against it. */
-  public Hearing suspected(double now) {
+  public Responsiveness suspected(double now) {
     return state == State.HEARS || state == State.PROBATION
-        ? new Hearing(State.SUSPECT, lapses, now, now, FIRST_PAUSE_S)
+        ? new Responsiveness(State.SUSPECT, lapses, now, now, FIRST_PAUSE_S)
         : this;
   }
 
@@ -54,27 +54,27 @@
   }
 
   /** A question or an order goes out; another waits until it is answered, or surely is not. */
-  public Hearing asked(double now, double deadlineS) {
-    return new Hearing(state, lapses, since, now + deadlineS, pauseS);
+  public Responsiveness asked(double now, double deadlineS) {
+    return new Responsiveness(state, lapses, since, now + deadlineS, pauseS);
   }
 
   /** A question or an order had no answer. */
-  public Hearing unanswered(double now) {
+  public Responsiveness unanswered(double now) {
     double next = Math.min(LONGEST_PAUSE_S, pauseS * 2);
     return state == State.DEAF
-        ? new Hearing(state, lapses, since, now + pauseS, next)
-        : new Hearing(State.DEAF, lapses + 1, now, now + pauseS, next);
+        ? new Responsiveness(state, lapses, since, now + pauseS, next)
+        : new Responsiveness(State.DEAF, lapses + 1, now, now + pauseS, next);
   }
 
   /**
    * It has answered. One that was merely suspected is trusted at once; one that was deaf after a
    * report interval, twice that the next time, and so on: each time it costs what was placed there.
    */
-  public Hearing answered(double now) {
+  public Responsiveness answered(double now) {
     return switch (state) {
       case HEARS, PROBATION -> this;
-      case SUSPECT -> new Hearing(State.HEARS, lapses, now, 0, FIRST_PAUSE_S);
-      case DEAF -> new Hearing(State.PROBATION, lapses, now, 0, FIRST_PAUSE_S);
+      case SUSPECT -> new Responsiveness(State.HEARS, lapses, now, 0, FIRST_PAUSE_S);
+      case DEAF -> new Responsiveness(State.PROBATION, lapses, now, 0, FIRST_PAUSE_S);
     };
   }
 
@@ -84,10 +84,12 @@
    * @param reportS the workers' report interval, the unit of trust
    * @param leaseS the workers' lease; ten of them without a lapse make good for all of them
    */
-  public Hearing passed(double now, double reportS, double leaseS) {
+  public Responsiveness passed(double now, double reportS, double leaseS) {
     if (state == State.PROBATION) {
       double wait = reportS * Math.pow(2, Math.min(MOST_DOUBLINGS, lapses - 1));
-      return now - since >= wait ? new Hearing(State.HEARS, lapses, now, 0, FIRST_PAUSE_S) : this;
+      return now - since >= wait
+          ? new Responsiveness(State.HEARS, lapses, now, 0, FIRST_PAUSE_S)
+          : this;
     }
     return state == State.HEARS && lapses > 0 && now - since > 10 * leaseS ? GOOD : this;
   }
--- a/src/main/java/dev/dunefront/fleet/Acts.java
+++ b/src/main/java/dev/dunefront/fleet/Acts.java
@@ -46,7 +46,7 @@
   private final Cloud cloud;
   private final Inventory inventory;
   private final Room room;
-  private final Burials burials;
+  private final ConfirmedDeletions confirmedDeletions;
   private final Store store;
   private final Timers timers;
   private final int valueBytes;
@@ -77,7 +77,7 @@
       Cloud cloud,
       Inventory inventory,
       Room room,
-      Burials burials,
+      ConfirmedDeletions confirmedDeletions,
       Store store,
       Timers timers,
       double valueKb,
@@ -89,7 +89,7 @@
     this.cloud = cloud;
     this.inventory = inventory;
     this.room = room;
-    this.burials = burials;
+    this.confirmedDeletions = confirmedDeletions;
     this.store = store;
     this.timers = timers;
     this.valueBytes = (int) (valueKb * 1024 * VALUE_PART);
@@ -177,9 +177,9 @@
         });
   }
 
-  void delete(Map<String, Doom> doomed) {
-    List<String> hosts = List.copyOf(doomed.keySet());
-    intents.deletions.putAll(doomed);
+  void delete(Map<String, ReturnReason> toReturn) {
+    List<String> hosts = List.copyOf(toReturn.keySet());
+    intents.deletions.putAll(toReturn);
     inventory.deleting(hosts);
     record(() -> recorded.add(new Return(hosts, false)));
   }
@@ -272,10 +272,10 @@
   /** False if none of it stands any more. */
   private boolean ask(Return act) {
     double now = timers.now();
-    Map<String, Doom> still = new LinkedHashMap<>();
+    Map<String, ReturnReason> still = new LinkedHashMap<>();
     List<String> over = new ArrayList<>();
     for (String host : act.hosts()) {
-      Doom why = intents.deletions.get(host);
+      ReturnReason why = intents.deletions.get(host);
       View view = view(host);
       Double until = waiting.get(host);
       if (why.stands(view)) {
@@ -302,7 +302,7 @@
         asked,
         answer -> {
           if (answer == Cloud.Deletion.CONFIRMED) {
-            burials.bury(asked);
+            confirmedDeletions.record(asked);
           }
           if (inTerm != term) {
             return;
--- a/src/main/java/dev/dunefront/fleet/Catalog.java
+++ b/src/main/java/dev/dunefront/fleet/Catalog.java
@@ -1,8 +1,8 @@
 package dev.dunefront.fleet;
 
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Txn;
 import dev.dunefront.wire.BadMessage;
@@ -34,7 +34,7 @@
   private final Caller caller;
   private final Store store;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private Map<String, MachineType> types = Map.of();
   private Set<String> zones = Set.of();
 
@@ -53,12 +53,13 @@
 
   private final Set<String> urgentHomes = new HashSet<>();
 
-  public Catalog(String cloud, Caller caller, Store store, Timers timers, Ward ward) {
+  public Catalog(
+      String cloud, Caller caller, Store store, Timers timers, DecisionLock decisionLock) {
     this.cloud = cloud;
     this.caller = caller;
     this.store = store;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
   }
 
   public boolean known() {
@@ -186,7 +187,7 @@
   }
 
   private void ask(boolean keep) {
-    ward.then(
+    decisionLock.then(
         () ->
             caller.call(
                 cloud,
@@ -195,7 +196,7 @@
                 null,
                 3,
                 reply ->
-                    ward.run(
+                    decisionLock.run(
                         () -> {
                           Doc doc = null;
                           if (reply.ok()) {
@@ -206,7 +207,7 @@
                             }
                           }
                           if (doc == null || !take(doc)) {
-                            timers.after(ASK_AGAIN_S, () -> ward.run(this::start));
+                            timers.after(ASK_AGAIN_S, () -> decisionLock.run(this::start));
                           } else if (keep) {
                             store.tryTxn(
                                 new Txn().put(KEY, doc), Store.Urgency.BACKGROUND, done -> {});
--- a/src/main/java/dev/dunefront/fleet/Cloud.java
+++ b/src/main/java/dev/dunefront/fleet/Cloud.java
@@ -2,8 +2,8 @@
 
 import dev.dunefront.config.Settings;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import java.lang.System.Logger.Level;
@@ -55,7 +55,7 @@
   private final Settings settings;
   private final Caller caller;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Runnable ready;
   private boolean calling;
   private double nextCall;
@@ -64,11 +64,12 @@
   private int unanswered;
 
   /** {@code ready} runs whenever a call is over, so that the next need not wait for a tick. */
-  Cloud(Settings settings, Caller caller, Timers timers, Ward ward, Runnable ready) {
+  Cloud(
+      Settings settings, Caller caller, Timers timers, DecisionLock decisionLock, Runnable ready) {
     this.settings = settings;
     this.caller = caller;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.ready = ready;
     this.callsAt = timers.now();
   }
@@ -98,7 +99,7 @@
   private void call(String method, String path, Doc body, Consumer<Caller.Reply> then) {
     calling = true;
     calls -= 1;
-    ward.then(
+    decisionLock.then(
         () ->
             caller.call(
                 settings.cloud(),
@@ -107,7 +108,7 @@
                 body == null ? null : body.encode(),
                 CALL_S,
                 reply ->
-                    ward.run(
+                    decisionLock.run(
                         () -> {
                           calling = false;
                           unanswered = reply.status() == 0 ? unanswered + 1 : 0;
--- a/src/main/java/dev/dunefront/fleet/Burials.java
+++ b/src/main/java/dev/dunefront/fleet/ConfirmedDeletions.java
@@ -1,8 +1,8 @@
 package dev.dunefront.fleet;
 
 import dev.dunefront.book.Holds;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.store.Store;
 import dev.dunefront.store.Txn;
 import java.util.ArrayList;
@@ -12,25 +12,26 @@
  * Records the ends of machines that the cloud has confirmed, by which all that ran there is proven
  * gone. An end is true whoever writes it down, so this needs no duty.
  */
-final class Burials {
+final class ConfirmedDeletions {
   private static final double AGAIN_S = 0.5;
 
   private final Holds holds;
   private final Store store;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final int most;
 
   /** At most {@code changes} records are written in one transaction. */
-  Burials(Holds holds, Store store, Timers timers, Ward ward, int changes) {
+  ConfirmedDeletions(
+      Holds holds, Store store, Timers timers, DecisionLock decisionLock, int changes) {
     this.holds = holds;
     this.store = store;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.most = Math.max(1, changes);
   }
 
-  void bury(List<String> hosts) {
+  void record(List<String> hosts) {
     List<String> left = new ArrayList<>();
     for (String host : hosts) {
       Holds.Hold hold = holds.get(host);
@@ -57,7 +58,9 @@
         done -> {
           if (!done.ok()) {
             // Somebody has taken one of them meanwhile: the others need not wait for its record.
-            timers.after(AGAIN_S, () -> ward.run(() -> hosts.forEach(host -> bury(List.of(host)))));
+            timers.after(
+                AGAIN_S,
+                () -> decisionLock.run(() -> hosts.forEach(host -> record(List.of(host)))));
           }
         });
   }
--- a/src/main/java/dev/dunefront/fleet/Fleet.java
+++ b/src/main/java/dev/dunefront/fleet/Fleet.java
@@ -1,6 +1,6 @@
 package dev.dunefront.fleet;
 
-import dev.dunefront.claim.Desk;
+import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.claim.Room;
 import dev.dunefront.claim.RoomInterest;
 import dev.dunefront.claim.Urgencies;
@@ -72,22 +72,28 @@
   private double nextPrices;
   private double since;
 
-  public Fleet(Desk desk, Room room, RoomInterest interest, Urgencies urgencies, Caller caller) {
-    this.peers = desk.peers();
-    this.lagS = desk.settings().cloudLimits().listLagS();
-    this.membership = desk.membership();
-    this.duties = desk.duties();
+  public Fleet(
+      ControllerContext context,
+      Room room,
+      RoomInterest interest,
+      Urgencies urgencies,
+      Caller caller) {
+    this.peers = context.peers();
+    this.lagS = context.settings().cloudLimits().listLagS();
+    this.membership = context.membership();
+    this.duties = context.duties();
     this.room = room;
     this.interest = interest;
-    this.catalog = desk.catalog();
-    this.timers = desk.timers();
-    this.cloud = new Cloud(desk.settings(), caller, timers, desk.ward(), this::tick);
+    this.catalog = context.catalog();
+    this.timers = context.timers();
+    this.cloud = new Cloud(context.settings(), caller, timers, context.decisionLock(), this::tick);
     this.inventory = new Inventory(lagS);
-    this.health = new Health(desk.settings(), membership, desk.holds(), room, catalog, inventory);
+    this.health =
+        new Health(context.settings(), membership, context.holds(), room, catalog, inventory);
     this.planner =
         new Planner(
-            desk.tunables(),
-            desk.jobs(),
+            context.tunables(),
+            context.jobs(),
             room,
             catalog,
             timers,
@@ -96,21 +102,21 @@
             demands.values());
     this.acts =
         new Acts(
-            new Ledger(Duty.RENT, duties, desk.store(), timers),
+            new Ledger(Duty.RENT, duties, context.store(), timers),
             cloud,
             inventory,
             room,
-            new Burials(
-                desk.holds(),
-                desk.store(),
+            new ConfirmedDeletions(
+                context.holds(),
+                context.store(),
                 timers,
-                desk.ward(),
-                desk.settings().stateLimits().txnOps()),
-            desk.store(),
+                context.decisionLock(),
+                context.settings().stateLimits().txnOps()),
+            context.store(),
             timers,
-            desk.settings().stateLimits().valueKb(),
+            context.settings().stateLimits().valueKb(),
             lagS,
-            desk.settings().workers().leaseS(),
+            context.settings().workers().leaseS(),
             refused,
             this::tick);
   }
@@ -158,7 +164,7 @@
         .deletions
         .forEach(
             (host, why) -> {
-              if (why == Doom.IDLE) {
+              if (why == ReturnReason.IDLE) {
                 // Until the cloud has answered, or it would open and be used meanwhile.
                 close(host, now);
               }
@@ -211,12 +217,12 @@
   private void decide(double now) {
     refused.values().removeIf(until -> until < now);
     Planner.Plan plan = planner.plan(refused.keySet());
-    Map<String, Doom> doomed = doomed(plan, now);
+    Map<String, ReturnReason> toReturn = toReturn(plan, now);
     if (health.note(acts.intents(), now, timers.timeOfDayMs())) {
       acts.note();
     }
-    if (!doomed.isEmpty()) {
-      acts.delete(doomed);
+    if (!toReturn.isEmpty()) {
+      acts.delete(toReturn);
     } else if (plan.most() != null) {
       String name = "hire-" + membership.self().replace('#', '-') + "-" + ++hires;
       acts.hire(new Hire(name, plan.most(), plan.count()));
@@ -235,30 +241,30 @@
   }
 
   /** Machines that are to be deleted, each for a reason of its own. */
-  private Map<String, Doom> doomed(Planner.Plan plan, double now) {
-    Map<String, Doom> why = new HashMap<>();
+  private Map<String, ReturnReason> toReturn(Planner.Plan plan, double now) {
+    Map<String, ReturnReason> why = new HashMap<>();
     Set<String> unheard = new HashSet<>();
     demands.values().forEach(d -> unheard.addAll(d.unheard()));
     health.check(now, now - since, demands.keySet(), unheard, why);
     for (String host : planner.idlers(plan)) {
       if (room.get(host).view().retiring()) {
-        why.put(host, Doom.IDLE);
+        why.put(host, ReturnReason.IDLE);
       } else {
         // Its holder closes it first; only then can nothing be placed on it any more.
         close(host, now);
       }
     }
     retiredAt.values().removeIf(at -> now - at > 10 * RETIRE_S);
-    Map<String, Doom> doomed = new LinkedHashMap<>();
+    Map<String, ReturnReason> toReturn = new LinkedHashMap<>();
     why.forEach(
         (host, reason) -> {
           if (!inventory.isDeleted(host)
-              && inventory.deletions() + doomed.size() < MAX_DELETE
+              && inventory.deletions() + toReturn.size() < MAX_DELETE
               && !inventory.isDeleting(host)) {
             LOG.log(Level.INFO, "returning {0}: {1}", host, reason.reason());
-            doomed.put(host, reason);
+            toReturn.put(host, reason);
           }
         });
-    return doomed;
+    return toReturn;
   }
 }
--- a/src/main/java/dev/dunefront/fleet/Health.java
+++ b/src/main/java/dev/dunefront/fleet/Health.java
@@ -95,7 +95,7 @@
       double watchedS,
       Set<String> heardFrom,
       Set<String> unheard,
-      Map<String, Doom> why) {
+      Map<String, ReturnReason> why) {
     double lease = settings.workers().leaseS();
     Set<String> silent = silentHosts(heardFrom);
     Set<String> cut = cutZones(silent);
@@ -106,11 +106,11 @@
       Room.Seen seen = room.get(l.host());
       MachineType type = catalog.type(l.kind().type());
       if (l.failed()) {
-        why.put(l.host(), Doom.FAILED);
+        why.put(l.host(), ReturnReason.FAILED);
       } else if (l.booting()) {
         double patience = 30 + 4 * (type == null ? 30 : type.bootS());
         if (seen == null && now - l.since() > patience) {
-          why.put(l.host(), Doom.NOT_BOOTING);
+          why.put(l.host(), ReturnReason.NOT_BOOTING);
         }
       } else if (silent.contains(l.host())) {
         running.add(l.host());
@@ -118,11 +118,11 @@
         double patience =
             cut.contains(l.kind().zone()) ? CUT_LEASES * lease : patience(type, lease);
         if (now - since > patience && listened) {
-          why.put(l.host(), Doom.SILENT);
+          why.put(l.host(), ReturnReason.SILENT);
         }
       }
       if (seen != null && seen.view().quarantined()) {
-        why.put(l.host(), Doom.QUARANTINED);
+        why.put(l.host(), ReturnReason.QUARANTINED);
       }
     }
     silentSince.keySet().retainAll(running);
@@ -140,7 +140,7 @@
    * as long; but they say nothing of their zone, which is heard. How long that has been so is not
    * handed over: whoever has the duty next waits anew.
    */
-  private void deaf(double now, double lease, boolean listened, Map<String, Doom> why) {
+  private void deaf(double now, double lease, boolean listened, Map<String, ReturnReason> why) {
     Set<String> deaf = new HashSet<>();
     for (Room.Seen seen : room.all()) {
       if (seen.view().deaf()) {
@@ -149,7 +149,7 @@
         double since = deafSince.computeIfAbsent(host, h -> now);
         double patience = patience(catalog.type(seen.view().type()), lease);
         if (now - since > patience && listened) {
-          why.put(host, Doom.DEAF);
+          why.put(host, ReturnReason.DEAF);
         }
       }
     }
@@ -162,7 +162,8 @@
    * it. Only the cloud's answer to a deletion proves those tasks gone; without it they would wait
    * for ever.
    */
-  private void unlisted(double now, boolean watched, Set<String> unheard, Map<String, Doom> why) {
+  private void unlisted(
+      double now, boolean watched, Set<String> unheard, Map<String, ReturnReason> why) {
     unheard.removeIf(h -> inventory.isListed(h) || inventory.isDeleted(h) || heard(room.get(h)));
     unlistedSince.keySet().retainAll(unheard);
     // A new machine is listed within twice the lag, and listed until it is gone.
@@ -170,7 +171,7 @@
     for (String host : unheard) {
       double since = unlistedSince.computeIfAbsent(host, h -> now);
       if (now - since > patience && watched) {
-        why.put(host, Doom.UNLISTED);
+        why.put(host, ReturnReason.UNLISTED);
       }
     }
   }
--- a/src/main/java/dev/dunefront/fleet/Intents.java
+++ b/src/main/java/dev/dunefront/fleet/Intents.java
@@ -30,7 +30,7 @@
   final Map<String, Hire> hires = new LinkedHashMap<>();
 
   /** Deletions asked for, or about to be: the reason by host. */
-  final Map<String, Doom> deletions = new LinkedHashMap<>();
+  final Map<String, ReturnReason> deletions = new LinkedHashMap<>();
 
   /** Answered hires, oldest first. */
   final List<Came> came = new ArrayList<>();
@@ -54,9 +54,9 @@
       reasons.computeIfAbsent(e.getValue().name(), r -> new ArrayList<>()).add(e.getKey());
       left -= e.getKey().length() + PER_NAME;
     }
-    List<Doc> doomed = new ArrayList<>();
-    reasons.forEach((r, hosts) -> doomed.add(Doc.of().put("why", r).put("hosts", hosts)));
-    left -= Doom.values().length * PER_GROUP;
+    List<Doc> toReturn = new ArrayList<>();
+    reasons.forEach((r, hosts) -> toReturn.add(Doc.of().put("why", r).put("hosts", hosts)));
+    left -= ReturnReason.values().length * PER_GROUP;
     List<Doc> arrived = new ArrayList<>();
     for (int i = came.size() - 1; i >= 0; i--) {
       Came c = came.get(i);
@@ -69,7 +69,7 @@
       }
       arrived.add(0, kind(c.kind).put("at", c.atMs).put("hosts", c.hosts));
     }
-    Doc value = Doc.of().put("hires", asked).put("deletions", doomed).put("came", arrived);
+    Doc value = Doc.of().put("hires", asked).put("deletions", toReturn).put("came", arrived);
     left = since(value, "unlisted", unlisted, left);
     since(value, "silent", silent, left);
     return value;
@@ -116,7 +116,7 @@
       i.hires.put(d.text("name"), new Hire(d.text("name"), kind(d), (int) d.count("n")));
     }
     for (Doc d : value.docs("deletions")) {
-      Doom why = Doom.of(d.text("why"));
+      ReturnReason why = ReturnReason.of(d.text("why"));
       d.texts("hosts").forEach(host -> i.deletions.put(host, why));
     }
     for (Doc d : value.docs("came")) {
--- a/src/main/java/dev/dunefront/fleet/Doom.java
+++ b/src/main/java/dev/dunefront/fleet/ReturnReason.java
@@ -3,7 +3,7 @@
 import dev.dunefront.peer.Message.View;
 
 /** Why a machine is returned, and what its successor does with a return that has no answer yet. */
-enum Doom {
+enum ReturnReason {
   IDLE("it idles"),
   FAILED("it failed"),
   NOT_BOOTING("it does not boot"),
@@ -14,7 +14,7 @@
 
   private final String reason;
 
-  Doom(String reason) {
+  ReturnReason(String reason) {
     this.reason = reason;
   }
 
@@ -24,8 +24,8 @@
   }
 
   /** A reason that a later version has written is as good as one that says least. */
-  static Doom of(String name) {
-    for (Doom d : values()) {
+  static ReturnReason of(String name) {
+    for (ReturnReason d : values()) {
       if (d.name().equals(name)) {
         return d;
       }
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -4,9 +4,9 @@
 import dev.dunefront.config.Settings;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer.Answer;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
@@ -41,7 +41,7 @@
   private final Store store;
   private final Peers peers;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
 
   /** Questions about jobs that are not in the replica cost a read each; so many at a time. */
   private static final int MOST_READ = 32;
@@ -69,13 +69,13 @@
       Proofs proofs,
       Peers peers,
       Timers timers,
-      Ward ward) {
+      DecisionLock decisionLock) {
     this.jobs = jobs;
     this.claims = claims;
     this.store = store;
     this.peers = peers;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.proofs = proofs;
     this.submissions = new Submissions(settings, membership, jobs, claims, catalog, store, timers);
     jobs.listen((id, before, entry) -> changed(id, entry));
@@ -252,7 +252,7 @@
     timers.after(
         END_S,
         () ->
-            ward.run(
+            decisionLock.run(
                 () -> {
                   List<Answer> waiting = ends.get(id);
                   if (waiting != null && waiting.remove(answer)) {
--- a/src/main/java/dev/dunefront/job/JobRecord.java
+++ b/src/main/java/dev/dunefront/job/JobRecord.java
@@ -19,6 +19,7 @@
     JobSpec spec, long acceptedMs, String claim, long term, Status status, int granted) {
   public static final String PREFIX = Replica.PREFIX + "j/";
 
+  /** What a job is, on record. */
   public enum Status {
     OPEN,
     CANCELLED,
--- a/src/main/java/dev/dunefront/net/Ward.java
+++ b/src/main/java/dev/dunefront/net/DecisionLock.java
@@ -12,7 +12,7 @@
  * and answers, and an exception that went through would end the chain while the process lives on.
  * Within a decision {@link #run} does the same for one part of it.
  */
-public final class Ward {
+public final class DecisionLock {
   private final ReentrantLock lock = new ReentrantLock();
   private final ArrayDeque<Runnable> effects = new ArrayDeque<>();
   private final Consumer<RuntimeException> failed;
@@ -20,7 +20,7 @@
   private boolean draining;
 
   /** {@code failed} hears of every decision or effect that has thrown. */
-  public Ward(Consumer<RuntimeException> failed) {
+  public DecisionLock(Consumer<RuntimeException> failed) {
     this.failed = failed;
   }
 
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -16,6 +16,7 @@
   /** Opens a link: who speaks. */
   record Hello(String node) implements Message {}
 
+  /** Keeps a link from falling silent; echoed. */
   record Ping() implements Message {}
 
   /** A task on a machine as its holder knows it; PENDING means that its start is under way. */
@@ -40,6 +41,7 @@
     }
   }
 
+  /** The state of a task on a machine; PENDING: its start is under way. */
   enum State {
     PENDING,
     FETCHING,
@@ -48,6 +50,7 @@
     EXITED
   }
 
+  /** Why a task ended; NONE while it has not. */
   enum Why {
     NONE,
     DONE,
@@ -197,6 +200,7 @@
   record Offer(long offer, String host, String job, long baton, long holdStamp, long tenure)
       implements Message {}
 
+  /** The offer is not taken; its room is free again. */
   record Decline(long offer, String host) implements Message {}
 
   /** The offer is being taken: its room is kept until the placement is recorded. */
@@ -224,6 +228,7 @@
   record Absent(String host, long baton, long holdStamp, String job, int number, long attempt)
       implements Message {}
 
+  /** Ends an attempt, with so many seconds to save. */
   record Stop(String host, long term, String job, int number, long attempt, double graceS)
       implements Message {}
 
@@ -247,6 +252,7 @@
    */
   record HoldAsk(String host, long tenure, long serial, long baton) implements Message {}
 
+  /** Answers HoldAsk: whether the sender holds the machine, and when it last heard it. */
   record HoldSay(String host, boolean held, double heardAgoS) implements Message {}
 
   /** The job's final state is recorded: it is done, or else cancelled. */
--- a/src/main/java/dev/dunefront/peer/Peers.java
+++ b/src/main/java/dev/dunefront/peer/Peers.java
@@ -7,6 +7,7 @@
  * the listener hears of it and says everything anew.
  */
 public interface Peers {
+  /** Hears what other controllers say, and which of them can be reached. */
   interface Listener {
     void received(String from, Message message);
 
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -154,7 +154,14 @@
       out.writeUTF(c.host());
       out.writeLong(c.term());
       writeAttempt(out, c.job(), c.number(), c.attempt());
-    } else if (m instanceof Blame b) {
+    } else {
+      writeOther(out, m);
+    }
+  }
+
+  /** What concerns neither a task nor an offer. */
+  private static void writeOther(DataOutputStream out, Message m) throws IOException {
+    if (m instanceof Blame b) {
       out.writeByte(13);
       out.writeUTF(b.host());
       out.writeUTF(b.job());
--- a/src/main/java/dev/dunefront/peer/XnioPeers.java
+++ b/src/main/java/dev/dunefront/peer/XnioPeers.java
@@ -1,8 +1,8 @@
 package dev.dunefront.peer;
 
 import dev.dunefront.config.Settings;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
@@ -33,7 +33,7 @@
   private final Settings settings;
   private final XnioWorker worker;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Listener listener;
   private final Map<String, Out> out = new HashMap<>();
   private final Map<String, In> in = new HashMap<>();
@@ -42,11 +42,15 @@
   private volatile Traffic sent = Traffic.NONE;
 
   public XnioPeers(
-      Settings settings, XnioWorker worker, Timers timers, Ward ward, Listener listener) {
+      Settings settings,
+      XnioWorker worker,
+      Timers timers,
+      DecisionLock decisionLock,
+      Listener listener) {
     this.settings = settings;
     this.worker = worker;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.listener = listener;
     for (Settings.Peer p : settings.peers()) {
       out.put(p.node(), new Out(p));
@@ -75,12 +79,12 @@
   @Override
   public void send(String node, Message message) {
     if (node.equals(settings.node())) {
-      ward.then(() -> ward.run(() -> listener.received(node, message)));
+      decisionLock.then(() -> decisionLock.run(() -> listener.received(node, message)));
       return;
     }
     Out link = out.get(node);
     if (link != null) {
-      ward.then(() -> link.send(Records.encode(message)));
+      decisionLock.then(() -> link.send(Records.encode(message)));
     }
   }
 
@@ -108,7 +112,7 @@
 
   /** Encodes once for all links. */
   private void sendAll(Collection<Out> links, Message message) {
-    ward.then(
+    decisionLock.then(
         () -> {
           byte[] record = Records.encode(message);
           links.forEach(link -> link.send(record));
@@ -246,7 +250,7 @@
       c.getSourceChannel().resumeReads();
       c.getSinkChannel().getWriteSetter().set(channel -> flush(c));
       send(Records.encode(new Message.Hello(settings.node())));
-      ward.run(() -> listener.reached(peer.node()));
+      decisionLock.run(() -> listener.reached(peer.node()));
       ping(c);
     }
 
@@ -382,13 +386,13 @@
         if (older != null) {
           older.closed = true;
           IoUtils.safeClose(older.connection);
-          ward.run(() -> listener.gone(node));
+          decisionLock.run(() -> listener.gone(node));
         }
       } else if (m instanceof Message.Ping) {
         queue.add(record);
         flush();
       } else {
-        ward.run(() -> listener.received(node, m));
+        decisionLock.run(() -> listener.received(node, m));
       }
     }
 
@@ -411,7 +415,7 @@
       closed = true;
       IoUtils.safeClose(connection);
       if (node != null && in.remove(node, this)) {
-        ward.run(() -> listener.gone(node));
+        decisionLock.run(() -> listener.gone(node));
       }
     }
   }
--- a/src/main/java/dev/dunefront/store/HttpStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStore.java
@@ -3,8 +3,8 @@
 import dev.dunefront.config.Settings;
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.Caller.Reply;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
 import java.lang.System.Logger.Level;
@@ -37,7 +37,7 @@
   private final String address;
   private final Caller caller;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Budget budget;
   private final String markPrefix;
   private final Map<Urgency, ArrayDeque<Waiting>> queues = new EnumMap<>(Urgency.class);
@@ -57,11 +57,16 @@
   private boolean probing;
   private long marks;
 
-  public HttpStore(Settings settings, Caller caller, Timers timers, Ward ward, String markPrefix) {
+  public HttpStore(
+      Settings settings,
+      Caller caller,
+      Timers timers,
+      DecisionLock decisionLock,
+      String markPrefix) {
     this.address = settings.state();
     this.caller = caller;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.budget = new Budget(settings, timers.now());
     this.markPrefix = markPrefix;
     this.askedSince = timers.now();
@@ -369,8 +374,8 @@
       byte[] body,
       double deadlineS,
       Consumer<Reply> then) {
-    Consumer<Reply> guarded = reply -> ward.run(() -> then.accept(reply));
-    ward.run(
+    Consumer<Reply> guarded = reply -> decisionLock.run(() -> then.accept(reply));
+    decisionLock.run(
         () -> {
           double wait = urgency == Urgency.USER ? USER_QUEUE_S : QUEUE_S;
           queues
@@ -388,7 +393,7 @@
                             body,
                             deadlineS,
                             r -> {
-                              ward.run(() -> note(r, sent, deadlineS > LONGEST_READ_S));
+                              decisionLock.run(() -> note(r, sent, deadlineS > LONGEST_READ_S));
                               guarded.accept(r);
                             });
                       },
@@ -435,7 +440,7 @@
               null,
               PROBE_CALL_S,
               r ->
-                  ward.run(
+                  decisionLock.run(
                       () -> {
                         probing = false;
                         if (r.status() > 0) {
@@ -463,13 +468,13 @@
         boolean writable = w.writes == 0 || !held && budget.allowsChanges(e.getKey(), w.writes);
         if (w.until < now) {
           queue.poll();
-          ward.then(w.refuse);
+          decisionLock.then(w.refuse);
         } else if (budget.allowsRequest() && writable) {
           queue.poll();
           budget.spend(w.writes);
           asked++;
           askedWrites += w.writes;
-          ward.then(w.start);
+          decisionLock.then(w.start);
         } else {
           // What is less urgent must not take what this saves up for.
           if (!writable && !held) {
@@ -487,7 +492,7 @@
       timers.after(
           0.02,
           () ->
-              ward.run(
+              decisionLock.run(
                   () -> {
                     pumping = false;
                     pump();
--- a/src/main/java/dev/dunefront/store/Proofs.java
+++ b/src/main/java/dev/dunefront/store/Proofs.java
@@ -1,7 +1,7 @@
 package dev.dunefront.store;
 
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -22,7 +22,7 @@
   private final Store store;
   private final Replica replica;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final String prefix;
   private List<Consumer<Boolean>> waiting = new ArrayList<>();
   private double waitingSince;
@@ -33,11 +33,12 @@
   private int proofs;
 
   /** Proofs for what is under a prefix that is itself under the replica's. */
-  public Proofs(Store store, Replica replica, Timers timers, Ward ward, String prefix) {
+  public Proofs(
+      Store store, Replica replica, Timers timers, DecisionLock decisionLock, String prefix) {
     this.store = store;
     this.replica = replica;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.prefix = prefix;
   }
 
@@ -82,7 +83,7 @@
     timers.after(
         wait,
         () ->
-            ward.run(
+            decisionLock.run(
                 () -> {
                   due = false;
                   begin();
@@ -111,7 +112,7 @@
             seen = Math.max(seen, watched.revision());
           }
           // One whose answer fails must not keep the others from theirs.
-          served.forEach(then -> ward.run(() -> then.accept(ok)));
+          served.forEach(then -> decisionLock.run(() -> then.accept(ok)));
           if (!waiting.isEmpty()) {
             beginSoon();
           }
--- a/src/main/java/dev/dunefront/store/Replica.java
+++ b/src/main/java/dev/dunefront/store/Replica.java
@@ -1,8 +1,8 @@
 package dev.dunefront.store;
 
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.store.Store.Urgency;
 import dev.dunefront.wire.Doc;
 import java.util.HashMap;
@@ -40,7 +40,7 @@
           return size() > TOMBSTONES;
         }
       };
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Loops loops;
   private boolean ready;
   private Runnable whenRead = () -> {};
@@ -48,10 +48,10 @@
   /** Everything up to here has been seen. */
   private long seen;
 
-  public Replica(Store store, Timers timers, Ward ward, Loops loops) {
+  public Replica(Store store, Timers timers, DecisionLock decisionLock, Loops loops) {
     this.store = store;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.loops = loops;
   }
 
@@ -97,7 +97,7 @@
           seen = Math.max(seen, range.revision());
           if (!ready) {
             ready = true;
-            ward.run(whenRead);
+            decisionLock.run(whenRead);
           }
           follow(range.revision());
         });
@@ -159,7 +159,7 @@
         (prefix, listener) -> {
           if (key.startsWith(prefix)) {
             // A record that cannot be understood concerns whoever reads it, and not what follows.
-            ward.run(() -> listener.changed(key.substring(prefix.length()), value, stamp));
+            decisionLock.run(() -> listener.changed(key.substring(prefix.length()), value, stamp));
           }
         });
   }
--- a/src/main/java/dev/dunefront/store/Standstill.java
+++ b/src/main/java/dev/dunefront/store/Standstill.java
@@ -1,8 +1,8 @@
 package dev.dunefront.store;
 
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,7 +28,7 @@
   private final Replica replica;
   private final Membership membership;
   private final Timers timers;
-  private final Ward ward;
+  private final DecisionLock decisionLock;
   private final Loops loops;
   private final double gapS;
   private final List<Runnable> waiting = new ArrayList<>();
@@ -40,15 +40,20 @@
 
   /** A gap of {@code gapS} is one in which this controller's lease may have run out. */
   public Standstill(
-      Replica replica, Membership membership, Timers timers, Ward ward, Loops loops, double gapS) {
+      Replica replica,
+      Membership membership,
+      Timers timers,
+      DecisionLock decisionLock,
+      Loops loops,
+      double gapS) {
     this.replica = replica;
     this.membership = membership;
     this.timers = timers;
-    this.ward = ward;
+    this.decisionLock = decisionLock;
     this.loops = loops;
     this.gapS = gapS;
     this.turnedAt = timers.now();
-    ward.onEntering(this::turned);
+    decisionLock.onEntering(this::turned);
   }
 
   /** Hears whenever this controller knows again what holds. */
@@ -88,7 +93,7 @@
     unknown = 2;
     replica.catchUp(() -> known(waking));
     membership.verify(() -> known(waking));
-    timers.after(WAIT_S, () -> ward.run(() -> wake(waking)));
+    timers.after(WAIT_S, () -> decisionLock.run(() -> wake(waking)));
   }
 
   private void known(long waking) {
--- a/src/main/java/dev/dunefront/store/Store.java
+++ b/src/main/java/dev/dunefront/store/Store.java
@@ -11,6 +11,7 @@
   /** The mark in every value that tells who wrote it, by which unclear writes are read back. */
   String MARK = "w";
 
+  /** What became of a request. */
   enum Outcome {
     OK,
     /** The key does not exist, or the lease has ended. */
@@ -32,12 +33,18 @@
     BACKGROUND
   }
 
+  /** A value and its stamp, if it was found. */
   record Got(Outcome outcome, Doc value, long stamp) {}
 
+  /** A key with its value and stamp. */
   record Pair(String key, Doc value, long stamp) {}
 
+  /** All keys of a prefix, at or after a revision. */
   record Range(Outcome outcome, List<Pair> pairs, long revision) {}
 
+  /**
+   * What became of a transaction or lease: its revision or id; on conflict, the keys that failed.
+   */
   record Done(Outcome outcome, long revision, List<String> failed) {
     public boolean ok() {
       return outcome == Outcome.OK;
@@ -47,6 +54,7 @@
   /** A change seen by a watch; a null value means removed. */
   record Event(String key, Doc value, long stamp) {}
 
+  /** Changes up to a revision; or that the revision asked for is too old to tell. */
   record Watched(Outcome outcome, List<Event> events, long revision, boolean tooOld) {}
 
   void get(String key, Urgency urgency, Consumer<Got> then);
--- a/src/main/java/dev/dunefront/wire/Order.java
+++ b/src/main/java/dev/dunefront/wire/Order.java
@@ -10,6 +10,7 @@
 
   Doc write();
 
+  /** Starts an attempt. */
   record Run(TaskId task, long attempt) implements Order {
     @Override
     public Doc write() {
@@ -17,6 +18,7 @@
     }
   }
 
+  /** Ends an attempt, with so many seconds to save. */
   record Stop(TaskId task, long attempt, double graceS) implements Order {
     @Override
     public Doc write() {
@@ -24,6 +26,7 @@
     }
   }
 
+  /** Forgets an attempt that has ended. */
   record Clear(TaskId task, long attempt) implements Order {
     @Override
     public Doc write() {
--- a/src/test/java/dev/dunefront/duty/ElectionTest.java
+++ b/src/test/java/dev/dunefront/duty/ElectionTest.java
@@ -15,14 +15,19 @@
 
 /** Who takes a duty, and when it is given away. */
 class ElectionTest {
-  private static final Post VACANT = Post.VACANT;
+  private static final DutyRecord VACANT = DutyRecord.VACANT;
 
   private static Candidate keepsUp(String node, int duties) {
     return new Candidate(node + "#1", duties, 0, true);
   }
 
   private static Step next(
-      Post post, String self, List<Candidate> live, double vacantS, double heldS, double unfitS) {
+      DutyRecord post,
+      String self,
+      List<Candidate> live,
+      double vacantS,
+      double heldS,
+      double unfitS) {
     return Election.next(new Sight(Duty.RENT, post, self, live, vacantS, heldS, unfitS));
   }
 
@@ -72,8 +77,8 @@
   @Test
   void nobodyIsPutOutOfADutyAndNobodyWithoutALeaseTakesOne() {
     List<Candidate> live = List.of(keepsUp("a", 1), keepsUp("b", 0));
-    assertEquals(Step.WAIT, next(new Post("a#1", 7), "b#1", live, 0, 0, 0));
-    assertEquals(Step.WAIT, next(new Post("", 7), "b#1", live, 0, 0, 0));
+    assertEquals(Step.WAIT, next(new DutyRecord("a#1", 7), "b#1", live, 0, 0, 0));
+    assertEquals(Step.WAIT, next(new DutyRecord("", 7), "b#1", live, 0, 0, 0));
     assertEquals(Step.WAIT, next(VACANT, null, live, 100, 0, 0));
     assertEquals(Step.WAIT, next(VACANT, "x#1", live, 100, 0, 0), "not among the living");
   }
@@ -84,7 +89,7 @@
     Candidate good = keepsUp("b", 1);
     Candidate unheard = new Candidate("c#1", 0, 0, false);
     Candidate late = new Candidate("d#1", 0, 1, true);
-    Post mine = new Post("a#1", 7);
+    DutyRecord mine = new DutyRecord("a#1", 7);
     double held = Election.LEAST_HELD_S;
     double unfit = Election.UNFIT_S + 0.1;
     List<Candidate> live = List.of(self, good, unheard, late);
@@ -96,7 +101,7 @@
 
   @Test
   void whoeverHasTwoMoreThanAnotherGivesOneAway() {
-    Post mine = new Post("a#1", 7);
+    DutyRecord mine = new DutyRecord("a#1", 7);
     double held = Election.LEAST_HELD_S;
     List<Candidate> uneven = List.of(keepsUp("a", 2), keepsUp("b", 0));
     assertEquals("b#1", next(mine, "a#1", uneven, 0, held, 0).to());
@@ -106,9 +111,9 @@
 
   @Test
   void aRecordNamesItsHolderAndItsTermIsItsStamp() {
-    assertEquals(new Post("a#3", 41), Post.read(Post.write("a#3", "m"), 41));
-    assertEquals(VACANT, Post.read(null, 99));
-    Post garbled = Post.read(Doc.of().put("inc", 3), 5);
+    assertEquals(new DutyRecord("a#3", 41), DutyRecord.read(DutyRecord.write("a#3", "m"), 41));
+    assertEquals(VACANT, DutyRecord.read(null, 99));
+    DutyRecord garbled = DutyRecord.read(Doc.of().put("inc", 3), 5);
     assertEquals(5, garbled.term());
     assertEquals(false, garbled.vacant(), "it is somebody's until its lease ends");
     assertNull(Duty.of("no such"));
--- a/src/test/java/dev/dunefront/evidence/EvidenceTest.java
+++ b/src/test/java/dev/dunefront/evidence/EvidenceTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dev.dunefront.evidence.Alone.Step;
 import dev.dunefront.evidence.Freshness.Worth;
+import dev.dunefront.evidence.Isolation.Step;
 import dev.dunefront.wire.Report;
 import java.util.ArrayList;
 import java.util.List;
@@ -79,7 +79,7 @@
 
   @Test
   void aMachineThatFlapsIsTrustedMoreSlowly() {
-    Hearing h = Hearing.GOOD;
+    Responsiveness h = Responsiveness.GOOD;
     double now = 100;
     double before = 0;
     for (int lapse = 1; lapse <= 4; lapse++) {
@@ -102,29 +102,29 @@
       before = waited;
       now += 60;
     }
-    assertEquals(Hearing.GOOD, h.passed(now + 1000, 2, 20), "what was long ago is forgiven");
+    assertEquals(Responsiveness.GOOD, h.passed(now + 1000, 2, 20), "what was long ago is forgiven");
   }
 
   @Test
   void whoWasOnlySuspectedIsTrustedAtOnce() {
-    Hearing h = Hearing.GOOD.suspected(5).asked(5, 1).answered(5.01);
+    Responsiveness h = Responsiveness.GOOD.suspected(5).asked(5, 1).answered(5.01);
     assertTrue(h.trusted());
     assertEquals(0, h.lapses());
   }
 
   @Test
   void whoIsAloneSendsOneAheadAndTheOthersOnlyIfItStaysAway() {
-    Alone a = Alone.NOT.passed(10, true, 4, 20);
+    Isolation a = Isolation.NOT.passed(10, true, 4, 20);
     assertEquals(Step.STAY, a.passed(15, true, 4, 20).step());
     a = a.passed(21, true, 4, 20);
     assertEquals(Step.TRY, a.step());
     a = a.sent("h", 21);
     assertEquals(Step.WAIT, a.passed(30, true, 4, 20).step());
-    Alone back = a.reported("h", 40);
+    Isolation back = a.reported("h", 40);
     assertEquals(Step.STAY, back.step());
     assertEquals(Step.STAY, back.passed(55, true, 4, 20).step(), "the next trial waits longer");
     assertEquals(Step.GO, a.passed(44, true, 4, 20).step());
-    assertEquals(Alone.NOT, a.passed(30, false, 4, 20), "somebody is heard again");
-    assertEquals(Alone.NOT, Alone.NOT.passed(10, true, 0, 20), "there is nobody else");
+    assertEquals(Isolation.NOT, a.passed(30, false, 4, 20), "somebody is heard again");
+    assertEquals(Isolation.NOT, Isolation.NOT.passed(10, true, 0, 20), "there is nobody else");
   }
 }
--- a/src/test/java/dev/dunefront/fleet/IntentsTest.java
+++ b/src/test/java/dev/dunefront/fleet/IntentsTest.java
@@ -20,9 +20,9 @@
   private static Intents some() {
     Intents i = new Intents();
     i.hires.put("h-1", new Hire("h-1", SMALL, 7));
-    i.deletions.put("host-1", Doom.IDLE);
-    i.deletions.put("host-2", Doom.SILENT);
-    i.deletions.put("host-3", Doom.IDLE);
+    i.deletions.put("host-1", ReturnReason.IDLE);
+    i.deletions.put("host-2", ReturnReason.SILENT);
+    i.deletions.put("host-3", ReturnReason.IDLE);
     i.came.add(new Intents.Came(SMALL, 50_000, List.of("host-4", "host-5")));
     i.silent.put("host-2", 12_345L);
     i.unlisted.put("host-9", 20_000L);
@@ -56,7 +56,7 @@
       i.silent.put(String.format("host-%06d", 5000 + n), n * 1000L);
     }
     for (int n = 0; n < 100; n++) {
-      i.deletions.put(String.format("host-%06d", 9000 + n), Doom.values()[n % 6]);
+      i.deletions.put(String.format("host-%06d", 9000 + n), ReturnReason.values()[n % 6]);
     }
     for (int limit : new int[] {12_000, 24_000}) {
       Doc value = i.write(limit);
@@ -97,15 +97,15 @@
   /** For each reason: nobody holds it, closed and empty, open, running, quarantined, lost. */
   @Test
   void aDeletionOnRecordStandsOnlyWhileNothingCanHaveBeenPlacedSince() {
-    Map<Doom, String> table =
+    Map<ReturnReason, String> table =
         Map.of(
-            Doom.IDLE, "-x---x",
-            Doom.FAILED, "xxxxxx",
-            Doom.NOT_BOOTING, "x----x",
-            Doom.SILENT, "x----x",
-            Doom.DEAF, "x----x",
-            Doom.QUARANTINED, "x---xx",
-            Doom.UNLISTED, "x----x");
+            ReturnReason.IDLE, "-x---x",
+            ReturnReason.FAILED, "xxxxxx",
+            ReturnReason.NOT_BOOTING, "x----x",
+            ReturnReason.SILENT, "x----x",
+            ReturnReason.DEAF, "x----x",
+            ReturnReason.QUARANTINED, "x---xx",
+            ReturnReason.UNLISTED, "x----x");
     View[] views = {
       null,
       view(true, false, false, true, 0),
@@ -114,7 +114,7 @@
       view(true, false, true, false, 2),
       view(true, true, false, false, 2)
     };
-    for (Doom why : Doom.values()) {
+    for (ReturnReason why : ReturnReason.values()) {
       StringBuilder row = new StringBuilder();
       for (View v : views) {
         row.append(why.stands(v) ? 'x' : '-');
@@ -122,7 +122,8 @@
       assertEquals(table.get(why), row.toString(), why.toString());
     }
     View closedButUsed = view(true, false, false, true, 1);
-    assertEquals(false, Doom.IDLE.stands(closedButUsed));
-    assertEquals(true, Doom.UNLISTED.stands(view(false, false, false, false, 1)), "never heard");
+    assertEquals(false, ReturnReason.IDLE.stands(closedButUsed));
+    assertEquals(
+        true, ReturnReason.UNLISTED.stands(view(false, false, false, false, 1)), "never heard");
   }
 }
--- a/src/test/java/dev/dunefront/load/CapacityPage.java
+++ b/src/test/java/dev/dunefront/load/CapacityPage.java
@@ -406,7 +406,7 @@
         "peak run",
         peak.urgentP50S(),
         Target.URGENT_S,
-        "`claim.Parking`, `book.Dealing`");
+        "`claim.WantPlacement`, `book.Dealing`");
     row(
         "user",
         "urgent start at the peak, p90 s, without the fetch",
--- a/src/test/java/dev/dunefront/load/GrowSite.java
+++ b/src/test/java/dev/dunefront/load/GrowSite.java
@@ -52,19 +52,21 @@
   static List<String> grown(List<String> lines, Map<String, Double> factors) {
     GrowSite site = new GrowSite(factors);
     site.nameTeams(lines);
-    for (int i = 0; i < lines.size(); i++) {
+    int i = 0;
+    while (i < lines.size()) {
       if (lines.get(i).equals("[[teams]]")) {
         int end = i + 1;
         while (end < lines.size() && !lines.get(end).startsWith("[")) {
           end++;
         }
         site.team(lines.subList(i, end));
-        i = end - 1;
+        i = end;
       } else {
         if (lines.get(i).equals("[[jobs]]")) {
           site.jobClass = nameIn(lines.subList(i + 1, lines.size()));
         }
         site.line(lines.get(i));
+        i++;
       }
     }
     return site.out;
--- a/src/test/java/dev/dunefront/net/WardTest.java
+++ b/src/test/java/dev/dunefront/net/DecisionLockTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class WardTest {
+class DecisionLockTest {
   private final List<String> said = new ArrayList<>();
 
   private void fail(String why) {
@@ -17,16 +17,16 @@
   /** An exception once ended the loop of whoever rents, while its process lived on and answered. */
   @Test
   void whatFailsEndsItselfAndNothingElse() {
-    Ward ward = new Ward(e -> said.add("failed: " + e.getMessage()));
-    ward.run(
+    DecisionLock decisionLock = new DecisionLock(e -> said.add("failed: " + e.getMessage()));
+    decisionLock.run(
         () -> {
-          ward.then(() -> fail("an effect"));
-          ward.then(() -> said.add("the next effect"));
-          ward.run(() -> fail("a part"));
-          ward.run(() -> said.add("the next part"));
+          decisionLock.then(() -> fail("an effect"));
+          decisionLock.then(() -> said.add("the next effect"));
+          decisionLock.run(() -> fail("a part"));
+          decisionLock.run(() -> said.add("the next part"));
           fail("the rest");
         });
-    ward.run(() -> said.add("the next decision"));
+    decisionLock.run(() -> said.add("the next decision"));
     assertEquals(
         List.of(
             "failed: a part",
--- a/src/test/java/dev/dunefront/store/HttpStoreTest.java
+++ b/src/test/java/dev/dunefront/store/HttpStoreTest.java
@@ -6,8 +6,8 @@
 import dev.dunefront.config.BadSetting;
 import dev.dunefront.config.Settings;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.FakeClock;
-import dev.dunefront.net.Ward;
 import dev.dunefront.wire.Doc;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -59,7 +59,7 @@
         settings,
         caller,
         timers,
-        new Ward(
+        new DecisionLock(
             e -> {
               throw new AssertionError(e);
             }),
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -5,11 +5,11 @@
 import dev.dunefront.config.Settings;
 import dev.dunefront.config.Tunables;
 import dev.dunefront.net.Caller;
+import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.FakeClock;
 import dev.dunefront.net.HttpServer;
 import dev.dunefront.net.Loops;
 import dev.dunefront.net.Timers;
-import dev.dunefront.net.Ward;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.peer.Records;
@@ -336,8 +336,8 @@
       up = true;
       backlog = null;
       Timers own = new OwnTimers(timers, action -> meet(mine, action));
-      Ward ward =
-          new Ward(
+      DecisionLock decisionLock =
+          new DecisionLock(
               e -> {
                 throw new AssertionError("a decision of " + name + " failed", e);
               });
@@ -354,7 +354,7 @@
       Settings settings = settings(name);
       knows = new HashSet<>(Set.of(name));
       settings.peers().forEach(p -> knows.add(p.node()));
-      HttpStore store = new HttpStore(settings, caller, own, ward, name + "-" + mine);
+      HttpStore store = new HttpStore(settings, caller, own, decisionLock, name + "-" + mine);
       daemon =
           new Daemon(
               settings,
@@ -362,7 +362,7 @@
               store,
               caller,
               own,
-              ward,
+              decisionLock,
               new Loops(),
               (w, l) -> new Links(this, w));
       daemon.start();
@@ -381,14 +381,14 @@
       cut.removeIf(link -> link.endsWith(">" + name));
       for (Node other : nodes.values()) {
         if (other != this && other.up) {
-          other.ward().run(() -> other.daemon.gone(name));
+          other.decisionLock().run(() -> other.daemon.gone(name));
         }
       }
     }
 
     /** The process is told to end and does so half a second later. */
     void end() {
-      ward().run(() -> daemon.leave(() -> {}));
+      decisionLock().run(() -> daemon.leave(() -> {}));
       int mine = life;
       timers.after(
           0.5,
@@ -416,8 +416,8 @@
       }
     }
 
-    private Ward ward() {
-      return daemon.ward();
+    private DecisionLock decisionLock() {
+      return daemon.decisionLock();
     }
 
     /** Something reaches this life of the controller: now, or when it goes on. */
@@ -434,7 +434,7 @@
 
     /** Something is told to the controller, inside its lock. */
     private void hear(Consumer<Daemon> what) {
-      meet(life, () -> ward().run(() -> what.accept(daemon)));
+      meet(life, () -> decisionLock().run(() -> what.accept(daemon)));
     }
 
     /** Somebody asks and does not wait; what comes is the status. */
@@ -490,7 +490,7 @@
             all.forEach(Runnable::run);
             for (Node other : nodes.values()) {
               if (other != this && cut.remove(other.name + ">" + name)) {
-                ward().run(() -> daemon.gone(other.name));
+                decisionLock().run(() -> daemon.gone(other.name));
                 link(this, other);
                 link(other, this);
               }
@@ -521,11 +521,11 @@
 
   private final class Links implements Peers {
     private final Node self;
-    private final Ward ward;
+    private final DecisionLock decisionLock;
 
-    Links(Node self, Ward ward) {
+    Links(Node self, DecisionLock decisionLock) {
       this.self = self;
-      this.ward = ward;
+      this.decisionLock = decisionLock;
     }
 
     @Override
@@ -550,7 +550,7 @@
             }
             try {
               Message m = Records.decode(record);
-              to.meet(life, () -> to.ward().run(() -> to.daemon.received(self.name, m)));
+              to.meet(life, () -> to.decisionLock().run(() -> to.daemon.received(self.name, m)));
             } catch (IOException e) {
               throw new AssertionError(e);
             }
