--- a/src/test/java/dev/dunefront/load/CapacityPage.java
+++ b/src/test/java/dev/dunefront/load/CapacityPage.java
@@ -175,7 +175,7 @@
   }
 
   private Fit overRunning(ToDoubleFunction<Measurement> amount) {
-    return Fit.of(of("running", "common"), Measurement::running, amount);
+    return Fit.of(of("running", "common"), m -> m.running() / 1000.0, amount);
   }
 
   private Fit overTeams(ToDoubleFunction<Measurement> amount) {
@@ -216,22 +216,26 @@
     slope("job", "processor time, ms", overJobs(m -> perStart(m, m.cpuS() * 1000)), 1);
     slope("job", "state changes", overJobs(m -> perStart(m, m.stateChanges())), 1);
     slope("job", "peer records", overJobs(m -> perStart(m, m.peerRecords())), 0);
-    slope(
-        "1,000 running tasks",
-        "processor time, ms a second",
-        scaled(overRunning(CapacityPage::cpu), 1e6),
-        1);
-    slope(
-        "1,000 running tasks",
-        "heap of one controller, KB",
-        scaled(overRunning(Measurement::heapMb), 1024 * 1000),
-        0);
+    if (series.containsKey("running")) {
+      slope(
+          "1,000 running tasks",
+          "processor time, ms a second",
+          scaled(overRunning(CapacityPage::cpu), 1000),
+          1);
+      slope(
+          "1,000 running tasks",
+          "heap of one controller, KB",
+          scaled(overRunning(Measurement::heapMb), 1024),
+          0);
+    }
     slope("team", "state changes for a start", overTeams(m -> perStart(m, m.stateChanges())), 5);
-    slope(
-        "zone",
-        "processor time, ms a second",
-        scaled(Fit.of(of("zones", "common"), m -> m.options().zones(), CapacityPage::cpu), 1000),
-        2);
+    if (series.containsKey("zones")) {
+      slope(
+          "zone",
+          "processor time, ms a second",
+          scaled(Fit.of(of("zones", "common"), m -> m.options().zones(), CapacityPage::cpu), 1000),
+          2);
+    }
     line("");
   }
 
--- a/src/test/java/dev/dunefront/load/ControllerProcess.java
+++ b/src/test/java/dev/dunefront/load/ControllerProcess.java
@@ -14,9 +14,6 @@
 
 /** A real controller, started as {@code deploy/service.toml} says, and what its process uses. */
 final class ControllerProcess {
-  /** Clock ticks of {@code /proc} in a second, as Linux has it on every common machine. */
-  private static final double TICKS_PER_S = 100;
-
   private static final long END_S = 5;
   private static final Duration LOOK = Duration.ofSeconds(5);
   private static final HttpClient HTTP = HttpClient.newHttpClient();
@@ -119,9 +116,7 @@
   }
 
   Use use() throws IOException {
-    String stat = Files.readString(proc("stat"));
-    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-    double cpuS = (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S;
+    double cpuS = ThreadUse.cpuOf(Files.readString(proc("stat")));
     long bytes = 0;
     for (String line : Files.readAllLines(proc("io"))) {
       if (line.startsWith("rchar:") || line.startsWith("wchar:")) {
--- a/src/test/java/dev/dunefront/load/ThreadUse.java
+++ b/src/test/java/dev/dunefront/load/ThreadUse.java
@@ -5,12 +5,19 @@
 import java.nio.file.Path;
 import java.util.List;
 
-/** Processor time of this process's threads, by the beginning of their names. */
+/** Processor time as the operating system has counted it. */
 final class ThreadUse {
+  /** Clock ticks of {@code /proc} in a second, as Linux has it on every common machine. */
   private static final double TICKS_PER_S = 100;
 
+  /** Where a stat line has ticks in user and in system mode, counted from behind the name. */
+  private static final int USER_TICKS = 11;
+
+  private static final int SYSTEM_TICKS = 12;
+
   private ThreadUse() {}
 
+  /** Seconds of all threads of this process whose names begin so. */
   static double cpuS(String prefix) throws IOException {
     double sum = 0;
     List<Path> threads;
@@ -21,10 +28,16 @@
       String stat = Files.readString(thread.resolve("stat"));
       String name = stat.substring(stat.indexOf('(') + 1, stat.lastIndexOf(')'));
       if (name.startsWith(prefix)) {
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        sum += (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_S;
+        sum += cpuOf(stat);
       }
     }
     return sum;
   }
+
+  /** Seconds of a process or thread, by the text of its stat file. */
+  static double cpuOf(String stat) {
+    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    return (Long.parseLong(fields[USER_TICKS]) + Long.parseLong(fields[SYSTEM_TICKS]))
+        / TICKS_PER_S;
+  }
 }
