--- a/src/test/java/dev/dunefront/load/CapacityPage.java
+++ b/src/test/java/dev/dunefront/load/CapacityPage.java
@@ -213,9 +213,11 @@
         "state requests a second",
         overControllers(m -> perS(m, m.stateRequests())),
         2);
-    slope("job", "processor time, ms", overJobs(m -> perStart(m, m.cpuS() * 1000)), 1);
-    slope("job", "state changes", overJobs(m -> perStart(m, m.stateChanges())), 1);
-    slope("job", "peer records", overJobs(m -> perStart(m, m.peerRecords())), 0);
+    if (series.containsKey("tasksPerJob")) {
+      slope("job", "processor time, ms", overJobs(m -> perStart(m, m.cpuS() * 1000)), 1);
+      slope("job", "state changes", overJobs(m -> perStart(m, m.stateChanges())), 1);
+      slope("job", "peer records", overJobs(m -> perStart(m, m.peerRecords())), 0);
+    }
     if (series.containsKey("running")) {
       slope(
           "1,000 running tasks",
@@ -228,7 +230,9 @@
           scaled(overRunning(Measurement::heapMb), 1024),
           0);
     }
-    slope("team", "state changes for a start", overTeams(m -> perStart(m, m.stateChanges())), 5);
+    if (series.containsKey("teams")) {
+      slope("team", "state changes for a start", overTeams(m -> perStart(m, m.stateChanges())), 5);
+    }
     if (series.containsKey("zones")) {
       slope(
           "zone",
