Read again, load tools: what stood twice is one piece

Options are read by the record's own fields instead of a list and a choice for each; GrowSite reads names in one place; the fits of processor time are fits over workers and starts like the others; the relays read addresses as the run does. No behaviour meant; an option that is not of its type is now refused where a flag used to be taken for false.

--- a/src/test/java/dev/dunefront/load/CapacityPage.java
+++ b/src/test/java/dev/dunefront/load/CapacityPage.java
@@ -150,11 +150,11 @@
   // ---- the slopes ----
 
   private Fit idleCpu() {
-    return Fit.of(of("idle"), m -> m.options().workers(), CapacityPage::cpu);
+    return overWorkers(CapacityPage::cpu);
   }
 
   private Fit startCpu() {
-    return Fit.of(of("common", "starts"), CapacityPage::startsPerS, CapacityPage::cpu);
+    return overStarts(CapacityPage::cpu);
   }
 
   private Fit overStarts(ToDoubleFunction<Measurement> amount) {
--- a/src/test/java/dev/dunefront/load/GrowSite.java
+++ b/src/test/java/dev/dunefront/load/GrowSite.java
@@ -108,7 +108,7 @@
     List<String> originals = new ArrayList<>();
     for (int i = 0; i + 1 < lines.size(); i++) {
       if (lines.get(i).equals("[[teams]]")) {
-        originals.add(lines.get(i + 1).replaceAll("^name = \"(.*)\"$", "$1"));
+        originals.add(nameIn(lines.subList(i + 1, lines.size())));
       }
     }
     int wanted = factors.getOrDefault("teams", (double) originals.size()).intValue();
@@ -122,7 +122,7 @@
   }
 
   private void team(List<String> block) {
-    List<String> names = namesOfTeam.get(block.get(1).replaceAll("^name = \"(.*)\"$", "$1"));
+    List<String> names = namesOfTeam.get(nameIn(block));
     for (String name : names) {
       for (String line : block) {
         Matcher field = FIELD.matcher(line);
--- a/src/test/java/dev/dunefront/load/LoadOptions.java
+++ b/src/test/java/dev/dunefront/load/LoadOptions.java
@@ -1,5 +1,7 @@
 package dev.dunefront.load;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.IntStream;
@@ -64,47 +66,12 @@
   }
 
   private LoadOptions with(String name, String value) {
-    boolean known =
-        List.of(
-                "controllers",
-                "workers",
-                "zones",
-                "regions",
-                "teams",
-                "limitTasks",
-                "startsPerS",
-                "tasksPerJob",
-                "taskCpus",
-                "runS",
-                "urgentShare",
-                "warmS",
-                "measureS",
-                "troubles",
-                "stateRequests",
-                "stateChanges",
-                "seed")
-            .contains(name);
-    if (!known) {
+    ObjectMapper fields = new ObjectMapper();
+    ObjectNode all = fields.valueToTree(this);
+    if (!all.has(name)) {
       throw new IllegalArgumentException("no such option: " + name);
     }
-    return new LoadOptions(
-        name.equals("controllers") ? Integer.parseInt(value) : controllers,
-        name.equals("workers") ? Integer.parseInt(value) : workers,
-        name.equals("zones") ? Integer.parseInt(value) : zones,
-        name.equals("regions") ? Integer.parseInt(value) : regions,
-        name.equals("teams") ? Integer.parseInt(value) : teams,
-        name.equals("limitTasks") ? Integer.parseInt(value) : limitTasks,
-        name.equals("startsPerS") ? Double.parseDouble(value) : startsPerS,
-        name.equals("tasksPerJob") ? Integer.parseInt(value) : tasksPerJob,
-        name.equals("taskCpus") ? Double.parseDouble(value) : taskCpus,
-        name.equals("runS") ? Double.parseDouble(value) : runS,
-        name.equals("urgentShare") ? Double.parseDouble(value) : urgentShare,
-        name.equals("warmS") ? Double.parseDouble(value) : warmS,
-        name.equals("measureS") ? Double.parseDouble(value) : measureS,
-        name.equals("troubles") ? Boolean.parseBoolean(value) : troubles,
-        name.equals("stateRequests") ? Double.parseDouble(value) : stateRequests,
-        name.equals("stateChanges") ? Double.parseDouble(value) : stateChanges,
-        name.equals("seed") ? Long.parseLong(value) : seed);
+    return fields.convertValue(all.put(name, value), LoadOptions.class);
   }
 
   /** The names of the zones. */
--- a/src/test/java/dev/dunefront/load/LoadRun.java
+++ b/src/test/java/dev/dunefront/load/LoadRun.java
@@ -127,7 +127,8 @@
                 .getMap());
   }
 
-  private static InetSocketAddress at(String address) {
+  /** A numeric loopback address, written with its port. */
+  static InetSocketAddress at(String address) {
     int colon = address.lastIndexOf(':');
     return new InetSocketAddress(
         InetAddress.getLoopbackAddress(), Integer.parseInt(address.substring(colon + 1)));
@@ -259,14 +260,13 @@
     Outside.StateUse state = after.state.minus(before.state);
     FleetUse said = after.fleet.minus(before.fleet);
     double resident = 0;
-    double heap = 0;
     int descriptors = 0;
     int running = rules.running();
     for (ControllerProcess controller : controllers) {
       resident = Math.max(resident, controller.residentMb());
       descriptors = Math.max(descriptors, controller.descriptors());
     }
-    heap = controllers.get(0).heapMb();
+    double heap = controllers.get(0).heapMb();
     int workers = options.workers();
     return new Measurement(
         options,
--- a/src/test/java/dev/dunefront/load/RegionNetwork.java
+++ b/src/test/java/dev/dunefront/load/RegionNetwork.java
@@ -176,13 +176,9 @@
     if (near == null) {
       return;
     }
-    int colon = route.target.lastIndexOf(':');
-    InetSocketAddress target =
-        new InetSocketAddress(
-            InetAddress.getLoopbackAddress(), Integer.parseInt(route.target.substring(colon + 1)));
     try {
       // On loopback this answers at once, be it with a refusal.
-      SocketChannel far = SocketChannel.open(target);
+      SocketChannel far = SocketChannel.open(LoadRun.at(route.target));
       join(route, near, far);
     } catch (IOException e) {
       near.close();
--- a/src/test/java/dev/dunefront/story/InterestTest.java
+++ b/src/test/java/dev/dunefront/story/InterestTest.java
@@ -7,7 +7,7 @@
 import dev.dunefront.peer.Detail;
 import dev.dunefront.peer.Message;
 import dev.dunefront.standin.WorkerStandIn;
-import java.util.Collections;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
@@ -87,7 +87,7 @@
   }
 
   private static List<String> wants(World w) {
-    List<String> hosts = Collections.synchronizedList(new java.util.ArrayList<>());
+    List<String> hosts = new ArrayList<>();
     Predicate<Message> others = w.late;
     w.late =
         m -> {
