Incident: each end says its proof, each refused start its reason; counts of both

Cause looked for: the records name neither the proof by which an attempt was called gone nor what the view said it rested on. Change: proofs are typed (evidence.EndProof) and made in one place; lines for starts, ends, refusals, sessions, holders and claims name token, session, hold stamp, term and age; metrics for ends by proof, refused starts, age of proofs.

--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -144,7 +144,14 @@
     if (fence != null && m.resumed) {
       m.fence.putAll(fence);
     }
-    LOG.log(Level.INFO, "holding {0}, a {1}, under baton {2}", m.host, m.typeName, m.baton);
+    LOG.log(
+        Level.INFO,
+        "holding {0}, a {1}, under token {2}, hold stamp {3}, session {4}",
+        m.host,
+        m.typeName,
+        m.baton,
+        m.holdStamp,
+        m.tenure);
   }
 
   void reportOfHeld(Machine m, Report r, Answer answer) {
@@ -208,7 +215,14 @@
       if (!m.fence.isEmpty()) {
         fences.put(m.host, m.fence);
       }
-      LOG.log(Level.INFO, "no longer holding {0}: {1}", m.host, why);
+      LOG.log(
+          Level.INFO,
+          "no longer holding {0}: {1}; it was token {2}, hold stamp {3}, session {4}",
+          m.host,
+          why,
+          m.baton,
+          m.holdStamp,
+          m.tenure);
       peers.broadcast(new Message.Unheld(m.host));
     }
   }
--- a/src/main/java/dev/dunefront/book/Reports.java
+++ b/src/main/java/dev/dunefront/book/Reports.java
@@ -81,6 +81,9 @@
 
   private void apply(Machine m, Report r) {
     if (r.tenure() > m.tenure) {
+      if (m.tenure > 0) {
+        LOG.log(Level.DEBUG, "{0} is in session {1}, after {2}", m.host, r.tenure(), m.tenure);
+      }
       endSession(m);
     }
     m.dirty |=
--- a/src/main/java/dev/dunefront/book/Starts.java
+++ b/src/main/java/dev/dunefront/book/Starts.java
@@ -1,8 +1,10 @@
 package dev.dunefront.book;
 
 import dev.dunefront.claim.ControllerContext;
+import dev.dunefront.evidence.StartRefusal;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
+import dev.dunefront.metrics.SafetyMonitor;
 import dev.dunefront.net.Timers;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
@@ -11,9 +13,12 @@
 import dev.dunefront.wire.Report;
 import dev.dunefront.wire.Size;
 import dev.dunefront.wire.TaskId;
+import java.lang.System.Logger.Level;
 
 /** Starts of recorded attempts, and what is said of attempts that a machine does not show. */
 final class Starts {
+  private static final System.Logger LOG = System.getLogger(Starts.class.getName());
+
   private final JobTable jobs;
   private final Catalog catalog;
   private final Peers peers;
@@ -22,6 +27,7 @@
   private final Books books;
   private final Orders orders;
   private final Views views;
+  private final SafetyMonitor safety;
 
   Starts(ControllerContext context, Books books, Orders orders, Views views) {
     this.jobs = context.jobs();
@@ -32,6 +38,7 @@
     this.books = books;
     this.orders = orders;
     this.views = views;
+    this.safety = context.safety();
   }
 
   /** A claimant takes an offer: its placement is recorded. */
@@ -41,17 +48,18 @@
       return;
     }
     TaskId id = new TaskId(s.job(), s.number());
-    boolean good =
-        (offered(m, from, s) || stillFits(m, s))
-            && m.baton == s.baton()
-            // Recorded for one session of the worker: a view of a later one proves it gone.
-            && m.tenure == s.tenure()
-            && !outdated(s.job(), s.term())
-            && !m.doubt
-            && !m.raising
-            && s.attempt() > m.fence.getOrDefault(id, 0L)
-            && !jobs.over(s.job());
-    if (!good) {
+    StartRefusal refusal = refusal(from, m, id, s);
+    if (refusal != null) {
+      safety.refused(refusal);
+      LOG.log(
+          Level.DEBUG,
+          "start of {0}, attempt {1} of session {2} under token {3}, refused on {4}: {5}",
+          id,
+          s.attempt(),
+          s.tenure(),
+          s.baton(),
+          s.host(),
+          refusal);
       probed(from, new Message.Probe(s.host(), s.term(), s.job(), s.number(), s.attempt()));
       return;
     }
@@ -62,6 +70,30 @@
     books.act(m);
   }
 
+  /** Why a start may not be carried out, or null if it may. */
+  private StartRefusal refusal(String from, Machine m, TaskId id, Message.Start s) {
+    if (m.doubt || m.raising) {
+      return StartRefusal.IN_DOUBT;
+    }
+    if (m.baton != s.baton()) {
+      return StartRefusal.OTHER_TOKEN;
+    }
+    if (m.tenure != s.tenure()) {
+      // Recorded for one session of the worker: a view of a later one proves it gone.
+      return StartRefusal.OTHER_SESSION;
+    }
+    if (outdated(s.job(), s.term())) {
+      return StartRefusal.OUTDATED_CLAIM;
+    }
+    if (s.attempt() <= m.fence.getOrDefault(id, 0L)) {
+      return StartRefusal.DENIED_BEFORE;
+    }
+    if (jobs.over(s.job())) {
+      return StartRefusal.JOB_OVER;
+    }
+    return offered(m, from, s) || stillFits(m, s) ? null : StartRefusal.NO_ROOM;
+  }
+
   /**
    * Whether another controller is known to have claimed the job since. A claimant that stood still
    * learns so only after it has sent what it had decided before; its successor may have been told
--- a/src/main/java/dev/dunefront/claim/Chunk.java
+++ b/src/main/java/dev/dunefront/claim/Chunk.java
@@ -1,5 +1,6 @@
 package dev.dunefront.claim;
 
+import dev.dunefront.evidence.EndProof;
 import dev.dunefront.store.Store;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
@@ -38,6 +39,11 @@
   }
 
   record Placement(long attempt, String host, long tenure) {
+    /** The attempt, for whoever looks for a proof that it is over. */
+    EndProof.Attempt asAttempt() {
+      return new EndProof.Attempt(attempt, host, tenure);
+    }
+
     @Override
     public boolean equals(Object o) {
       return o instanceof Placement p
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -1,6 +1,7 @@
 package dev.dunefront.claim;
 
 import dev.dunefront.claim.Chunk.Placement;
+import dev.dunefront.evidence.EndProof;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.peer.Message;
 import dev.dunefront.wire.JobSpec;
@@ -27,12 +28,16 @@
     GONE
   }
 
-  /** An end to be recorded; the hold's stamp is a condition of the proof, unless there is none. */
-  record Ended(int number, Placement placement, End end, long holdStamp) {
-    static final long UNCONDITIONAL = Long.MIN_VALUE;
-
+  /** An end to be recorded, with its proof. */
+  record Ended(int number, Placement placement, End end, EndProof proof) {
+    /** Whether the proof rests on the record of who holds the machine. */
     boolean conditional() {
-      return holdStamp != UNCONDITIONAL;
+      return proof.conditional();
+    }
+
+    /** The version of that record on which it rests. */
+    long holdStamp() {
+      return proof.basis().holdStamp();
     }
   }
 
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -1,7 +1,6 @@
 package dev.dunefront.claim;
 
 import dev.dunefront.book.Holds;
-import dev.dunefront.claim.Claim.End;
 import dev.dunefront.claim.Claim.Held;
 import dev.dunefront.claim.Claim.Live;
 import dev.dunefront.job.JobRecord.Status;
@@ -293,8 +292,7 @@
           && !l.ending
           && l.placement.attempt() == a.attempt()
           && l.placement.host().equals(a.host())) {
-        reconciliation.end(c, a.number(), l, End.GONE, a.holdStamp());
-        recorder.flush(c);
+        reconciliation.denied(from, a, c, l);
       }
     } else if (message instanceof Message.Progress p) {
       account.told(p);
--- a/src/main/java/dev/dunefront/claim/ControllerContext.java
+++ b/src/main/java/dev/dunefront/claim/ControllerContext.java
@@ -6,6 +6,7 @@
 import dev.dunefront.duty.Duties;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
+import dev.dunefront.metrics.SafetyMonitor;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.Timers;
 import dev.dunefront.peer.Peers;
@@ -28,7 +29,8 @@
     Timers timers,
     DecisionLock decisionLock,
     Standstill standstill,
-    Duties duties) {
+    Duties duties,
+    SafetyMonitor safety) {
 
   double now() {
     return timers.now();
--- a/src/main/java/dev/dunefront/claim/Reconciliation.java
+++ b/src/main/java/dev/dunefront/claim/Reconciliation.java
@@ -4,10 +4,11 @@
 import dev.dunefront.claim.Claim.End;
 import dev.dunefront.claim.Claim.Ended;
 import dev.dunefront.claim.Claim.Live;
+import dev.dunefront.evidence.EndProof;
+import dev.dunefront.evidence.EndProof.Basis;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Message.TaskState;
 import dev.dunefront.peer.Message.View;
-import dev.dunefront.peer.Message.Why;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -65,77 +66,88 @@
     }
   }
 
+  /** Compares what is recorded of a job on a machine with what the machine's holder says. */
   void compare(Claim c, Room.Seen seen) {
     if (c.loading || seen == null) {
       return;
     }
-    View v = seen.view();
-    double now = context.now();
-    Map<Integer, TaskState> current = new HashMap<>();
+    Map<Integer, Live> placed = c.liveOn(seen.view().host());
+    Map<Integer, TaskState> shown = new HashMap<>();
     List<TaskState> strays = new ArrayList<>();
-    Map<Integer, Live> live = c.liveOn(v.host());
-    for (TaskState t : v.tasks()) {
-      if (t.job().equals(c.id())) {
-        Live l = live.get(t.number());
-        if (l != null && l.placement.attempt() == t.attempt()) {
-          current.put(t.number(), t);
+    for (TaskState task : seen.view().tasks()) {
+      if (task.job().equals(c.id())) {
+        Live live = placed.get(task.number());
+        if (live != null && live.placement.attempt() == task.attempt()) {
+          shown.put(task.number(), task);
         } else {
-          strays.add(t);
+          strays.add(task);
         }
       }
     }
-    for (var e : live.entrySet()) {
-      Live l = e.getValue();
-      int number = e.getKey();
-      if (l.ending) {
-        continue;
-      }
-      TaskState t = current.get(number);
-      l.shown = t != null;
-      if (v.tenure() > l.placement.tenure()) {
-        end(c, number, l, End.GONE, Ended.UNCONDITIONAL);
-      } else if (t != null && t.exited()) {
-        end(c, number, l, endOf(t.why()), Ended.UNCONDITIONAL);
-      } else if (v.lost()) {
-        // The last report still shows the task, but its lease is surely over.
-        end(c, number, l, End.GONE, v.holdStamp());
-      } else if (t != null) {
-        if (l.state != t.state()) {
-          LOG.log(Level.DEBUG, "{0}/{1} is {2} on {3}", c.id(), number, t.state(), v.host());
-        }
-        if (t.state() == Message.State.RUNNING
-            && (l.state == Message.State.PENDING || l.state == Message.State.FETCHING)) {
-          l.runningSince = now;
-        }
-        l.state = t.state();
-      } else if (v.settled() && now - l.probedAt > REPEAT_S) {
-        l.probedAt = now;
-        context
-            .peers()
-            .send(
-                seen.holder(),
-                new Message.Probe(
-                    v.host(), c.record.term(), c.id(), number, l.placement.attempt()));
-      }
-    }
+    placed.forEach(
+        (number, live) -> {
+          if (!live.ending) {
+            compare(c, number, live, shown.get(number), seen);
+          }
+        });
     if (!c.flying) {
-      for (TaskState t : strays) {
-        // Not recorded, so it must not run.
-        context
-            .peers()
-            .send(
-                seen.holder(),
-                t.exited()
-                    ? new Message.Clear(v.host(), c.record.term(), c.id(), t.number(), t.attempt())
-                    : new Message.Stop(
-                        v.host(), c.record.term(), c.id(), t.number(), t.attempt(), 0));
-      }
+      strays.forEach(task -> rejectStray(c, task, seen));
     }
     if (!c.ends.isEmpty()) {
       recorder.flush(c);
     }
   }
 
+  /** Compares one placed task; {@code shown} is null if the view does not show its attempt. */
+  private void compare(Claim c, int number, Live live, TaskState shown, Room.Seen seen) {
+    View view = seen.view();
+    live.shown = shown != null;
+    Basis basis = Basis.of(seen.holder(), view, context.now() - seen.at());
+    EndProof proof = EndProof.find(live.placement.asAttempt(), shown, view, basis);
+    if (proof != null) {
+      end(c, number, live, proof);
+    } else if (shown != null) {
+      progressed(c, number, live, shown, view.host());
+    } else if (view.settled() && context.now() - live.probedAt > REPEAT_S) {
+      live.probedAt = context.now();
+      long attempt = live.placement.attempt();
+      context
+          .peers()
+          .send(
+              seen.holder(),
+              new Message.Probe(view.host(), c.record.term(), c.id(), number, attempt));
+    }
+  }
+
+  private void progressed(Claim c, int number, Live live, TaskState shown, String host) {
+    if (live.state != shown.state()) {
+      LOG.log(Level.DEBUG, "{0}/{1} is {2} on {3}", c.id(), number, shown.state(), host);
+    }
+    if (shown.state() == Message.State.RUNNING
+        && (live.state == Message.State.PENDING || live.state == Message.State.FETCHING)) {
+      live.runningSince = context.now();
+    }
+    live.state = shown.state();
+  }
+
+  /** What is not recorded must not run, and is not kept once it has exited. */
+  private void rejectStray(Claim c, TaskState task, Room.Seen seen) {
+    String host = seen.view().host();
+    long term = c.record.term();
+    Message order =
+        task.exited()
+            ? new Message.Clear(host, term, c.id(), task.number(), task.attempt())
+            : new Message.Stop(host, term, c.id(), task.number(), task.attempt(), 0);
+    context.peers().send(seen.holder(), order);
+  }
+
+  /** A holder denies a placed attempt. */
+  void denied(String holder, Message.Absent absent, Claim c, Live live) {
+    Basis basis = new Basis(holder, absent.baton(), live.placement.tenure(), absent.holdStamp(), 0);
+    end(c, absent.number(), live, EndProof.denied(basis));
+    recorder.flush(c);
+  }
+
   /** Looks again where the last word did not show a placed task. */
   void lookAgain(Claim c) {
     Set<String> unshown = null;
@@ -165,14 +177,17 @@
         .forEach(
             (number, l) -> {
               if (!l.ending) {
-                end(c, number, l, End.GONE, Ended.UNCONDITIONAL);
+                end(c, number, l, EndProof.machineDeleted());
               }
             });
     recorder.flush(c);
   }
 
-  private static End endOf(Why why) {
-    return switch (why) {
+  private static End endOf(EndProof proof) {
+    if (proof.kind() != EndProof.Kind.EXITED) {
+      return End.GONE;
+    }
+    return switch (proof.why()) {
       case DONE -> End.DONE;
       case FAILED -> End.FAILED;
       case REFUSED -> End.REFUSED;
@@ -180,10 +195,22 @@
     };
   }
 
-  void end(Claim c, int number, Live l, End end, long holdStamp) {
+  /** The only way in which a placed attempt ends. */
+  private void end(Claim c, int number, Live l, EndProof proof) {
+    End end = endOf(proof);
     l.ending = true;
-    LOG.log(Level.DEBUG, "{0}/{1} is over on {2}: {3}", c.id(), number, l.placement.host(), end);
-    c.ends.add(new Ended(number, l.placement, end, holdStamp));
+    context.safety().ended(proof);
+    LOG.log(
+        Level.DEBUG,
+        "{0}/{1} is over on {2}: {3}, attempt {4} of session {5} by {6}",
+        c.id(),
+        number,
+        l.placement.host(),
+        end,
+        l.placement.attempt(),
+        l.placement.tenure(),
+        proof);
+    c.ends.add(new Ended(number, l.placement, end, proof));
     double now = context.now();
     String host = l.placement.host();
     if (end == End.DONE) {
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -348,7 +348,19 @@
         decline(s.held());
         continue;
       }
-      LOG.log(Level.DEBUG, "placed {0}/{1} on {2}", c.id(), s.number(), o.host());
+      LOG.log(
+          Level.DEBUG,
+          "placed {0}/{1} on {2}: attempt {3}, term {4}, offer of {5}, token {6}, session {7},"
+              + " hold stamp {8}",
+          c.id(),
+          s.number(),
+          o.host(),
+          s.placement().attempt(),
+          c.record.term(),
+          s.held().holder(),
+          o.baton(),
+          o.tenure(),
+          o.holdStamp());
       context
           .peers()
           .send(
--- a/src/main/java/dev/dunefront/claim/Takeover.java
+++ b/src/main/java/dev/dunefront/claim/Takeover.java
@@ -234,7 +234,12 @@
               }
               next.forEach(
                   (id, record) -> {
-                    LOG.log(Level.INFO, "claimed {0} in term {1}", id, record.term());
+                    LOG.log(
+                        Level.INFO,
+                        "claimed {0} in term {1}, written at revision {2}",
+                        id,
+                        record.term(),
+                        done.revision());
                     context.jobs().wrote(id, record, mark, done.revision());
                     claims.adopt(id, false);
                   });
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -16,6 +16,7 @@
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.metrics.Meters;
+import dev.dunefront.metrics.SafetyMonitor;
 import dev.dunefront.net.Caller;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer;
@@ -113,6 +114,8 @@
     catalog = new Catalog(settings.cloud(), caller, store, timers, decisionLock);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica, timers);
+    SafetyMonitor safety = new SafetyMonitor();
+    safety.register(meters);
     ControllerContext context =
         new ControllerContext(
             settings,
@@ -127,7 +130,8 @@
             timers,
             decisionLock,
             standstill,
-            duties);
+            duties,
+            safety);
     books = new Books(context, caller);
     claims = new Claims(context);
     fleet = new Fleet(context, claims.room(), claims.interest(), claims.urgencies(), caller);
--- /dev/null
+++ b/src/main/java/dev/dunefront/metrics/SafetyMonitor.java
@@ -0,0 +1,64 @@
+package dev.dunefront.metrics;
+
+import dev.dunefront.evidence.EndProof;
+import dev.dunefront.evidence.StartRefusal;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Counts the decisions on which it rests that no task runs twice: how attempts were proven over,
+ * which starts were refused, and which attempts were seen that no record names. Guarded by the
+ * controller's lock.
+ */
+public final class SafetyMonitor {
+  private final Map<EndProof.Kind, Integer> ends = new EnumMap<>(EndProof.Kind.class);
+  private final Map<StartRefusal, Integer> refusals = new EnumMap<>(StartRefusal.class);
+  private double oldestBasisS;
+  private int straysSeen;
+  private int straysGone;
+
+  /** An attempt was proven over. */
+  public void ended(EndProof proof) {
+    ends.merge(proof.kind(), 1, Integer::sum);
+    if (proof.conditional()) {
+      oldestBasisS = Math.max(oldestBasisS, proof.basis().ageS());
+    }
+  }
+
+  /** A start was refused. */
+  public void refused(StartRefusal reason) {
+    refusals.merge(reason, 1, Integer::sum);
+  }
+
+  /** An attempt that no record names has been seen for the first time. */
+  public void straySeen() {
+    straysSeen++;
+  }
+
+  /** Such an attempt is gone, or nothing more is known of it here. */
+  public void strayGone() {
+    straysGone++;
+  }
+
+  /** Registers all counts. */
+  public void register(Meters meters) {
+    meters.gauges("dunefront.attempts.ended", () -> rows("proof", ends));
+    meters.gauges("dunefront.starts.refused", () -> rows("reason", refusals));
+    meters.gauge("dunefront.proofs.oldest.ms", () -> (int) Math.round(oldestBasisS * 1000));
+    meters.gauge("dunefront.strays.seen", () -> straysSeen);
+    meters.gauge("dunefront.strays.outstanding", () -> straysSeen - straysGone);
+  }
+
+  private static <K extends Enum<K>> List<Meters.Labelled> rows(
+      String label, Map<K, Integer> counts) {
+    List<Meters.Labelled> rows = new ArrayList<>();
+    counts.forEach(
+        (key, count) ->
+            rows.add(
+                new Meters.Labelled(Map.of(label, key.name().toLowerCase(Locale.ROOT)), count)));
+    return rows;
+  }
+}
