--- a/src/main/java/dev/dunefront/evidence/EndProof.java
+++ b/src/main/java/dev/dunefront/evidence/EndProof.java
@@ -74,8 +74,10 @@
     if (shown != null && shown.exited()) {
       return new EndProof(Kind.EXITED, shown.why(), basis);
     }
-    if (view.lost()) {
-      // The last report still shows the task, but its lease is surely over.
+    if (view.lost() && basis.session == attempt.session) {
+      // The last report may still show the task, but the lease of its session is surely over. That
+      // of an earlier one says nothing: the holder deals room as soon as a new session begins, and
+      // tells of it later, so an attempt of the new session may meet the view of the old.
       return new EndProof(Kind.LEASE_OVER, Why.NONE, basis);
     }
     return null;
