Incident: the same class by a second way, a story that fails

A worker in its second session begins anew in its first; the claimant's last view of the life before counts as a later session, without any condition, and the task runs in two places.

--- a/src/test/java/dev/dunefront/story/StaleProofTest.java
+++ b/src/test/java/dev/dunefront/story/StaleProofTest.java
@@ -69,8 +69,45 @@
   }
 
   /**
-   * The same by chance: nothing is held back but what the network and the gathering of changes hold
-   * back anyway. No task ends here, so whatever is started in a next session has to stay.
+   * A machine in its second session begins anew, in its first, and is given work while the
+   * claimant's last view is still of the life before. The later session of a former life is not
+   * later than this one.
+   */
+  @Test
+  void theLaterSessionOfAFormerLifeProvesNothing() {
+    World w = new World(3);
+    w.start().pass(2);
+    WorkerStandIn machine = w.machine("host-1", "small", "a", "node-0");
+    w.pass(5);
+    w.hang("host-1", World.LEASE_S + 2);
+    w.pass(World.LEASE_S + 5);
+    String holder = w.holder("host-1");
+    String claimant = holder.equals("node-0") ? "node-1" : "node-0";
+    assertEquals(201, w.submit(holder, World.job("wk-1", 1, CPUS_OF_A_MACHINE)).status());
+    w.pass(2);
+    assertEquals(201, w.submit(claimant, World.job("wk-2", 1, CPUS_OF_A_MACHINE)).status());
+    w.pass(2);
+    assertEquals(List.of("wk-1/0"), machine.running(), "in the second session");
+
+    w.late = m -> m instanceof Message.View v && v.host().equals("host-1") && v.tenure() < 2;
+    machine.beginAnew();
+    w.pass(4);
+    assertEquals(List.of("wk-2/0"), machine.running(), "placed in the first session");
+    w.machine("host-2", "small", "a", holder);
+    w.pass(4);
+    w.late = m -> false;
+    w.deliverHeld();
+    w.pass(4);
+
+    assertEquals(List.of(), w.overlaps);
+    assertEquals(List.of("wk-2/0"), machine.running());
+    assertEquals(List.of(), w.dayEnds());
+  }
+
+  /**
+   * The order of the incident by chance: nothing is held back but what the network and the
+   * gathering of changes hold back anyway. No task ends here, so whatever is started in a next
+   * session has to stay.
    */
   @Test
   void machinesThatHangForALeaseRunNothingTwice() {
