--- a/src/main/java/dev/dunefront/evidence/EndProof.java
+++ b/src/main/java/dev/dunefront/evidence/EndProof.java
@@ -18,8 +18,12 @@
   public enum Kind {
     /** Its worker has reported that it has exited. */
     EXITED(false),
-    /** Its worker is in a later session than the one in which it was placed. */
-    LATER_SESSION(false),
+    /**
+     * Its worker is in a later session than the one in which it was placed. A worker that begins
+     * anew counts its sessions from 1 again, but its holder raises the token before it gives it
+     * work; so whatever was said of its former life names an older record of the hold.
+     */
+    LATER_SESSION(true),
     /** The lease of the session in which it was placed is over. */
     LEASE_OVER(true),
     /** The holder does not have it and will never start it. */
