--- a/src/main/java/dev/dunefront/book/Starts.java
+++ b/src/main/java/dev/dunefront/book/Starts.java
@@ -1,6 +1,7 @@
 package dev.dunefront.book;
 
 import dev.dunefront.claim.ControllerContext;
+import dev.dunefront.evidence.Invariant;
 import dev.dunefront.evidence.StartRefusal;
 import dev.dunefront.fleet.Catalog;
 import dev.dunefront.job.JobTable;
@@ -91,9 +92,22 @@
     if (jobs.over(s.job())) {
       return StartRefusal.JOB_OVER;
     }
+    if (hasOtherAttempt(m, id, s.attempt())) {
+      safety.violated(
+          Invariant.TWO_ATTEMPTS_ON_ONE_MACHINE,
+          id + " on " + m.host + " as attempt " + s.attempt());
+      return StartRefusal.OTHER_ATTEMPT;
+    }
     return offered(m, from, s) || stillFits(m, s) ? null : StartRefusal.NO_ROOM;
   }
 
+  private static boolean hasOtherAttempt(Machine m, TaskId id, long attempt) {
+    Machine.Pending pending = m.pending.get(id);
+    Report.Task task = m.tasks.get(id);
+    return pending != null && pending.attempt != attempt
+        || task != null && !task.exited() && task.attempt() != attempt;
+  }
+
   /**
    * Whether another controller is known to have claimed the job since. A claimant that stood still
    * learns so only after it has sent what it had decided before; its successor may have been told
--- a/src/main/java/dev/dunefront/claim/Account.java
+++ b/src/main/java/dev/dunefront/claim/Account.java
@@ -156,7 +156,9 @@
         });
     Set<String> unheard = new HashSet<>();
     for (Claim c : claims.values()) {
-      for (String host : c.hosts()) {
+      Set<String> hosts = new HashSet<>(c.hosts());
+      hosts.addAll(c.strays.hosts());
+      for (String host : hosts) {
         Room.Seen seen = room.get(host);
         // A holder that has never had a report under its baton cannot prove anything by its clock.
         if (seen == null || !seen.view().settled() && !seen.view().lost()) {
--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -87,6 +88,12 @@
   final List<Held> offers = new ArrayList<>();
   final List<Ended> ends = new ArrayList<>();
 
+  /** Attempts that are shown and not recorded. */
+  final Strays strays = new Strays();
+
+  /** Machines whose last view has not been compared with what is recorded now. */
+  final Set<String> unread = new HashSet<>();
+
   /** Wants parked, by machine. */
   final Map<String, Integer> parked = new HashMap<>();
 
@@ -188,7 +195,20 @@
 
   /** Tasks that are neither done nor placed. */
   int unstarted() {
-    return starts() ? spec.tasks() - busy.cardinality() : 0;
+    if (!starts()) {
+      return 0;
+    }
+    int blocked = strays.isEmpty() ? 0 : strays.blockedOutside(busy);
+    return spec.tasks() - busy.cardinality() - blocked;
+  }
+
+  /** The first task from this number on that may be placed; there may be none so high. */
+  int nextUnplaced(int from) {
+    int number = busy.nextClearBit(from);
+    while (!strays.isEmpty() && strays.blocks(number)) {
+      number = busy.nextClearBit(number + 1);
+    }
+    return number;
   }
 
   /** How many tasks more the team's limit lets start: what is granted already, and what is left. */
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -131,6 +131,7 @@
     Claim c = new Claim(e.record(), e.stamp(), context.tunables().reach(), context.now());
     c.halted = context.jobs().over(id);
     claims.put(c.id(), c);
+    reconciliation.began(c);
     takeover.adopted(c.id());
     account.forget(c.id());
     if (fresh) {
@@ -168,9 +169,8 @@
               double now = context.now();
               // Holders that have yet to learn who claims the job now show it in a moment.
               c.live.values().forEach(l -> l.probedAt = now);
-              for (String host : List.copyOf(c.hosts())) {
-                reconciliation.compare(c, room.get(host));
-              }
+              c.unread.addAll(c.hosts());
+              reconciliation.readAgain(c);
               review(c);
             });
   }
@@ -206,6 +206,7 @@
 
   private void drop(Claim c) {
     c.dropped = true;
+    reconciliation.forget(c);
     wantPlacement.withdraw(c);
     recorder.declineAll(c);
     claims.remove(c.id(), c);
@@ -224,6 +225,7 @@
   /** The job's end is written. */
   void finished(Claim c, Status last, long revision) {
     c.dropped = true;
+    reconciliation.forget(c);
     claims.remove(c.id(), c);
     wantPlacement.withdraw(c);
     recorder.declineAll(c);
@@ -381,6 +383,7 @@
     if (c.dropped || c.loading) {
       return;
     }
+    reconciliation.readAgain(c);
     recorder.flush(c);
     if (!c.dropped && !context.store().down()) {
       wantPlacement.review(c);
@@ -391,6 +394,7 @@
   public void tick() {
     double now = context.now();
     takeover.tick(now);
+    reconciliation.tick();
     for (Claim c : List.copyOf(claims.values())) {
       // What cannot be done for one job is no reason to leave the others alone.
       context
--- a/src/main/java/dev/dunefront/claim/Planning.java
+++ b/src/main/java/dev/dunefront/claim/Planning.java
@@ -5,6 +5,7 @@
 import dev.dunefront.claim.Claim.End;
 import dev.dunefront.claim.Claim.Ended;
 import dev.dunefront.claim.Claim.Held;
+import dev.dunefront.evidence.Invariant;
 import dev.dunefront.peer.Message;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -107,7 +108,7 @@
         kept.add(h);
         continue;
       }
-      number = c.busy.nextClearBit(number);
+      number = c.nextUnplaced(number);
       int index = number / Chunk.TASKS;
       boolean take =
           c.starts()
@@ -124,10 +125,20 @@
         declined.accept(h);
         continue;
       }
-      growth.merge(index, -Chunk.bytesFor(o.host()), Integer::sum);
       Chunk old = c.chunks.get(index);
       Chunk chunk = next.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
       int n = number % Chunk.TASKS;
+      if (chunk.placed.containsKey(n)) {
+        context
+            .safety()
+            .violated(
+                Invariant.TWO_PLACEMENTS,
+                c.id() + "/" + number + " on " + o.host() + ", placed as " + chunk.placed.get(n));
+        declined.accept(h);
+        number++;
+        continue;
+      }
+      growth.merge(index, -Chunk.bytesFor(o.host()), Integer::sum);
       Placement p = new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.tenure());
       chunk.tries.put(n, p.attempt());
       chunk.placed.put(n, p);
--- a/src/main/java/dev/dunefront/claim/Reconciliation.java
+++ b/src/main/java/dev/dunefront/claim/Reconciliation.java
@@ -6,6 +6,7 @@
 import dev.dunefront.claim.Claim.Live;
 import dev.dunefront.evidence.EndProof;
 import dev.dunefront.evidence.EndProof.Basis;
+import dev.dunefront.evidence.Invariant;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Message.TaskState;
 import dev.dunefront.peer.Message.View;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntPredicate;
 
 /**
  * Compares what is recorded with what holders say, and finds out how attempts ended: by their exit,
@@ -32,6 +34,7 @@
   private final Urgencies urgencies;
   private final Recorder recorder;
   private final Turnover turnover;
+  private final UnclaimedViews unclaimed = new UnclaimedViews();
 
   Reconciliation(
       ControllerContext context,
@@ -46,7 +49,7 @@
     this.recorder = recorder;
   }
 
-  /** A holder has told of a machine: every job with tasks there is compared with its word. */
+  /** A holder has told of a machine: every job with tasks there is compared with what it says. */
   void heard(Room.Seen seen, Map<String, Claim> claims) {
     View v = seen.view();
     Set<Claim> concerned = new LinkedHashSet<>();
@@ -54,10 +57,12 @@
       Claim c = claims.get(t.job());
       if (c != null) {
         concerned.add(c);
+      } else {
+        unclaimed.shown(t.job(), v.host(), context.now());
       }
     }
     for (Claim c : claims.values()) {
-      if (!c.liveOn(v.host()).isEmpty()) {
+      if (!c.liveOn(v.host()).isEmpty() || !c.strays.on(v.host()).isEmpty()) {
         concerned.add(c);
       }
     }
@@ -66,21 +71,36 @@
     }
   }
 
+  /** A claim begins: it has yet to read which machines have shown its tasks. */
+  void began(Claim c) {
+    c.unread.addAll(unclaimed.take(c.id()));
+  }
+
+  /** Called several times a second. */
+  void tick() {
+    unclaimed.tidy(context.now());
+  }
+
   /** Compares what is recorded of a job on a machine with what the machine's holder says. */
   void compare(Claim c, Room.Seen seen) {
-    if (c.loading || seen == null) {
+    if (seen == null) {
+      return;
+    }
+    if (c.loading) {
+      c.unread.add(seen.view().host());
       return;
     }
+    c.unread.remove(seen.view().host());
     Map<Integer, Live> placed = c.liveOn(seen.view().host());
     Map<Integer, TaskState> shown = new HashMap<>();
-    List<TaskState> strays = new ArrayList<>();
+    List<TaskState> unrecorded = new ArrayList<>();
     for (TaskState task : seen.view().tasks()) {
       if (task.job().equals(c.id())) {
         Live live = placed.get(task.number());
         if (live != null && live.placement.attempt() == task.attempt()) {
           shown.put(task.number(), task);
         } else {
-          strays.add(task);
+          unrecorded.add(task);
         }
       }
     }
@@ -90,9 +110,7 @@
             compare(c, number, live, shown.get(number), seen);
           }
         });
-    if (!c.flying) {
-      strays.forEach(task -> rejectStray(c, task, seen));
-    }
+    reject(c, unrecorded, seen);
     if (!c.ends.isEmpty()) {
       recorder.flush(c);
     }
@@ -131,14 +149,77 @@
   }
 
   /** What is not recorded must not run, and is not kept once it has exited. */
-  private void rejectStray(Claim c, TaskState task, Room.Seen seen) {
+  private void reject(Claim c, List<TaskState> unrecorded, Room.Seen seen) {
+    View view = seen.view();
+    Set<Integer> alive = new HashSet<>();
+    for (TaskState task : unrecorded) {
+      if (task.exited()) {
+        clear(c, task, seen);
+      } else if (!view.lost()) {
+        alive.add(task.number());
+        if (c.strays.shown(view.host(), task.number(), task.attempt(), view.tenure())) {
+          context.safety().straySeen();
+          LOG.log(
+              Level.INFO,
+              "{0} shows {1}/{2}, attempt {3} of session {4}, which no record names: stopped",
+              view.host(),
+              c.id(),
+              task.number(),
+              task.attempt(),
+              view.tenure());
+        }
+      }
+    }
+    if ((view.settled() || view.lost()) && isCurrent(view)) {
+      forgetStrays(c, view.host(), number -> !alive.contains(number));
+    }
+    stopStrays(c, seen);
+  }
+
+  /**
+   * Whether no other hold of the machine is on record than the one under which the view is told.
+   */
+  private boolean isCurrent(View view) {
+    Holds.Hold hold = context.holds().of(view.host(), view.zone());
+    return hold != null && hold.stamp() == view.holdStamp();
+  }
+
+  private void clear(Claim c, TaskState task, Room.Seen seen) {
     String host = seen.view().host();
     long term = c.record.term();
-    Message order =
-        task.exited()
-            ? new Message.Clear(host, term, c.id(), task.number(), task.attempt())
-            : new Message.Stop(host, term, c.id(), task.number(), task.attempt(), 0);
-    context.peers().send(seen.holder(), order);
+    context
+        .peers()
+        .send(seen.holder(), new Message.Clear(host, term, c.id(), task.number(), task.attempt()));
+  }
+
+  private void forgetStrays(Claim c, String host, IntPredicate gone) {
+    int forgotten = c.strays.forget(host, gone);
+    if (forgotten > 0) {
+      context.safety().straysGone(forgotten);
+      LOG.log(
+          Level.INFO, "{0} of {1} on {2} that no record names are gone", forgotten, c.id(), host);
+    }
+  }
+
+  /** Stops what is not recorded on a machine, unless that was asked for just now. */
+  private void stopStrays(Claim c, Room.Seen seen) {
+    String host = seen.view().host();
+    for (Strays.Stray stray : c.strays.on(host).values()) {
+      if (context.now() - stray.stoppedAt > REPEAT_S) {
+        stray.stoppedAt = context.now();
+        long term = c.record.term();
+        context
+            .peers()
+            .send(
+                seen.holder(),
+                new Message.Stop(host, term, c.id(), stray.number, stray.attempt, 0));
+      }
+    }
+  }
+
+  /** The claim is given up or over; whoever takes it is shown what no record names. */
+  void forget(Claim c) {
+    context.safety().straysGone(c.strays.count());
   }
 
   /** A holder denies a placed attempt. */
@@ -148,31 +229,37 @@
     recorder.flush(c);
   }
 
-  /** Looks again where the last word did not show a placed task. */
+  /** Looks again where the last view did not show a placed task, or showed one too many. */
   void lookAgain(Claim c) {
-    Set<String> unshown = null;
     for (Live l : c.live.values()) {
       if (!l.shown && !l.ending) {
-        if (unshown == null) {
-          unshown = new HashSet<>();
-        }
-        unshown.add(l.placement.host());
+        c.unread.add(l.placement.host());
       }
     }
-    if (unshown != null) {
-      for (String host : unshown) {
-        Holds.Hold hold = context.holds().get(host);
-        if (hold != null && hold.dead()) {
-          endAllOn(c, host);
-        } else {
-          compare(c, room.get(host));
-        }
+    c.unread.addAll(c.strays.hosts());
+    readAgain(c);
+  }
+
+  /** Compares what has not been compared yet. */
+  void readAgain(Claim c) {
+    if (c.unread.isEmpty() || c.loading) {
+      return;
+    }
+    List<String> hosts = List.copyOf(c.unread);
+    c.unread.clear();
+    for (String host : hosts) {
+      Holds.Hold hold = context.holds().get(host);
+      if (hold != null && hold.dead()) {
+        endAllOn(c, host);
+      } else {
+        compare(c, room.get(host));
       }
     }
   }
 
   /** The cloud has confirmed the machine's end. */
   void endAllOn(Claim c, String host) {
+    forgetStrays(c, host, number -> true);
     c.liveOn(host)
         .forEach(
             (number, l) -> {
@@ -197,6 +284,14 @@
 
   /** The only way in which a placed attempt ends. */
   private void end(Claim c, int number, Live l, EndProof proof) {
+    if (!proof.concerns(l.placement.asAttempt())) {
+      context
+          .safety()
+          .violated(
+              Invariant.PROOF_OF_ANOTHER_SESSION,
+              c.id() + "/" + number + ", " + l.placement + ", by " + proof);
+      return;
+    }
     End end = endOf(proof);
     l.ending = true;
     context.safety().ended(proof);
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -7,6 +7,7 @@
 import dev.dunefront.claim.Claim.Live;
 import dev.dunefront.claim.Planning.Flight;
 import dev.dunefront.claim.Planning.Starting;
+import dev.dunefront.evidence.Invariant;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.peer.Message;
@@ -316,7 +317,10 @@
       String mark,
       long revision) {
     for (Ended e : f.ends()) {
-      if (e.end() != End.GONE) {
+      if (e.end() == End.GONE) {
+        // While this was written the machine may have shown the attempt, which counted as placed.
+        c.unread.add(e.placement().host());
+      } else {
         Room.Seen s = room.get(e.placement().host());
         if (s != null) {
           context
@@ -348,6 +352,16 @@
         decline(s.held());
         continue;
       }
+      if (c.strays.blocks(s.number())) {
+        // It is recorded; never started, its holder denies it when asked, and it is placed anew.
+        context
+            .safety()
+            .violated(
+                Invariant.STARTED_BESIDE_ANOTHER_ATTEMPT,
+                c.id() + "/" + s.number() + " on " + o.host() + " as " + s.placement());
+        decline(s.held());
+        continue;
+      }
       LOG.log(
           Level.DEBUG,
           "placed {0}/{1} on {2}: attempt {3}, term {4}, offer of {5}, token {6}, session {7},"
--- a/src/main/java/dev/dunefront/cli/Daemon.java
+++ b/src/main/java/dev/dunefront/cli/Daemon.java
@@ -80,6 +80,7 @@
   private final JobApi api;
   private final Peers peers;
   private final Meters meters = new Meters();
+  private final SafetyMonitor safety = new SafetyMonitor();
   private final Map<String, Store.Use> uses = new HashMap<>();
   private final Lag lag = new Lag();
   private String saidStalled;
@@ -114,7 +115,6 @@
     catalog = new Catalog(settings.cloud(), caller, store, timers, decisionLock);
     holds = new Holds(replica);
     jobs = new JobTable(store, replica, timers);
-    SafetyMonitor safety = new SafetyMonitor();
     safety.register(meters);
     ControllerContext context =
         new ControllerContext(
@@ -216,6 +216,11 @@
     return decisionLock;
   }
 
+  /** What has been found of the invariants of this controller. */
+  public SafetyMonitor safety() {
+    return safety;
+  }
+
   public void start() {
     decisionLock.run(
         () -> {
--- a/src/main/java/dev/dunefront/evidence/EndProof.java
+++ b/src/main/java/dev/dunefront/evidence/EndProof.java
@@ -105,6 +105,15 @@
     return kind.conditional;
   }
 
+  /** Whether it speaks of the session in which the attempt was placed, or of its end. */
+  public boolean concerns(Attempt attempt) {
+    return switch (kind) {
+      case MACHINE_DELETED -> true;
+      case LATER_SESSION -> basis.session > attempt.session;
+      case EXITED, LEASE_OVER, DENIED -> basis.session == attempt.session;
+    };
+  }
+
   /** The facts, for the log. */
   @Override
   public String toString() {
--- a/src/main/java/dev/dunefront/evidence/StartRefusal.java
+++ b/src/main/java/dev/dunefront/evidence/StartRefusal.java
@@ -15,5 +15,7 @@
   /** The attempt was denied before. */
   DENIED_BEFORE,
   /** The job is over. */
-  JOB_OVER
+  JOB_OVER,
+  /** Another attempt of the task is on the machine or about to be. */
+  OTHER_ATTEMPT
 }
--- a/src/main/java/dev/dunefront/metrics/SafetyMonitor.java
+++ b/src/main/java/dev/dunefront/metrics/SafetyMonitor.java
@@ -1,8 +1,11 @@
 package dev.dunefront.metrics;
 
 import dev.dunefront.evidence.EndProof;
+import dev.dunefront.evidence.Invariant;
 import dev.dunefront.evidence.StartRefusal;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
@@ -14,8 +17,11 @@
  * controller's lock.
  */
 public final class SafetyMonitor {
+  private static final System.Logger LOG = System.getLogger(SafetyMonitor.class.getName());
+
   private final Map<EndProof.Kind, Integer> ends = new EnumMap<>(EndProof.Kind.class);
   private final Map<StartRefusal, Integer> refusals = new EnumMap<>(StartRefusal.class);
+  private final Map<Invariant, Integer> violations = new EnumMap<>(Invariant.class);
   private double oldestBasisS;
   private int straysSeen;
   private int straysGone;
@@ -38,15 +44,32 @@
     straysSeen++;
   }
 
-  /** Such an attempt is gone, or nothing more is known of it here. */
-  public void strayGone() {
-    straysGone++;
+  /** So many of them are gone, or nothing more is known of it here. */
+  public void straysGone(int count) {
+    straysGone += count;
+  }
+
+  /**
+   * An invariant does not hold; the caller leaves out the step that would break it. Everything else
+   * goes on.
+   *
+   * @param facts what is known of it, for the log
+   */
+  public void violated(Invariant invariant, String facts) {
+    violations.merge(invariant, 1, Integer::sum);
+    LOG.log(Level.ERROR, "invariant violated: {0}: {1}", invariant, facts);
+  }
+
+  /** How often each invariant was found not to hold. */
+  public Map<Invariant, Integer> violations() {
+    return Collections.unmodifiableMap(violations);
   }
 
   /** Registers all counts. */
   public void register(Meters meters) {
     meters.gauges("dunefront.attempts.ended", () -> rows("proof", ends));
     meters.gauges("dunefront.starts.refused", () -> rows("reason", refusals));
+    meters.gauges("dunefront.invariants.violated", () -> rows("invariant", violations));
     meters.gauge("dunefront.proofs.oldest.ms", () -> (int) Math.round(oldestBasisS * 1000));
     meters.gauge("dunefront.strays.seen", () -> straysSeen);
     meters.gauge("dunefront.strays.outstanding", () -> straysSeen - straysGone);
--- a/src/test/java/dev/dunefront/story/StaleProofTest.java
+++ b/src/test/java/dev/dunefront/story/StaleProofTest.java
@@ -179,10 +179,7 @@
     while (!writing[0]) {
       w.pass(0.01);
     }
-    Doc start = Doc.of().put("verb", "run").put("piece", "wk-1/1").put("try_no", 9);
-    Doc command =
-        Doc.of().put("baton", shows.baton()).put("tenure", 1).put("orders", List.of(start));
-    assertEquals(200, shows.orders(command.encode()).status());
+    startUnrecorded(shows, "wk-1/1");
     w.pass(SLOW_WRITE_S);
     w.stateSlowS = () -> 0;
     w.pass(STOPPED_S);
@@ -191,4 +188,50 @@
     assertEquals(2, runs.running().size());
     assertEquals(List.of(), w.dayEnds());
   }
+
+  /**
+   * The same while the job changes hands: the machine is told of to the next claimant before that
+   * has read what is recorded.
+   */
+  @Test
+  void anAttemptThatNoRecordNamesIsStoppedAlthoughItWasShownDuringATakeover() throws BadMessage {
+    World w = new World(3);
+    w.start().pass(2);
+    WorkerStandIn runs = w.machine("host-1", "small", "a", "node-0");
+    w.pass(5);
+    String holder = w.holder("host-1");
+    String claimant = holder.equals("node-0") ? "node-1" : "node-0";
+    assertEquals(201, w.submit(claimant, World.job("wk-1", 3, 1)).status());
+    w.pass(2);
+    runs.exit("wk-1/1", "done");
+    w.pass(4);
+    WorkerStandIn shows = w.machine("host-2", "small", "a", holder);
+    w.pass(4);
+    assertEquals(2, w.running());
+
+    w.nodes.get(claimant).crash();
+    startUnrecorded(shows, "wk-1/1");
+    int[] reads = {0};
+    w.fates =
+        (from, path, body) ->
+            path.startsWith("/keys?") && path.contains("t/wk-1") && reads[0]++ == 0
+                ? World.Fate.LOST
+                : World.Fate.ON_TIME;
+    while (reads[0] < 2) {
+      // The next claimant reads what is recorded, and has to ask twice.
+      w.pass(0.01);
+    }
+    w.pass(0.5);
+    assertEquals(List.of(), shows.running());
+    assertEquals(2, runs.running().size());
+    assertEquals(List.of(), w.dayEnds());
+  }
+
+  /** A command that nobody has recorded reaches a worker. */
+  private static void startUnrecorded(WorkerStandIn worker, String task) throws BadMessage {
+    Doc start = Doc.of().put("verb", "run").put("piece", task).put("try_no", 9);
+    Doc command =
+        Doc.of().put("baton", worker.baton()).put("tenure", 1).put("orders", List.of(start));
+    assertEquals(200, worker.orders(command.encode()).status());
+  }
 }
--- a/src/test/java/dev/dunefront/story/World.java
+++ b/src/test/java/dev/dunefront/story/World.java
@@ -296,6 +296,7 @@
   /** Lets the time pass. */
   void pass(double seconds) {
     timers.pass(seconds);
+    nodes.values().forEach(Node::checkInvariants);
   }
 
   private void watchOverlaps() {
@@ -375,7 +376,15 @@
       }
     }
 
+    /** No story may violate an invariant, whatever else it looks at. */
+    void checkInvariants() {
+      if (daemon != null && !daemon.safety().violations().isEmpty()) {
+        throw new AssertionError(name + " violates " + daemon.safety().violations());
+      }
+    }
+
     void crash() {
+      checkInvariants();
       up = false;
       daemon = null;
       cut.removeIf(link -> link.endsWith(">" + name));
