--- a/src/main/java/dev/dunefront/book/Books.java
+++ b/src/main/java/dev/dunefront/book/Books.java
@@ -53,7 +53,7 @@
   private final DecisionLock decisionLock;
   private final Map<String, Machine> held = new HashMap<>();
 
-  /** What was called gone on machines let go of since without a new baton; see {@link #hold}. */
+  /** What was called gone on machines let go of since without a new token; see {@link #hold}. */
   private final Map<String, Map<TaskId, Long>> fences = new HashMap<>();
 
   private final Views views;
@@ -103,7 +103,7 @@
 
   /**
    * Takes a worker's report. After a standstill the worker waits a moment: it may have another
-   * holder by now, from which an answer under the old baton would keep it.
+   * holder by now, from which an answer under the old token would keep it.
    */
   public void report(Report r, Answer answer) {
     standstill.whenCurrent(() -> taken(r, answer));
@@ -135,7 +135,7 @@
   }
 
   /**
-   * From now on this controller holds the machine. Under the baton under which it has held it
+   * From now on this controller holds the machine. Under the token under which it has held it
    * before, what it has called gone stays refused: the start may still be on its way here.
    */
   void hold(Machine m) {
@@ -149,15 +149,15 @@
         "holding {0}, a {1}, under token {2}, hold stamp {3}, session {4}",
         m.host,
         m.typeName,
-        m.baton,
+        m.token,
         m.holdStamp,
-        m.tenure);
+        m.session);
   }
 
   void reportOfHeld(Machine m, Report r, Answer answer) {
-    if (r.baton() > m.baton) {
-      // Somebody with a higher baton commands this machine.
-      dropHold(m, "a higher baton is out");
+    if (r.token() > m.token) {
+      // Somebody with a higher token commands this machine.
+      dropHold(m, "a higher token is out");
       answer.send(421, null);
       return;
     }
@@ -168,7 +168,7 @@
       listening.copied(m);
       return;
     }
-    if (m.lost && r.tenure() <= m.tenure) {
+    if (m.lost && r.session() <= m.session) {
       // Its tasks have been given up for gone; nothing may renew this lease any more.
       answer.send(503, null, 1);
       return;
@@ -193,7 +193,7 @@
       if (neighbours.reachable(to)
           && !m.busy()
           // Sent on, a machine that does not hear it would go round instead.
-          && m.hearing.trusted()
+          && m.responsiveness.trusted()
           && !m.doubt
           && !m.raising
           && !m.retiring(timers.now())) {
@@ -206,7 +206,7 @@
       orders.raise(m);
     }
     m.answered = timers.now();
-    answer.send(200, Order.answer(m.baton, orders.withAnswer(m)));
+    answer.send(200, Order.answer(m.token, orders.withAnswer(m)));
     act(m);
   }
 
@@ -220,9 +220,9 @@
           "no longer holding {0}: {1}; it was token {2}, hold stamp {3}, session {4}",
           m.host,
           why,
-          m.baton,
+          m.token,
           m.holdStamp,
-          m.tenure);
+          m.session);
       peers.broadcast(new Message.Unheld(m.host));
     }
   }
@@ -237,7 +237,7 @@
   public void holdChanged(String host) {
     holdChanges.changed(host);
     if (!held.containsKey(host)) {
-      // Held under another baton from now on, if ever again.
+      // Held under another token from now on, if ever again.
       fences.remove(host);
     }
   }
@@ -389,20 +389,20 @@
     listening.tick(m, now);
     double surelyOver = lease * (1 + DRIFT) + 0.3;
     if (!m.lost && m.ours && now - m.renewed() > surelyOver) {
-      // No report of this session has been answered for longer than its lease lasts. A baton
+      // No report of this session has been answered for longer than its lease lasts. A token
       // raised since, which the worker may never see, changes nothing in that: a machine that
       // ended just after would otherwise never be called lost, and its jobs never end.
       m.lost = true;
       m.pending.clear();
       m.offers.clear();
       m.dirty = true;
-      LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.tenure);
+      LOG.log(Level.INFO, "{0} is silent; the lease of its session {1} is over", m.host, m.session);
     }
     if (!m.ours && now - m.heard > surelyOver) {
-      // It never showed a baton of this hold, so its lease proves nothing here; a late copy of a
+      // It never showed a token of this hold, so its lease proves nothing here; a late copy of a
       // report may have come of a machine that is gone. Held on to it would be told of for ever as
       // one that is neither well nor lost, and nobody would have its end proven.
-      dropHold(m, "it fell silent before it had shown its baton");
+      dropHold(m, "it fell silent before it had shown its token");
       return;
     }
     if (m.lost && now - m.renewed() > lease * FORGET_LEASES) {
--- a/src/main/java/dev/dunefront/book/Dealing.java
+++ b/src/main/java/dev/dunefront/book/Dealing.java
@@ -60,7 +60,7 @@
           offer, new Machine.Offered(w.node, w.job, w.size, timers.now() + tunables.offerWaitS()));
       free = free.minus(w.size);
       m.dirty = true;
-      peers.send(w.node, new Message.Offer(offer, m.host, w.job, m.baton, m.holdStamp, m.tenure));
+      peers.send(w.node, new Message.Offer(offer, m.host, w.job, m.token, m.holdStamp, m.session));
     }
   }
 
@@ -79,7 +79,7 @@
           && !m.doubt
           && !m.raising
           && !m.lost
-          && m.hearing.trusted()
+          && m.responsiveness.trusted()
           && !m.busy()
           && m.sendTo == null) {
         m.sendTo = neighbours.better(m.zone, few);
--- a/src/main/java/dev/dunefront/book/HoldChanges.java
+++ b/src/main/java/dev/dunefront/book/HoldChanges.java
@@ -49,17 +49,17 @@
       // Forgotten, as machines are that are gone; nothing more can be recorded under that stamp.
       books.dropHold(m, "its record has been removed");
     } else if (m != null && hold != null && hold.stamp() > m.holdStamp && !m.raising) {
-      if (hold.dead() || !holds.heldBy(settings.node(), hold) || hold.baton() != m.baton) {
+      if (hold.dead() || !holds.heldBy(settings.node(), hold) || hold.token() != m.token) {
         books.dropHold(m, hold.dead() ? "deleted" : "another controller has taken it");
       }
     }
   }
 
   /**
-   * The roster has changed: machines without a record are held by its new baton from now on, or by
+   * The roster has changed: machines without a record are held by its new token from now on, or by
    * another controller. Nothing can be recorded any more under the old one, so what was offered
    * runs out; what was recorded and is on its way is shown by the worker's next report or, like
-   * after a raised baton, will never be carried out.
+   * after a raised token, will never be carried out.
    */
   private void rosterChanged() {
     for (Machine m : List.copyOf(books.all())) {
@@ -70,7 +70,7 @@
       if (m.raising || !holds.heldBy(settings.node(), hold) || !hold.natural()) {
         books.dropHold(m, "by the new roster another controller holds it");
       } else {
-        m.baton = hold.baton();
+        m.token = hold.token();
         m.holdStamp = hold.stamp();
         m.settled = false;
         m.ours = false;
--- a/src/main/java/dev/dunefront/book/Holds.java
+++ b/src/main/java/dev/dunefront/book/Holds.java
@@ -19,7 +19,7 @@
 /**
  * Who holds which machine: as recorded, or, while there is no record, by nature. Every controller
  * works out alike from the roster which of them is a machine's natural holder, under the roster's
- * baton; whoever else takes the machine writes a record, on the condition that there is none. So
+ * token; whoever else takes the machine writes a record, on the condition that there is none. So
  * hundreds of machines that come at once are held without a single write, and no more than one
  * holds each.
  */
@@ -32,12 +32,12 @@
   public static final String ROSTER = Replica.PREFIX + "roster";
 
   /**
-   * Who holds a machine under which baton; {@code dead} once the cloud has confirmed its end, at a
+   * Who holds a machine under which token; {@code dead} once the cloud has confirmed its end, at a
    * time of day that is 0 where none was written. Where there is no record the stamp is that of the
    * roster, below zero.
    */
   public record Hold(
-      String host, String holder, long baton, boolean dead, long deadAtMs, long stamp) {
+      String host, String holder, long token, boolean dead, long deadAtMs, long stamp) {
     /** Whether there is no record of the machine. */
     boolean natural() {
       return stamp < 0;
@@ -194,7 +194,7 @@
     String holder = natural.computeIfAbsent(host, h -> now.holder(h, zone));
     return holder == null
         ? null
-        : new Hold(host, holder + "#0", now.baton(), false, 0, -now.stamp());
+        : new Hold(host, holder + "#0", now.token(), false, 0, -now.stamp());
   }
 
   /** Whether the machine is held by this controller, in whatever incarnation. */
@@ -206,11 +206,11 @@
   }
 
   /** A holder's record. Nobody may write one who has no name: nobody else could read it. */
-  static Doc write(String holder, long baton, String mark) {
+  static Doc write(String holder, long token, String mark) {
     if (Membership.nodeOf(holder).isEmpty()) {
       throw new IllegalArgumentException("a hold needs a holder");
     }
-    return Doc.of().put("holder", holder).put("baton", baton).put(Store.MARK, mark);
+    return Doc.of().put("holder", holder).put("baton", token).put(Store.MARK, mark);
   }
 
   /** The record of a machine whose deletion the cloud has confirmed, at a time of day. */
--- a/src/main/java/dev/dunefront/book/Listening.java
+++ b/src/main/java/dev/dunefront/book/Listening.java
@@ -108,23 +108,23 @@
 
   /** There is evidence that the machine does not hear. */
   void suspect(Machine m, String why) {
-    if (m.hearing.trusted()) {
+    if (m.responsiveness.trusted()) {
       LOG.log(Level.DEBUG, "{0} may not hear: {1}", m.host, why);
     }
-    m.hearing = m.hearing.suspected(timers.now());
-    if (m.hearing.asks(timers.now())) {
+    m.responsiveness = m.responsiveness.suspected(timers.now());
+    if (m.responsiveness.asks(timers.now())) {
       question(m);
     }
   }
 
   /** The machine's worker has reported to another controller, which asks after it. */
   void elsewhere(Machine m, Message.HoldAsk seen) {
-    if (m.fresh.of(seen.tenure(), seen.serial(), seen.baton()) != Freshness.Worth.NEW) {
+    if (m.fresh.of(seen.session(), seen.serial(), seen.token()) != Freshness.Worth.NEW) {
       return;
     }
-    boolean later = seen.tenure() > m.tenure && m.tenure > 0;
+    boolean later = seen.session() > m.session && m.session > 0;
     if (later) {
-      reports.laterSession(m, seen.tenure());
+      reports.laterSession(m, seen.session());
     }
     if (timers.now() - m.answered < ELSEWHERE_S + settings.workers().reportS()) {
       suspect(m, "it was answered here and reports elsewhere");
@@ -138,19 +138,20 @@
   /** A report that says something new has come: time for a question, if one is due. */
   void reported(Machine m, Report r) {
     double now = timers.now();
-    boolean rose = m.fresh.tenure() > 0 && r.tenure() > m.fresh.tenure();
+    boolean rose = m.fresh.session() > 0 && r.session() > m.fresh.session();
     if (rose && now - m.answered < settings.workers().leaseS() * 0.9) {
       suspect(m, "its session has ended although it was answered");
-    } else if (m.hearing.asks(now)) {
+    } else if (m.responsiveness.asks(now)) {
       question(m);
     }
   }
 
   /** Time has passed. */
   void tick(Machine m, double now) {
-    if (!m.hearing.trusted()) {
-      m.hearing = m.hearing.passed(now, settings.workers().reportS(), settings.workers().leaseS());
-      m.dirty |= m.hearing.trusted();
+    if (!m.responsiveness.trusted()) {
+      m.responsiveness =
+          m.responsiveness.passed(now, settings.workers().reportS(), settings.workers().leaseS());
+      m.dirty |= m.responsiveness.trusted();
     }
   }
 
@@ -160,7 +161,7 @@
     }
     m.questioned = true;
     Freshness known = m.fresh;
-    m.hearing = m.hearing.asked(timers.now(), QUESTION_S);
+    m.responsiveness = m.responsiveness.asked(timers.now(), QUESTION_S);
     ask(
         m.endpoint,
         r -> {
@@ -177,15 +178,15 @@
   }
 
   private void unanswered(Machine m) {
-    if (m.hearing.trusted() || lateS > SLOW_S) {
+    if (m.responsiveness.trusted() || lateS > SLOW_S) {
       return;
     }
-    if (!m.hearing.deaf()) {
+    if (!m.responsiveness.deaf()) {
       deafened++;
       m.dirty = true;
       LOG.log(Level.INFO, "{0} is heard but does not hear", m.host);
     }
-    m.hearing = m.hearing.unanswered(timers.now());
+    m.responsiveness = m.responsiveness.unanswered(timers.now());
     books.act(m);
   }
 
@@ -194,13 +195,13 @@
    * whether the machine is still held here.
    */
   boolean answered(Machine m, Freshness known, Report r) {
-    if (m.hearing.deaf()) {
+    if (m.responsiveness.deaf()) {
       LOG.log(Level.INFO, "{0} hears again", m.host);
     }
-    m.dirty |= !m.hearing.trusted();
-    m.hearing = m.hearing.answered(timers.now());
-    if (r.baton() > m.baton) {
-      books.dropHold(m, "a higher baton is out");
+    m.dirty |= !m.responsiveness.trusted();
+    m.responsiveness = m.responsiveness.answered(timers.now());
+    if (r.token() > m.token) {
+      books.dropHold(m, "a higher token is out");
       return false;
     }
     if (known.begunAnew(r)) {
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -21,7 +21,7 @@
 
 /** A machine that this controller holds. */
 final class Machine {
-  /** A start under way; {@code sentUnder} is the baton it went out with, 0 if it has not yet. */
+  /** A start under way; {@code sentUnder} is the token it went out with, 0 if it has not yet. */
   static final class Pending {
     final long attempt;
     long sentUnder;
@@ -65,14 +65,14 @@
   final String typeName;
   final String zone;
   final boolean spot;
-  long baton;
+  long token;
   long holdStamp;
-  long tenure;
+  long session;
   double heard;
 
   /**
    * When its session was first seen, be it by a report, an answer or another controller's word, or
-   * when the worker first showed a baton of this hold, if that was later.
+   * when the worker first showed a token of this hold, if that was later.
    */
   double begun;
 
@@ -80,7 +80,7 @@
   Freshness fresh = Freshness.NONE;
 
   /** Whether what is said to it arrives. */
-  Responsiveness hearing = Responsiveness.GOOD;
+  Responsiveness responsiveness = Responsiveness.GOOD;
 
   /** It has been asked what it is at, and the answer is not here yet. */
   boolean questioned;
@@ -93,7 +93,7 @@
   double looked;
   boolean settled;
 
-  /** The worker has reported under a baton of this hold: nobody else can renew its lease. */
+  /** The worker has reported under a token of this hold: nobody else can renew its lease. */
   boolean ours;
 
   boolean lost;
@@ -143,13 +143,13 @@
   /** What each controller was last told of it. */
   final Map<String, View> toldTo = new HashMap<>();
 
-  Machine(Report r, long baton, long holdStamp, double now) {
+  Machine(Report r, long token, long holdStamp, double now) {
     this.host = r.host();
     this.endpoint = r.endpoint();
     this.typeName = r.type();
     this.zone = r.zone();
     this.spot = r.spot();
-    this.baton = baton;
+    this.token = token;
     this.holdStamp = holdStamp;
     this.heard = now;
   }
@@ -160,7 +160,7 @@
         && !quarantined
         && !doubt
         && !raising
-        && hearing.trusted()
+        && responsiveness.trusted()
         && noticeS == null
         && retiringUntil == 0;
   }
--- a/src/main/java/dev/dunefront/book/Orders.java
+++ b/src/main/java/dev/dunefront/book/Orders.java
@@ -19,7 +19,7 @@
 import java.util.List;
 
 /**
- * Sends orders to workers. When the fate of a start is unknown the machine's baton is raised, so
+ * Sends orders to workers. When the fate of a start is unknown the machine's token is raised, so
  * that whatever is still on its way is refused there.
  */
 final class Orders {
@@ -57,7 +57,7 @@
     this.clearAloneS = context.settings().workers().reportS() * LONGEST_REPORT;
   }
 
-  /** Raises the baton, so that orders of unknown fate are refused by the worker from now on. */
+  /** Raises the token, so that orders of unknown fate are refused by the worker from now on. */
   void raise(Machine m) {
     // While this controller is nobody it writes nothing: a hold that names nobody is held by
     // nobody.
@@ -67,9 +67,9 @@
     }
     m.raising = true;
     m.offers.clear();
-    long baton = m.baton + 1;
+    long token = m.token + 1;
     String mark = store.newMark();
-    Doc value = Holds.write(self, baton, mark);
+    Doc value = Holds.write(self, token, mark);
     store.commit(
         Holds.condition(new Txn(), m.host, m.holdStamp).put(Holds.key(m.host), value),
         mark,
@@ -82,7 +82,7 @@
             books.dropHold(m, "another controller has taken it");
             return;
           }
-          m.baton = baton;
+          m.token = token;
           m.holdStamp = done.revision();
           m.settled = false;
           m.doubt = false;
@@ -96,24 +96,24 @@
           if (books.held(m.host) != m) {
             return;
           }
-          LOG.log(Level.DEBUG, "baton of {0} raised to {1}", m.host, baton);
+          LOG.log(Level.DEBUG, "token of {0} raised to {1}", m.host, token);
           show(m);
         });
   }
 
-  /** Lets the worker see the new baton at once. */
+  /** Lets the worker see the new token at once. */
   private void show(Machine m) {
     send(m, List.of());
   }
 
   /**
-   * Sends what there is to send. While the fate of an order is unknown or the baton is being
+   * Sends what there is to send. While the fate of an order is unknown or the token is being
    * raised, nothing is started or cleared: but a stop names an attempt, and does nothing if that is
    * not there. Should its start still be on the way and come after it, the attempt is shown and the
-   * stop repeated. Held back with the others it would wait for the baton to be raised, which takes
+   * stop repeated. Held back with the others it would wait for the token to be raised, which takes
    * a write; in an outage what was cancelled would run on for as long as that lasts.
    *
-   * <p>Not so before the worker has shown a baton of this hold: it may still be with its former
+   * <p>Not so before the worker has shown a token of this hold: it may still be with its former
    * holder, whose answers it would drop from then on until its lease is over.
    */
   void give(Machine m) {
@@ -125,7 +125,7 @@
     List<Order> orders = new ArrayList<>();
     for (var e : m.pending.entrySet()) {
       if (sure && e.getValue().sentUnder == 0 && orders.size() < MAX_ORDERS) {
-        e.getValue().sentUnder = m.baton;
+        e.getValue().sentUnder = m.token;
         orders.add(new Order.Run(e.getKey(), e.getValue().attempt));
       }
     }
@@ -184,7 +184,7 @@
 
   private void send(Machine m, List<Order> orders) {
     m.ordering = true;
-    byte[] body = Order.direct(m.baton, m.tenure, orders);
+    byte[] body = Order.direct(m.token, m.session, orders);
     List<TaskId> runs = new ArrayList<>();
     for (Order o : orders) {
       if (o instanceof Order.Run r) {
--- a/src/main/java/dev/dunefront/book/Reception.java
+++ b/src/main/java/dev/dunefront/book/Reception.java
@@ -22,7 +22,7 @@
 
 /**
  * Reports of machines that this controller does not hold yet: holds them on, takes them, or sends
- * them to whoever holds them. No two controllers ever act for one machine under one baton.
+ * them to whoever holds them. No two controllers ever act for one machine under one token.
  */
 final class Reception {
   /** The part of a lease for which a silent holder is waited for. */
@@ -145,7 +145,7 @@
     }
     Holds.Hold hold = holds.of(r.host(), r.zone());
     boolean ours = holds.heldBy(settings.node(), hold);
-    if (ours && r.baton() <= hold.baton()) {
+    if (ours && r.token() <= hold.token()) {
       resume(hold, r, answer);
     } else if (membership.self() == null || !catalog.known() || hold == null) {
       answer.send(503, null, 1);
@@ -206,7 +206,7 @@
    * does not show.
    */
   private void resume(Holds.Hold hold, Report r, Answer answer) {
-    Machine m = new Machine(r, hold.baton(), hold.stamp(), timers.now());
+    Machine m = new Machine(r, hold.token(), hold.stamp(), timers.now());
     m.resumed = true;
     books.hold(m);
     if (timers.now() - begun > settings.workers().leaseS()) {
@@ -242,7 +242,7 @@
   /** Asks a live holder whether it hears the machine: its worker may have come for lack of that. */
   private void ask(String holder, Report r, Answer answer) {
     await(r, answer);
-    peers.send(holder, new Message.HoldAsk(r.host(), r.tenure(), r.serial(), r.baton()));
+    peers.send(holder, new Message.HoldAsk(r.host(), r.session(), r.serial(), r.token()));
     timers.after(ASK_S, () -> decisionLock.run(() -> settleAsk(r.host(), null)));
   }
 
@@ -322,7 +322,7 @@
     answer.send(421, Doc.of().put("overseer", node).encode());
   }
 
-  /** Takes the hold of a machine, raising its baton above all that its worker has seen. */
+  /** Takes the hold of a machine, raising its token above all that its worker has seen. */
   private void take(Report r, Answer answer) {
     Holds.Hold hold = holds.of(r.host(), r.zone());
     String self = membership.self();
@@ -331,9 +331,9 @@
       answer.send(503, null, 1);
       return;
     }
-    long baton = Math.max(r.baton(), hold.baton()) + 1;
+    long token = Math.max(r.token(), hold.token()) + 1;
     String mark = store.newMark();
-    Doc value = Holds.write(self, baton, mark);
+    Doc value = Holds.write(self, token, mark);
     taking.put(r.host(), new ArrayList<>(List.of(new Waiter(r, answer))));
     store.tryTxn(
         Holds.condition(new Txn(), r.host(), hold.stamp()).put(Holds.key(r.host()), value),
@@ -350,7 +350,7 @@
           }
           holds.wrote(r.host(), value, done.revision());
           released.remove(r.host());
-          Machine m = new Machine(r, baton, done.revision(), timers.now());
+          Machine m = new Machine(r, token, done.revision(), timers.now());
           books.hold(m);
           // Taken by yet another since, as the replica may have shown before this answer came?
           books.holdChanged(r.host());
--- a/src/main/java/dev/dunefront/book/Reports.java
+++ b/src/main/java/dev/dunefront/book/Reports.java
@@ -35,7 +35,7 @@
   }
 
   private void take(Machine m, Report r, Freshness next) {
-    boolean news = r.newerThan(m.fresh.tenure(), m.fresh.serial());
+    boolean news = r.newerThan(m.fresh.session(), m.fresh.serial());
     m.fresh = next;
     if (news) {
       apply(m, r);
@@ -44,13 +44,13 @@
 
   /**
    * The worker has begun anew, perhaps in a lower session: what it had is gone, but for its former
-   * sessions' numbers, which it may use again. So its baton has to be raised before anything is
+   * sessions' numbers, which it may use again. So its token has to be raised before anything is
    * sent to it or called gone.
    */
   void begunAnew(Machine m, Report r) {
-    LOG.log(Level.INFO, "{0} has begun anew, in session {1}", m.host, r.tenure());
+    LOG.log(Level.INFO, "{0} has begun anew, in session {1}", m.host, r.session());
     m.fresh = Freshness.NONE.answered(r);
-    m.tenure = 0;
+    m.session = 0;
     m.settled = false;
     m.doubt = true;
     apply(m, r);
@@ -58,9 +58,9 @@
   }
 
   /** Another controller has seen the worker in a later session: what ran in the earlier is gone. */
-  void laterSession(Machine m, long tenure) {
-    m.fresh = new Freshness(tenure, -1, -1, m.fresh.baton());
-    m.tenure = tenure;
+  void laterSession(Machine m, long session) {
+    m.fresh = new Freshness(session, -1, -1, m.fresh.token());
+    m.session = session;
     endSession(m);
     m.tasks.clear();
     m.dirty = true;
@@ -80,19 +80,19 @@
   }
 
   private void apply(Machine m, Report r) {
-    if (r.tenure() > m.tenure) {
-      if (m.tenure > 0) {
-        LOG.log(Level.DEBUG, "{0} is in session {1}, after {2}", m.host, r.tenure(), m.tenure);
+    if (r.session() > m.session) {
+      if (m.session > 0) {
+        LOG.log(Level.DEBUG, "{0} is in session {1}, after {2}", m.host, r.session(), m.session);
       }
       endSession(m);
     }
     m.dirty |=
-        r.tenure() != m.tenure
+        r.session() != m.session
             || (r.noticeS() == null) != (m.noticeS == null)
-            || r.baton() == m.baton && !m.settled
+            || r.token() == m.token && !m.settled
             || !m.pending.isEmpty()
             || !sameTasks(m, r);
-    m.tenure = r.tenure();
+    m.session = r.session();
     if (!r.endpoint().isEmpty()) {
       m.endpoint = r.endpoint();
     }
@@ -120,16 +120,16 @@
         }
       }
     }
-    if (r.baton() == m.baton) {
+    if (r.token() == m.token) {
       m.settled = true;
       if (!m.ours) {
-        // Until the worker saw this baton another controller, which does not know that it has lost
+        // Until the worker saw this token another controller, which does not know that it has lost
         // the machine, may have renewed its lease under an older one.
         m.ours = true;
         m.begun = timers.now();
       }
-      // Orders sent under an earlier baton can no longer be carried out.
-      m.pending.values().removeIf(p -> p.sentUnder != 0 && p.sentUnder < m.baton);
+      // Orders sent under an earlier token can no longer be carried out.
+      m.pending.values().removeIf(p -> p.sentUnder != 0 && p.sentUnder < m.token);
     }
     m.pending
         .entrySet()
--- a/src/main/java/dev/dunefront/book/Roster.java
+++ b/src/main/java/dev/dunefront/book/Roster.java
@@ -9,7 +9,7 @@
 
 /**
  * The controllers among which machines without a record are shared, in an order that says nothing.
- * Every change begins a new epoch, in which machines are held under higher batons than any that was
+ * Every change begins a new epoch, in which machines are held under higher tokens than any that was
  * given out in the epoch before; so a worker obeys its holder by the newest roster that it has
  * heard of, and no other.
  *
@@ -23,11 +23,11 @@
 
   static final Roster NONE = new Roster(List.of(), 0, 0);
 
-  /** Batons of an epoch; a machine's baton is raised far fewer times. */
+  /** Tokens of an epoch; a machine's token is raised far fewer times. */
   private static final int EPOCH_BITS = 32;
 
-  /** The baton under which machines without a record are held. */
-  long baton() {
+  /** The token under which machines without a record are held. */
+  long token() {
     return (epoch - 1 << EPOCH_BITS) + 1;
   }
 
--- a/src/main/java/dev/dunefront/book/Starts.java
+++ b/src/main/java/dev/dunefront/book/Starts.java
@@ -57,8 +57,8 @@
           "start of {0}, attempt {1} of session {2} under token {3}, refused on {4}: {5}",
           id,
           s.attempt(),
-          s.tenure(),
-          s.baton(),
+          s.session(),
+          s.token(),
           s.host(),
           refusal);
       probed(from, new Message.Probe(s.host(), s.term(), s.job(), s.number(), s.attempt()));
@@ -76,10 +76,10 @@
     if (m.doubt || m.raising) {
       return StartRefusal.IN_DOUBT;
     }
-    if (m.baton != s.baton()) {
+    if (m.token != s.token()) {
       return StartRefusal.OTHER_TOKEN;
     }
-    if (m.tenure != s.tenure()) {
+    if (m.session != s.session()) {
       // Recorded for one session of the worker: a view of a later one proves it gone.
       return StartRefusal.OTHER_SESSION;
     }
@@ -154,13 +154,13 @@
       return;
     }
     if (m.resumed) {
-      // Its start may have been sent before the crash: only a higher baton shuts it out.
+      // Its start may have been sent before the crash: only a higher token shuts it out.
       orders.raise(m);
       return;
     }
     // From now on this attempt is refused, should its start still be on the way here.
     m.fence.merge(id, p.attempt(), Math::max);
     peers.send(
-        from, new Message.Absent(m.host, m.baton, m.holdStamp, p.job(), p.number(), p.attempt()));
+        from, new Message.Absent(m.host, m.token, m.holdStamp, p.job(), p.number(), p.attempt()));
   }
 }
--- a/src/main/java/dev/dunefront/claim/Account.java
+++ b/src/main/java/dev/dunefront/claim/Account.java
@@ -160,7 +160,7 @@
       hosts.addAll(c.strays.hosts());
       for (String host : hosts) {
         Room.Seen seen = room.get(host);
-        // A holder that has never had a report under its baton cannot prove anything by its clock.
+        // A holder that has never had a report under its token cannot prove anything by its clock.
         if (seen == null || !seen.view().settled() && !seen.view().lost()) {
           unheard.add(host);
         }
--- a/src/main/java/dev/dunefront/claim/Chunk.java
+++ b/src/main/java/dev/dunefront/claim/Chunk.java
@@ -38,17 +38,17 @@
     return prefix(job) + index;
   }
 
-  record Placement(long attempt, String host, long tenure) {
+  record Placement(long attempt, String host, long session) {
     /** The attempt, for whoever looks for a proof that it is over. */
     EndProof.Attempt asAttempt() {
-      return new EndProof.Attempt(attempt, host, tenure);
+      return new EndProof.Attempt(attempt, host, session);
     }
 
     @Override
     public boolean equals(Object o) {
       return o instanceof Placement p
           && attempt == p.attempt
-          && tenure == p.tenure
+          && session == p.session
           && host.equals(p.host);
     }
 
@@ -126,7 +126,7 @@
     return c;
   }
 
-  /** Done tasks as runs (first, length); placements as (task, attempt, index of host, tenure). */
+  /** Done tasks as runs (first, length); placements as (task, attempt, index of host, session). */
   Doc write(String mark) {
     List<Object> runs = new ArrayList<>();
     for (int from = done.nextSetBit(0); from >= 0; ) {
@@ -149,7 +149,7 @@
           placements.add((long) n);
           placements.add(p.attempt);
           placements.add((long) host);
-          placements.add(p.tenure);
+          placements.add(p.session);
         });
     List<Object> attempts = new ArrayList<>();
     tries.forEach(
--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -275,7 +275,7 @@
   public void received(String from, Message message) {
     if (message instanceof View v) {
       Room.Seen old = room.put(from, v, context.now());
-      if (old != null && (!old.holder().equals(from) || old.view().baton() != v.baton())) {
+      if (old != null && (!old.holder().equals(from) || old.view().token() != v.token())) {
         unpark(v.host());
       }
       reconciliation.heard(room.get(v.host()), claims);
--- a/src/main/java/dev/dunefront/claim/Planning.java
+++ b/src/main/java/dev/dunefront/claim/Planning.java
@@ -139,7 +139,7 @@
         continue;
       }
       growth.merge(index, -Chunk.bytesFor(o.host()), Integer::sum);
-      Placement p = new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.tenure());
+      Placement p = new Placement(chunk.tries.getOrDefault(n, 0L) + 1, o.host(), o.session());
       chunk.tries.put(n, p.attempt());
       chunk.placed.put(n, p);
       starts.add(new Starting(h, number, p));
--- a/src/main/java/dev/dunefront/claim/Reconciliation.java
+++ b/src/main/java/dev/dunefront/claim/Reconciliation.java
@@ -157,7 +157,7 @@
         clear(c, task, seen);
       } else if (!view.lost()) {
         alive.add(task.number());
-        if (c.strays.shown(view.host(), task.number(), task.attempt(), view.tenure())) {
+        if (c.strays.shown(view.host(), task.number(), task.attempt(), view.session())) {
           context.safety().straySeen();
           LOG.log(
               Level.INFO,
@@ -166,7 +166,7 @@
               c.id(),
               task.number(),
               task.attempt(),
-              view.tenure());
+              view.session());
         }
       }
     }
@@ -224,7 +224,8 @@
 
   /** A holder denies a placed attempt. */
   void denied(String holder, Message.Absent absent, Claim c, Live live) {
-    Basis basis = new Basis(holder, absent.baton(), live.placement.tenure(), absent.holdStamp(), 0);
+    Basis basis =
+        new Basis(holder, absent.token(), live.placement.session(), absent.holdStamp(), 0);
     end(c, absent.number(), live, EndProof.denied(basis));
     recorder.flush(c);
   }
@@ -303,7 +304,7 @@
         l.placement.host(),
         end,
         l.placement.attempt(),
-        l.placement.tenure(),
+        l.placement.session(),
         proof);
     c.ends.add(new Ended(number, l.placement, end, proof));
     double now = context.now();
--- a/src/main/java/dev/dunefront/claim/Recorder.java
+++ b/src/main/java/dev/dunefront/claim/Recorder.java
@@ -372,8 +372,8 @@
           s.placement().attempt(),
           c.record.term(),
           s.held().holder(),
-          o.baton(),
-          o.tenure(),
+          o.token(),
+          o.session(),
           o.holdStamp());
       context
           .peers()
@@ -382,8 +382,8 @@
               new Message.Start(
                   o.offer(),
                   o.host(),
-                  o.baton(),
-                  s.placement().tenure(),
+                  o.token(),
+                  s.placement().session(),
                   c.record.term(),
                   c.id(),
                   s.number(),
--- a/src/main/java/dev/dunefront/claim/Room.java
+++ b/src/main/java/dev/dunefront/claim/Room.java
@@ -33,7 +33,7 @@
 
   Seen put(String holder, View view, double now) {
     Seen old = machines.get(view.host());
-    if (old != null && old.view.baton() > view.baton()) {
+    if (old != null && old.view.token() > view.token()) {
       // A former holder's last words.
       return old;
     }
--- a/src/main/java/dev/dunefront/evidence/EndProof.java
+++ b/src/main/java/dev/dunefront/evidence/EndProof.java
@@ -61,7 +61,7 @@
 
     /** The basis of what a holder's view says that was received so many seconds ago. */
     public static Basis of(String holder, View view, double ageS) {
-      return new Basis(holder, view.baton(), view.tenure(), view.holdStamp(), ageS);
+      return new Basis(holder, view.token(), view.session(), view.holdStamp(), ageS);
     }
   }
 
--- a/src/main/java/dev/dunefront/evidence/Freshness.java
+++ b/src/main/java/dev/dunefront/evidence/Freshness.java
@@ -7,12 +7,12 @@
  * reports may come late, by seconds or by several leases, and say what was true when they were
  * sent: none of them may count as a sign of life, as an answer waited for, or as news.
  *
- * @param tenure the worker's latest session
+ * @param session the worker's latest session
  * @param serial the largest serial seen in it, of reports and of answers to orders
  * @param reported the largest serial seen in it of reports alone
- * @param baton the highest baton that the worker has shown; it never forgets one while it lives
+ * @param token the highest token that the worker has shown; it never forgets one while it lives
  */
-public record Freshness(long tenure, long serial, long reported, long baton) {
+public record Freshness(long session, long serial, long reported, long token) {
   /** Nothing has been seen. */
   public static final Freshness NONE = new Freshness(0, -1, -1, 0);
 
@@ -30,34 +30,35 @@
   }
 
   public Worth of(Report r) {
-    return of(r.tenure(), r.serial(), r.baton());
+    return of(r.session(), r.serial(), r.token());
   }
 
-  /** What a report of this session, with this serial and showing this baton is worth. */
-  public Worth of(long itsTenure, long itsSerial, long itsBaton) {
-    if (itsBaton < baton) {
+  /** What a report of this session, with this serial and showing this token is worth. */
+  public Worth of(long itsSession, long itsSerial, long itsToken) {
+    if (itsToken < token) {
       return Worth.COPY;
     }
-    if (itsTenure > tenure || itsTenure == tenure && itsSerial > serial) {
+    if (itsSession > session || itsSession == session && itsSerial > serial) {
       return Worth.NEW;
     }
     // A worker has one report under way at a time, so its reports come in the order of serials.
-    return itsTenure == tenure && itsSerial > reported ? Worth.OVERTAKEN : Worth.COPY;
+    return itsSession == session && itsSerial > reported ? Worth.OVERTAKEN : Worth.COPY;
   }
 
   /** A report has been taken that was no copy. */
   public Freshness reported(Report r) {
     Freshness next = answered(r);
-    return new Freshness(next.tenure, next.serial, Math.max(r.serial(), next.reported), next.baton);
+    return new Freshness(
+        next.session, next.serial, Math.max(r.serial(), next.reported), next.token);
   }
 
   /** An answer to orders or to a question has been taken. */
   public Freshness answered(Report r) {
-    long shown = Math.max(baton, r.baton());
-    if (!r.newerThan(tenure, serial)) {
-      return new Freshness(tenure, serial, reported, shown);
+    long shown = Math.max(token, r.token());
+    if (!r.newerThan(session, serial)) {
+      return new Freshness(session, serial, reported, shown);
     }
-    return new Freshness(r.tenure(), r.serial(), r.tenure() > tenure ? -1 : reported, shown);
+    return new Freshness(r.session(), r.serial(), r.session() > session ? -1 : reported, shown);
   }
 
   /**
@@ -66,9 +67,9 @@
    * look like that, for nobody has asked it.
    */
   public boolean begunAnew(Report answer) {
-    return tenure > 0
-        && (answer.baton() < baton
-            || answer.tenure() < tenure
-            || answer.tenure() == tenure && answer.serial() <= serial);
+    return session > 0
+        && (answer.token() < token
+            || answer.session() < session
+            || answer.session() == session && answer.serial() <= serial);
   }
 }
--- a/src/main/java/dev/dunefront/peer/Message.java
+++ b/src/main/java/dev/dunefront/peer/Message.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /**
- * What controllers tell each other. A task is named by job and number; a hold by its baton, which
+ * What controllers tell each other. A task is named by job and number; a hold by its token, which
  * is never used twice for one machine; a claim by its term, which rises whenever a job changes
  * hands. Whatever acts on a machine names these, for its sender may have stood still since it knew
  * them (the table in docs/design.md).
@@ -68,12 +68,12 @@
       String type,
       String zone,
       boolean spot,
-      long baton,
+      long token,
       long holdStamp,
-      long tenure,
-      /** The worker has reported under this baton and no order is in doubt. */
+      long session,
+      /** The worker has reported under this token and no order is in doubt. */
       boolean settled,
-      /** The lease of this tenure is surely over. */
+      /** The lease of this session is surely over. */
       boolean lost,
       /** Room is being dealt. */
       boolean open,
@@ -95,9 +95,9 @@
       implements Message {
     /** Whether the other says the same of the hold, the session and the machine's condition. */
     boolean standsLike(View o) {
-      return baton == o.baton
+      return token == o.token
           && holdStamp == o.holdStamp
-          && tenure == o.tenure
+          && session == o.session
           && settled == o.settled
           && lost == o.lost
           && open == o.open
@@ -162,9 +162,9 @@
           type,
           zone,
           spot,
-          baton,
+          token,
           holdStamp,
-          tenure,
+          session,
           settled,
           lost,
           open,
@@ -197,7 +197,7 @@
       implements Message {}
 
   /** Room for one task of the job is set aside. */
-  record Offer(long offer, String host, String job, long baton, long holdStamp, long tenure)
+  record Offer(long offer, String host, String job, long token, long holdStamp, long session)
       implements Message {}
 
   /** The offer is not taken; its room is free again. */
@@ -213,8 +213,8 @@
   record Start(
       long offer,
       String host,
-      long baton,
-      long tenure,
+      long token,
+      long session,
       long term,
       String job,
       int number,
@@ -224,8 +224,8 @@
   /** Asks whether an attempt that the holder's view lacks is surely gone. */
   record Probe(String host, long term, String job, int number, long attempt) implements Message {}
 
-  /** It is, and the holder will never start it under this baton. */
-  record Absent(String host, long baton, long holdStamp, String job, int number, long attempt)
+  /** It is, and the holder will never start it under this token. */
+  record Absent(String host, long token, long holdStamp, String job, int number, long attempt)
       implements Message {}
 
   /** Ends an attempt, with so many seconds to save. */
@@ -248,9 +248,9 @@
 
   /**
    * A machine that the receiver holds has reported here, in this session with this serial and
-   * having seen this baton: does the receiver still hear it?
+   * having seen this token: does the receiver still hear it?
    */
-  record HoldAsk(String host, long tenure, long serial, long baton) implements Message {}
+  record HoldAsk(String host, long session, long serial, long token) implements Message {}
 
   /** Answers HoldAsk: whether the sender holds the machine, and when it last heard it. */
   record HoldSay(String host, boolean held, double heardAgoS) implements Message {}
--- a/src/main/java/dev/dunefront/peer/Records.java
+++ b/src/main/java/dev/dunefront/peer/Records.java
@@ -72,9 +72,9 @@
       out.writeUTF(v.type());
       out.writeUTF(v.zone());
       out.writeBoolean(v.spot());
-      out.writeLong(v.baton());
+      out.writeLong(v.token());
       out.writeLong(v.holdStamp());
-      out.writeLong(v.tenure());
+      out.writeLong(v.session());
       out.writeBoolean(v.settled());
       out.writeBoolean(v.lost());
       out.writeBoolean(v.open());
@@ -113,9 +113,9 @@
       out.writeLong(o.offer());
       out.writeUTF(o.host());
       out.writeUTF(o.job());
-      out.writeLong(o.baton());
+      out.writeLong(o.token());
       out.writeLong(o.holdStamp());
-      out.writeLong(o.tenure());
+      out.writeLong(o.session());
     } else if (m instanceof Decline d) {
       out.writeByte(7);
       out.writeLong(d.offer());
@@ -128,8 +128,8 @@
       out.writeByte(8);
       out.writeLong(s.offer());
       out.writeUTF(s.host());
-      out.writeLong(s.baton());
-      out.writeLong(s.tenure());
+      out.writeLong(s.token());
+      out.writeLong(s.session());
       out.writeLong(s.term());
       writeAttempt(out, s.job(), s.number(), s.attempt());
     } else if (m instanceof Probe p) {
@@ -140,7 +140,7 @@
     } else if (m instanceof Absent a) {
       out.writeByte(10);
       out.writeUTF(a.host());
-      out.writeLong(a.baton());
+      out.writeLong(a.token());
       out.writeLong(a.holdStamp());
       writeAttempt(out, a.job(), a.number(), a.attempt());
     } else if (m instanceof Stop s) {
@@ -169,9 +169,9 @@
     } else if (m instanceof HoldAsk a) {
       out.writeByte(14);
       out.writeUTF(a.host());
-      out.writeLong(a.tenure());
+      out.writeLong(a.session());
       out.writeLong(a.serial());
-      out.writeLong(a.baton());
+      out.writeLong(a.token());
     } else if (m instanceof HoldSay s) {
       out.writeByte(15);
       out.writeUTF(s.host());
@@ -381,9 +381,9 @@
     String type = in.readUTF();
     String zone = in.readUTF();
     boolean spot = in.readBoolean();
-    long baton = in.readLong();
+    long token = in.readLong();
     long stamp = in.readLong();
-    long tenure = in.readLong();
+    long session = in.readLong();
     boolean settled = in.readBoolean();
     boolean lost = in.readBoolean();
     boolean open = in.readBoolean();
@@ -413,9 +413,9 @@
         type,
         zone,
         spot,
-        baton,
+        token,
         stamp,
-        tenure,
+        session,
         settled,
         lost,
         open,
--- a/src/main/java/dev/dunefront/standin/WorkerStandIn.java
+++ b/src/main/java/dev/dunefront/standin/WorkerStandIn.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** A worker: keeps tasks, obeys batons, writes reports. Tasks end when they are told to. */
+/** A worker: keeps tasks, obeys tokens, writes reports. Tasks end when they are told to. */
 public final class WorkerStandIn {
   /** A task as the worker knows it. */
   private record Task(long attempt, String state, String why) {}
@@ -20,9 +20,9 @@
   private final Map<String, Task> tasks = new LinkedHashMap<>();
   private final List<String> starts = new ArrayList<>();
   private final List<String> done = new ArrayList<>();
-  private long tenure = 1;
+  private long session = 1;
   private long serial;
-  private long baton;
+  private long token;
   private Double noticeS;
 
   public WorkerStandIn(String host, String endpoint, String type, String zone) {
@@ -48,8 +48,8 @@
     return zone;
   }
 
-  public long baton() {
-    return baton;
+  public long token() {
+    return token;
   }
 
   public byte[] report() {
@@ -66,9 +66,9 @@
         .put("flavor", type)
         .put("site", zone)
         .put("loaners", false)
-        .put("tenure", tenure)
+        .put("tenure", session)
         .put("serial", serial)
-        .put("baton", baton)
+        .put("baton", token)
         .put("pieces", pieces)
         .put("recall_s", noticeS)
         .encode();
@@ -79,13 +79,13 @@
     noticeS = seconds;
   }
 
-  /** Takes the answer to a report; false if it carried too low a baton and was dropped. */
+  /** Takes the answer to a report; false if it carried too low a token and was dropped. */
   public boolean answered(byte[] body) throws BadMessage {
     Doc d = Doc.decode(body);
-    if (d.countOr("baton", 0) < baton) {
+    if (d.countOr("baton", 0) < token) {
       return false;
     }
-    baton = d.count("baton");
+    token = d.count("baton");
     carryOut(d.docs("orders"));
     return true;
   }
@@ -96,10 +96,10 @@
     if (!d.has("baton") || !d.has("tenure")) {
       return new Reply(400, new byte[0], 0);
     }
-    if (d.count("baton") < baton || d.count("tenure") != tenure) {
+    if (d.count("baton") < token || d.count("tenure") != session) {
       return new Reply(409, report(), 0);
     }
-    baton = d.count("baton");
+    token = d.count("baton");
     carryOut(d.docs("orders"));
     return new Reply(200, report(), 0);
   }
@@ -141,16 +141,16 @@
 
   /** The lease has run out: all tasks are killed and forgotten. */
   public void newSession() {
-    tenure++;
+    session++;
     serial = 0;
     tasks.clear();
   }
 
   /** It begins anew, as after a restart of its machine: whatever it knew is forgotten. */
   public void beginAnew() {
-    tenure = 1;
+    session = 1;
     serial = 0;
-    baton = 0;
+    token = 0;
     tasks.clear();
   }
 
--- a/src/main/java/dev/dunefront/wire/Order.java
+++ b/src/main/java/dev/dunefront/wire/Order.java
@@ -39,18 +39,18 @@
   }
 
   /** The body of a direct command to a worker. */
-  static byte[] direct(long baton, long tenure, List<? extends Order> orders) {
+  static byte[] direct(long token, long session, List<? extends Order> orders) {
     return Doc.of()
-        .put("baton", baton)
-        .put("tenure", tenure)
+        .put("baton", token)
+        .put("tenure", session)
         .put("orders", orders.stream().map(Order::write).toList())
         .encode();
   }
 
   /** The body that answers a report. */
-  static byte[] answer(long baton, List<? extends Order> orders) {
+  static byte[] answer(long token, List<? extends Order> orders) {
     return Doc.of()
-        .put("baton", baton)
+        .put("baton", token)
         .put("orders", orders.stream().map(Order::write).toList())
         .encode();
   }
--- a/src/main/java/dev/dunefront/wire/Report.java
+++ b/src/main/java/dev/dunefront/wire/Report.java
@@ -10,9 +10,9 @@
     String type,
     String zone,
     boolean spot,
-    long tenure,
+    long session,
     long serial,
-    long baton,
+    long token,
     Double noticeS,
     List<Task> tasks) {
 
@@ -60,7 +60,7 @@
         tasks);
   }
 
-  public boolean newerThan(long otherTenure, long otherSerial) {
-    return tenure > otherTenure || tenure == otherTenure && serial > otherSerial;
+  public boolean newerThan(long otherSession, long otherSerial) {
+    return session > otherSession || session == otherSession && serial > otherSerial;
   }
 }
--- a/src/test/java/dev/dunefront/book/RosterTest.java
+++ b/src/test/java/dev/dunefront/book/RosterTest.java
@@ -24,16 +24,16 @@
     assertEquals(THREE, Roster.read(Doc.decode(THREE.write().encode()), 77));
     Doc earlier = Doc.of().put("nodes", List.of("n-0")).put("zones", List.of("a"));
     assertEquals(1, Roster.read(earlier, 5).epoch());
-    assertEquals(1, Roster.read(earlier, 5).baton());
+    assertEquals(1, Roster.read(earlier, 5).token());
     Doc torn = Doc.of().put("nodes", List.of("n-0", "n-1")).put("zones", List.of("a"));
     assertThrows(BadMessage.class, () -> Roster.read(torn, 5));
   }
 
-  /** A baton of the epoch before, however often it was raised, is refused by the worker. */
+  /** A token of the epoch before, however often it was raised, is refused by the worker. */
   @Test
-  void batonsOfAnEpochAreAboveAllOfTheOneBefore() {
-    long raisedOften = new Roster(THREE.members(), 4, 1).baton() + Integer.MAX_VALUE;
-    assertTrue(new Roster(THREE.members(), 5, 1).baton() > raisedOften);
+  void tokensOfAnEpochAreAboveAllOfTheOneBefore() {
+    long raisedOften = new Roster(THREE.members(), 4, 1).token() + Integer.MAX_VALUE;
+    assertTrue(new Roster(THREE.members(), 5, 1).token() > raisedOften);
   }
 
   @Test
--- a/src/test/java/dev/dunefront/evidence/EvidenceTest.java
+++ b/src/test/java/dev/dunefront/evidence/EvidenceTest.java
@@ -17,13 +17,13 @@
 
 /** Tables of what is believed. */
 class EvidenceTest {
-  private static Report report(long tenure, long serial, long baton) {
-    return new Report("h", "h:9", "t", "a", false, tenure, serial, baton, null, List.of());
+  private static Report report(long session, long serial, long token) {
+    return new Report("h", "h:9", "t", "a", false, session, serial, token, null, List.of());
   }
 
   @Test
   void whatAReportIsWorth() {
-    // Session 3, serial 40 from an answer to orders, 38 from a report, baton 7 shown.
+    // Session 3, serial 40 from an answer to orders, 38 from a report, token 7 shown.
     Freshness known = new Freshness(3, 40, 38, 7);
     assertEquals(Worth.NEW, known.of(report(3, 41, 7)));
     assertEquals(Worth.NEW, known.of(report(4, 1, 7)));
@@ -32,7 +32,7 @@
     assertEquals(Worth.COPY, known.of(report(3, 38, 7)));
     assertEquals(Worth.COPY, known.of(report(3, 2, 7)));
     assertEquals(Worth.COPY, known.of(report(2, 99, 7)));
-    assertEquals(Worth.COPY, known.of(report(4, 1, 6)), "it has shown a higher baton since");
+    assertEquals(Worth.COPY, known.of(report(4, 1, 6)), "it has shown a higher token since");
     assertEquals(Worth.NEW, Freshness.NONE.of(report(1, 1, 0)));
   }
 
@@ -43,7 +43,7 @@
     assertFalse(known.begunAnew(report(5, 1, 8)));
     assertTrue(known.begunAnew(report(1, 2, 0)));
     assertTrue(known.begunAnew(report(3, 5, 7)));
-    assertTrue(known.begunAnew(report(3, 50, 6)), "no worker forgets a baton");
+    assertTrue(known.begunAnew(report(3, 50, 6)), "no worker forgets a token");
     assertFalse(Freshness.NONE.begunAnew(report(1, 1, 0)));
   }
 
@@ -53,14 +53,14 @@
       @ForAll @Size(max = 40) List<@IntRange(max = 3) Integer> steps,
       @ForAll @Size(max = 60) List<@IntRange(max = 1000) Integer> copies) {
     List<Report> history = new ArrayList<>();
-    long tenure = 1;
+    long session = 1;
     long serial = 0;
-    long baton = 1;
+    long token = 1;
     for (int step : steps) {
-      tenure += step == 3 ? 1 : 0;
+      session += step == 3 ? 1 : 0;
       serial = step == 3 ? 1 : serial + 1 + step;
-      baton += step == 2 ? 1 : 0;
-      history.add(report(tenure, serial, baton));
+      token += step == 2 ? 1 : 0;
+      history.add(report(session, serial, token));
     }
     Freshness without = Freshness.NONE;
     Freshness with = Freshness.NONE;
--- a/src/test/java/dev/dunefront/story/AloneTest.java
+++ b/src/test/java/dev/dunefront/story/AloneTest.java
@@ -98,8 +98,8 @@
 
   /**
    * Another controller takes a machine that came round, which then goes back to its old holder;
-   * that one cannot know, and renews its lease under the old baton. An order of the new holder
-   * would show the worker the new baton: it would drop the old holder's answers, and lose all that
+   * that one cannot know, and renews its lease under the old token. An order of the new holder
+   * would show the worker the new token: it would drop the old holder's answers, and lose all that
    * it runs; and counted from the report that came round its lease would be called over at once.
    */
   @Test
--- a/src/test/java/dev/dunefront/story/GapTest.java
+++ b/src/test/java/dev/dunefront/story/GapTest.java
@@ -130,7 +130,7 @@
      * are made anew, and the claimant is gone.
      */
     THE_WORD_IS_LOST,
-    /** An order of it had no answer, and a baton cannot be raised without the state service. */
+    /** An order of it had no answer, and a token cannot be raised without the state service. */
     A_MACHINE_IS_IN_DOUBT,
     /** The start of a task comes after the word, from a claimant that is gone by then. */
     A_START_COMES_LATE,
--- a/src/test/java/dev/dunefront/story/LateWordsTest.java
+++ b/src/test/java/dev/dunefront/story/LateWordsTest.java
@@ -18,7 +18,7 @@
 
   /**
    * What a holder has called gone stays refused when it lets go of the machine and takes it back
-   * under its old baton. Were that forgotten on the way, a start that a broken link held back would
+   * under its old token. Were that forgotten on the way, a start that a broken link held back would
    * be carried out beside the attempt that was placed on the proof.
    */
   @Test
@@ -44,7 +44,7 @@
     assertEquals(List.of("wk-1/0"), b.running());
     // The controller of its zone is back, is given the machine, and cannot be reached by it.
     w.lost = (from, to) -> from.equals("host-1:9") && to.equals("node-2");
-    long baton = a.baton();
+    long token = a.token();
     w.nodes.get("node-2").start();
     for (String next : List.of("node-2", "node-0")) {
       for (int i = 0; i < 100 && !next.equals(w.holder("host-1")); i++) {
@@ -53,7 +53,7 @@
       assertEquals(next, w.holder("host-1"));
     }
     w.pass(World.REPORT_S);
-    assertEquals(baton, a.baton(), "held on without a write");
+    assertEquals(token, a.token(), "held on without a write");
     w.deliverHeld();
     w.pass(4);
     assertEquals(List.of(), a.starts());
@@ -82,7 +82,7 @@
     assertEquals("node-0", w.holder("host-2"));
 
     w.say("node-1", "node-0", new Message.Stop("host-1", term, "wk-1", 0, 1, 0));
-    w.say("node-1", "node-0", new Message.Start(0, "host-2", b.baton(), 1, term, "wk-1", 0, 1));
+    w.say("node-1", "node-0", new Message.Start(0, "host-2", b.token(), 1, term, "wk-1", 0, 1));
     w.pass(3);
     assertEquals(2, a.running().size());
     assertEquals(List.of(), b.starts());
--- a/src/test/java/dev/dunefront/story/LostAnswerTest.java
+++ b/src/test/java/dev/dunefront/story/LostAnswerTest.java
@@ -209,7 +209,7 @@
     assertEquals(201, w.submit(user, World.job("wk-1", 2, 1)).status());
     w.pass(4 * World.LEASE_S);
     assertTrue(struck.getAsBoolean(), "its hold was written");
-    assertTrue(m.baton() >= 50, "it has the baton of its holder, and not " + m.baton());
+    assertTrue(m.token() >= 50, "it has the token of its holder, and not " + m.token());
     assertEquals(2, m.running().size());
     assertEquals(List.of(), w.dayEnds());
   }
--- a/src/test/java/dev/dunefront/story/NewLeaderTest.java
+++ b/src/test/java/dev/dunefront/story/NewLeaderTest.java
@@ -109,7 +109,7 @@
 
   /**
    * A machine with a task hangs for good, and is listed as running, when all controllers end. All
-   * that comes of it is an old report, from before its baton was raised: whoever holds it by that
+   * that comes of it is an old report, from before its token was raised: whoever holds it by that
    * must not take it for a machine that may yet speak.
    */
   @Property(generation = GenerationMode.EXHAUSTIVE)
--- a/src/test/java/dev/dunefront/story/StaleProofTest.java
+++ b/src/test/java/dev/dunefront/story/StaleProofTest.java
@@ -47,7 +47,7 @@
     w.late =
         m -> {
           leaseOver[0] |= m instanceof Message.View v && v.lost();
-          return m instanceof Message.View v && v.host().equals("host-1") && v.tenure() == 2;
+          return m instanceof Message.View v && v.host().equals("host-1") && v.session() == 2;
         };
     w.hung.add("host-1");
     while (!leaseOver[0]) {
@@ -89,7 +89,7 @@
     w.pass(2);
     assertEquals(List.of("wk-1/0"), machine.running(), "in the second session");
 
-    w.late = m -> m instanceof Message.View v && v.host().equals("host-1") && v.tenure() < 2;
+    w.late = m -> m instanceof Message.View v && v.host().equals("host-1") && v.session() < 2;
     machine.beginAnew();
     w.pass(4);
     assertEquals(List.of("wk-2/0"), machine.running(), "placed in the first session");
@@ -231,7 +231,7 @@
   private static void startUnrecorded(WorkerStandIn worker, String task) throws BadMessage {
     Doc start = Doc.of().put("verb", "run").put("piece", task).put("try_no", 9);
     Doc command =
-        Doc.of().put("baton", worker.baton()).put("tenure", 1).put("orders", List.of(start));
+        Doc.of().put("baton", worker.token()).put("tenure", 1).put("orders", List.of(start));
     assertEquals(200, worker.orders(command.encode()).status());
   }
 }
--- a/src/test/java/dev/dunefront/story/StoryTest.java
+++ b/src/test/java/dev/dunefront/story/StoryTest.java
@@ -176,7 +176,7 @@
     assertTrue(w.heldCount() > 0, "the start is on its way");
     w.heldBack = (from, to) -> false;
     w.pass(10);
-    assertEquals(1, a.running().size() + b.running().size(), "placed again under a new baton");
+    assertEquals(1, a.running().size() + b.running().size(), "placed again under a new token");
     w.deliverHeld();
     w.pass(3);
     assertEquals(1, a.running().size() + b.running().size());
@@ -268,17 +268,17 @@
   }
 
   @Test
-  void aReportUnderAHigherBatonIsSentAway() throws BadMessage {
+  void aReportUnderAHigherTokenIsSentAway() throws BadMessage {
     World w = new World(1);
     WorkerStandIn m = w.machine("host-1", "small", "a", "node-0");
     w.start().pass(2);
-    m.answered(Doc.of().put("baton", m.baton() + 5).put("orders", List.of()).encode());
+    m.answered(Doc.of().put("baton", m.token() + 5).put("orders", List.of()).encode());
     int status = w.ask("node-0", "POST", "/hello", m.report()).status();
-    assertEquals(421, status, "a 200 with too low a baton would pin the worker");
+    assertEquals(421, status, "a 200 with too low a token would pin the worker");
     w.pass(6);
     w.submit("node-0", World.job("wk-1", 1, 1));
     w.pass(2);
-    assertEquals(1, m.running().size(), "taken again, above the baton it has seen");
+    assertEquals(1, m.running().size(), "taken again, above the token it has seen");
   }
 
   @Test
@@ -597,7 +597,7 @@
 
   /** Found on bordverkauf-wien's day `apart`: two jobs never ended. */
   @Test
-  void aMachineThatEndsJustAfterItsBatonWasRaisedStrandsNothing() {
+  void aMachineThatEndsJustAfterItsTokenWasRaisedStrandsNothing() {
     World w = new World(1);
     w.machine("host-1", "small", "a", "node-0");
     w.start().pass(2);
