--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -64,7 +64,8 @@
     wantPlacement =
         new WantPlacement(context, room, interest, idle, quotas, urgencies, zones, turnover);
     recorder = new Recorder(context, quotas, zones, wantPlacement, room, this);
-    reconciliation = new Reconciliation(context, room, urgencies, recorder, turnover);
+    AttemptEnds ends = new AttemptEnds(context, room, urgencies, turnover);
+    reconciliation = new Reconciliation(context, room, recorder, ends);
     takeover = new Takeover(context, this);
     share = new ClaimShare(context, room);
     account = new Account(context, claims, quotas, zones, room);
@@ -206,7 +207,7 @@
 
   private void drop(Claim c) {
     c.dropped = true;
-    reconciliation.forget(c);
+    reconciliation.ended(c);
     wantPlacement.withdraw(c);
     recorder.declineAll(c);
     claims.remove(c.id(), c);
@@ -225,7 +226,7 @@
   /** The job's end is written. */
   void finished(Claim c, Status last, long revision) {
     c.dropped = true;
-    reconciliation.forget(c);
+    reconciliation.ended(c);
     claims.remove(c.id(), c);
     wantPlacement.withdraw(c);
     recorder.declineAll(c);
