--- a/src/main/java/dev/dunefront/claim/Claims.java
+++ b/src/main/java/dev/dunefront/claim/Claims.java
@@ -7,9 +7,6 @@
 import dev.dunefront.job.JobTable;
 import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Message.View;
-import dev.dunefront.store.Store;
-import dev.dunefront.store.Store.Outcome;
-import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.JobSpec;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -43,6 +40,7 @@
   private final Zones zones;
   private final Map<String, Claim> claims = new HashMap<>();
   private final Takeover takeover;
+  private final ClaimLoader loader;
   private final ClaimShare share;
   private final Account account;
 
@@ -67,6 +65,7 @@
     AttemptEnds ends = new AttemptEnds(context, room, urgencies, turnover);
     reconciliation = new Reconciliation(context, room, recorder, ends);
     takeover = new Takeover(context, this);
+    loader = new ClaimLoader(context, this, reconciliation);
     share = new ClaimShare(context, room);
     account = new Account(context, claims, quotas, zones, room);
   }
@@ -138,74 +137,17 @@
     if (fresh) {
       review(c);
     } else {
-      load(c);
+      loader.load(c);
     }
   }
 
-  private void load(Claim c) {
-    c.loading = true;
-    context
-        .store()
-        .range(
-            Chunk.prefix(c.id()),
-            Store.Urgency.CORE,
-            range -> {
-              if (c.dropped) {
-                return;
-              }
-              if (range.outcome() != Outcome.OK) {
-                context.later(0.3, () -> load(c));
-                return;
-              }
-              c.forgetChunks();
-              for (Store.Pair p : range.pairs()) {
-                try {
-                  int index = Integer.parseInt(p.key().substring(Chunk.prefix(c.id()).length()));
-                  c.install(index, Chunk.read(p.value(), p.stamp()));
-                } catch (BadMessage | NumberFormatException e) {
-                  throw new IllegalStateException("chunk " + p.key() + " cannot be read", e);
-                }
-              }
-              c.loading = false;
-              double now = context.now();
-              // Holders that have yet to learn who claims the job now show it in a moment.
-              c.live.values().forEach(l -> l.probedAt = now);
-              c.unread.addAll(c.hosts());
-              reconciliation.readAgain(c);
-              review(c);
-            });
-  }
-
   /** Reads the job's record anew, and with it whether the claim still stands. */
   void reload(Claim c) {
-    c.loading = true;
-    context
-        .jobs()
-        .read(
-            c.id(),
-            Store.Urgency.CORE,
-            found -> {
-              if (c.dropped) {
-                return;
-              }
-              if (found.outcome() == Outcome.OK && found.entry() != null) {
-                String self = context.membership().self();
-                if (self == null || !self.equals(found.entry().record().claim())) {
-                  drop(c);
-                  return;
-                }
-                c.record = found.entry().record();
-                c.stamp = found.entry().stamp();
-                load(c);
-              } else if (found.outcome() == Outcome.OK || found.outcome() == Outcome.MISSING) {
-                drop(c);
-              } else {
-                context.later(0.3, () -> reload(c));
-              }
-            });
+    loader.reload(c);
   }
 
-  private void drop(Claim c) {
+  /** Gives a claim up: another controller has the job, or it is over. */
+  void drop(Claim c) {
     c.dropped = true;
     reconciliation.ended(c);
     wantPlacement.withdraw(c);
