Soak run: real controllers over loopback under random faults; load tools share one Deployment

Judged by what workers and users saw, by the controllers' invariants and by what is left open. The hollow workers' lease is exact by their own clock now, before it was looked at every half second; they answer /status. Claims without strays pass over them.

--- a/src/main/java/dev/dunefront/claim/Reconciliation.java
+++ b/src/main/java/dev/dunefront/claim/Reconciliation.java
@@ -53,7 +53,8 @@
       }
     }
     for (Claim c : claims.values()) {
-      if (!c.liveOn(v.host()).isEmpty() || !c.strays.on(v.host()).isEmpty()) {
+      if (!c.liveOn(v.host()).isEmpty()
+          || !c.strays.isEmpty() && !c.strays.on(v.host()).isEmpty()) {
         concerned.add(c);
       }
     }
--- a/src/test/java/dev/dunefront/load/ControllerProcess.java
+++ b/src/test/java/dev/dunefront/load/ControllerProcess.java
@@ -40,12 +40,15 @@
   private final Path directory;
   private final Path settings;
   private final String address;
+  private final String logLevel;
   private final int number;
   private Process process;
   private Use earlierLives = new Use(0, 0, 0, 0);
 
-  ControllerProcess(Path directory, int number, String settingsText, String address)
+  ControllerProcess(
+      Path directory, int number, String settingsText, String address, String logLevel)
       throws IOException {
+    this.logLevel = logLevel;
     this.directory = directory;
     this.number = number;
     this.address = address;
@@ -57,10 +60,9 @@
     List<String> command = new ArrayList<>(runCommand());
     command.add(settings.toString());
     ProcessBuilder builder = new ProcessBuilder(command);
-    Path log = directory.resolve(LoadSettings.controller(number) + ".log");
-    builder.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    builder.redirectError(ProcessBuilder.Redirect.appendTo(logFile().toFile()));
     builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
-    builder.environment().putIfAbsent("LOG_LEVEL", "error");
+    builder.environment().putIfAbsent("LOG_LEVEL", logLevel);
     process = builder.start();
   }
 
@@ -90,6 +92,22 @@
     }
   }
 
+  /** Stops the process without ending it, or lets it go on. */
+  void pause(boolean on) throws IOException {
+    if (alive()) {
+      new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start();
+    }
+  }
+
+  /** What the process has written so far, in all its lives. */
+  List<String> log() throws IOException {
+    return Files.readAllLines(logFile());
+  }
+
+  private Path logFile() {
+    return directory.resolve(LoadSettings.controller(number) + ".log");
+  }
+
   /** The same in the middle of a run; what it has used until now counts on. */
   void crash() throws IOException {
     earlierLives = use();
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/Deployment.java
@@ -0,0 +1,254 @@
+package dev.dunefront.load;
+
+import dev.dunefront.net.Timers;
+import dev.dunefront.net.UndertowCaller;
+import dev.dunefront.net.XnioTimers;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Everything that a run needs on loopback: real controllers in processes of their own, and in this
+ * process the stand-ins of state service and cloud, the network, hollow workers and users. Ends all
+ * that it has started, also when this process is interrupted.
+ */
+final class Deployment {
+  private static final double UP_S = 120;
+  private static final long PAUSE_MS = 200;
+
+  private final LoadOptions options;
+  private final LoadSettings.Addresses addresses;
+  private final Outside outside;
+  private final HollowFleet fleet;
+  private final RuleChecker rules;
+  private final MessageFaults messageFaults = new MessageFaults();
+  private final StartLog log = new StartLog();
+  private final JobSource source;
+  private final XnioWorker users;
+  private final XnioWorker services;
+  private final List<ControllerProcess> controllers = new ArrayList<>();
+  private final RegionNetwork network;
+  private final boolean relays;
+
+  /**
+   * Makes everything; nothing runs yet.
+   *
+   * @param directory for settings and logs of the controllers
+   * @param logLevel of the controllers
+   * @param relays whether links between regions lead through relays, so that they can be cut
+   */
+  Deployment(LoadOptions options, Path directory, String logLevel, boolean relays)
+      throws IOException {
+    this.options = options;
+    this.relays = relays;
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killControllers));
+    int count = options.controllers();
+    // Held until the relays have ports of their own, or those would be taken from among these.
+    List<ServerSocket> reserved = reserve(3 * count + 2);
+    List<String> ports = reserved.stream().map(Deployment::addressOf).toList();
+    addresses =
+        new LoadSettings.Addresses(
+            ports.subList(2 * count, 3 * count),
+            ports.get(3 * count),
+            ports.subList(0, count),
+            ports.subList(count, 2 * count));
+    services = worker("services");
+    users = worker("users");
+    rules = new RuleChecker(options.limitTasks());
+    network = new RegionNetwork(options.regions());
+    Map<String, Integer> byName = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      byName.put(LoadSettings.controller(i), i);
+      String settings = LoadSettings.of(options, addresses, peersOf(i), stateOf(i), i);
+      String at = addresses.users().get(i);
+      controllers.add(new ControllerProcess(directory, i, settings, at, logLevel));
+    }
+    for (ServerSocket socket : reserved) {
+      socket.close();
+    }
+    List<InetSocketAddress> statesAt = addresses.states().stream().map(Deployment::at).toList();
+    outside =
+        new Outside(services, statesAt, at(addresses.cloud()), options.zoneNames(), options.seed());
+    // Only now: its thread alone may touch the relays from here on.
+    new Thread(network, "network").start();
+    fleet =
+        new HollowFleet(
+            new HollowWorker.Common(
+                addresses.users(), byName, rules, log, options, this::reaches, messageFaults),
+            at(ports.get(3 * count + 1)).getPort());
+    Timers timers = new XnioTimers(users.getIoThread());
+    UndertowCaller caller =
+        new UndertowCaller(
+            users.getIoThread(), new DefaultByteBufferPool(false, 8192, 64, 4), timers);
+    source = new JobSource(options, addresses.users(), caller, timers, rules, log);
+  }
+
+  private boolean reaches(String zone, int controller) {
+    return network.reaches(options.regionOfZone(zone), options.regionOfController(controller));
+  }
+
+  /** Where a controller reaches the others. */
+  private List<String> peersOf(int own) throws IOException {
+    List<String> all = new ArrayList<>();
+    for (int other = 0; other < options.controllers(); other++) {
+      all.add(
+          through(
+              options.regionOfController(own),
+              options.regionOfController(other),
+              addresses.peers().get(other)));
+    }
+    return all;
+  }
+
+  /**
+   * Where a controller reaches the state service, which is in a region of its own or in one of
+   * theirs.
+   */
+  private String stateOf(int own) throws IOException {
+    return through(
+        options.regionOfController(own), options.stateRegion(), addresses.states().get(own));
+  }
+
+  private String through(int from, int to, String target) throws IOException {
+    return relays && from != to ? network.relay(from, to, target) : target;
+  }
+
+  private static XnioWorker worker(String name) throws IOException {
+    return Xnio.getInstance()
+        .createWorker(
+            OptionMap.builder()
+                .set(Options.WORKER_NAME, name)
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+  }
+
+  /** A numeric loopback address, written with its port. */
+  static InetSocketAddress at(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        InetAddress.getLoopbackAddress(), Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  private static List<ServerSocket> reserve(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+    }
+    return sockets;
+  }
+
+  private static String addressOf(ServerSocket socket) {
+    return "127.0.0.1:" + socket.getLocalPort();
+  }
+
+  /** Starts workers, controllers and users, in this order. */
+  void start() throws IOException, InterruptedException {
+    for (int i = 0; i < options.workers(); i++) {
+      String zone = options.zoneNames().get(i % options.zones());
+      outside.add(fleet.add(zone).host(), zone);
+    }
+    for (ControllerProcess controller : controllers) {
+      controller.start();
+    }
+    awaitUp();
+    users.getIoThread().execute(source::start);
+  }
+
+  /** Waits until every controller takes requests. */
+  void awaitUp() throws InterruptedException, IOException {
+    long until = System.nanoTime() + Math.round(UP_S * 1e9);
+    for (ControllerProcess controller : controllers) {
+      while (!controller.up()) {
+        if (System.nanoTime() > until) {
+          throw new IOException("controllers are not up after " + UP_S + " s");
+        }
+        Thread.sleep(PAUSE_MS);
+      }
+    }
+  }
+
+  /**
+   * Waits until every accepted job is over, or so many seconds have passed; says how many are not.
+   */
+  int drain(double seconds) throws InterruptedException {
+    source.stop();
+    long until = System.nanoTime() + Math.round(seconds * 1e9);
+    while (openJobs() > 0 && System.nanoTime() < until) {
+      Thread.sleep(PAUSE_MS);
+    }
+    return openJobs();
+  }
+
+  /** Accepted jobs that are not known to be over. */
+  int openJobs() throws InterruptedException {
+    return OnThread.get(users.getIoThread(), source::open);
+  }
+
+  LoadOptions options() {
+    return options;
+  }
+
+  List<ControllerProcess> controllers() {
+    return controllers;
+  }
+
+  HollowFleet fleet() {
+    return fleet;
+  }
+
+  Outside outside() {
+    return outside;
+  }
+
+  RegionNetwork network() {
+    return network;
+  }
+
+  MessageFaults messageFaults() {
+    return messageFaults;
+  }
+
+  RuleChecker rules() {
+    return rules;
+  }
+
+  StartLog log() {
+    return log;
+  }
+
+  JobSource source() {
+    return source;
+  }
+
+  /** The thread of the users, on which faults are brought about as well. */
+  XnioIoThread thread() {
+    return users.getIoThread();
+  }
+
+  private void killControllers() {
+    controllers.forEach(ControllerProcess::kill);
+  }
+
+  /** Ends everything. */
+  void close() throws InterruptedException {
+    source.stop();
+    killControllers();
+    network.close();
+    fleet.close();
+    users.shutdownNow();
+    services.shutdownNow();
+  }
+}
--- a/src/test/java/dev/dunefront/load/HollowFleet.java
+++ b/src/test/java/dev/dunefront/load/HollowFleet.java
@@ -111,7 +111,15 @@
             (ex, body) ->
                 ex.dispatch(
                     SameThreadExecutor.INSTANCE,
-                    () -> worker.thread().execute(() -> answer(ex, worker.orders(body)))));
+                    () -> worker.thread().execute(() -> serve(worker, ex, body))));
+  }
+
+  private static void serve(HollowWorker worker, HttpServerExchange exchange, byte[] body) {
+    if (exchange.getRequestPath().equals("/status")) {
+      worker.status(reply -> answer(exchange, reply));
+    } else {
+      worker.orders(body, reply -> answer(exchange, reply));
+    }
   }
 
   private static void answer(HttpServerExchange exchange, Reply reply) {
--- a/src/test/java/dev/dunefront/load/HollowWorker.java
+++ b/src/test/java/dev/dunefront/load/HollowWorker.java
@@ -6,10 +6,12 @@
 import dev.dunefront.standin.WorkerStandIn;
 import dev.dunefront.wire.BadMessage;
 import dev.dunefront.wire.Doc;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.xnio.XnioIoThread;
 
 /**
@@ -18,11 +20,10 @@
  * others.
  */
 final class HollowWorker {
-  static final double REPORT_S = 4;
-  static final double LEASE_S = 22;
   private static final double LEAST_PAUSE_S = 0.5;
   private static final double NEXT_NODE_S = 1;
   private static final double ANSWER_S = 4;
+  private static final double LEASE_LOOK_S = 0.002;
 
   /** What all hollow workers have in common. */
   record Common(
@@ -30,8 +31,9 @@
       Map<String, Integer> controllerByName,
       RuleChecker rules,
       StartLog starts,
-      double meanRunS,
-      Reach reach) {}
+      LoadOptions options,
+      Reach reach,
+      MessageFaults faults) {}
 
   /** Whether a worker in a zone reaches a controller now. */
   interface Reach {
@@ -58,6 +60,12 @@
   private boolean changedMeanwhile;
   private boolean stopped;
   private int session = 1;
+  private boolean hung;
+  private boolean deaf;
+  private boolean mute;
+
+  /** What has arrived while the machine hangs, in order. */
+  private final List<Runnable> waiting = new ArrayList<>();
 
   HollowWorker(
       WorkerStandIn worker,
@@ -91,23 +99,89 @@
   }
 
   void start() {
-    answeredSentAt = timers.now();
-    reportIn(random.nextDouble() * REPORT_S);
+    renewed(timers.now());
+    reportIn(random.nextDouble() * common.options().reportS());
     watchLease();
   }
 
   /** The machine fails with all that is on it. */
   void stop() {
     stopped = true;
-    attempts.keySet().forEach(task -> common.rules().ended(task, host(), false));
-    attempts.clear();
+    endAll();
+  }
+
+  /** The machine hangs, or goes on; its tasks stand still meanwhile, its lease does not. */
+  void hang(boolean on) {
+    hung = on;
+    if (!on) {
+      expireIfDue();
+      List<Runnable> all = List.copyOf(waiting);
+      waiting.clear();
+      all.forEach(Runnable::run);
+      reportIn(0);
+    }
+  }
+
+  /** Nothing that is said to the worker arrives, or all does again. */
+  void deafen(boolean on) {
+    deaf = on;
+  }
+
+  /** Nothing that the worker says arrives, or all does again. */
+  void mute(boolean on) {
+    mute = on;
+  }
+
+  /** The worker is restarted and knows nothing any more. */
+  void beginAnew() {
+    endAll();
+    worker.beginAnew();
+    session++;
+    renewed(timers.now());
+    reportIn(0);
   }
 
-  /** Takes a direct command. */
-  Reply orders(byte[] body) {
+  /** Answers a question; there is no answer to one that is lost. */
+  void status(Consumer<Reply> then) {
+    if (hung) {
+      waiting.add(() -> status(then));
+    } else if (stopped) {
+      then.accept(Reply.UNCLEAR);
+    } else if (!deaf && common.faults().order(random) == MessageFaults.Fate.ON_TIME) {
+      expireIfDue();
+      then.accept(new Reply(200, worker.report(), 0));
+    }
+  }
+
+  /** Takes a direct command; there is no answer to one that is lost. */
+  void orders(byte[] body, Consumer<Reply> then) {
+    MessageFaults.Fate fate = common.faults().order(random);
     if (stopped) {
-      return Reply.UNCLEAR;
+      then.accept(Reply.UNCLEAR);
+      return;
+    }
+    if (deaf || fate == MessageFaults.Fate.LOST) {
+      return;
+    }
+    if (fate == MessageFaults.Fate.LATE) {
+      timers.after(common.faults().lateS(random), () -> orderArrives(body, reply -> {}));
+    } else if (fate == MessageFaults.Fate.UNANSWERED) {
+      orderArrives(body, reply -> {});
+    } else {
+      orderArrives(body, then);
+    }
+  }
+
+  private void orderArrives(byte[] body, Consumer<Reply> then) {
+    if (hung) {
+      waiting.add(() -> orderArrives(body, then));
+    } else if (!stopped) {
+      expireIfDue();
+      then.accept(carryOut(body));
     }
+  }
+
+  private Reply carryOut(byte[] body) {
     try {
       Reply reply = worker.orders(body);
       use.orders++;
@@ -126,8 +200,13 @@
     if (stopped || calling) {
       return;
     }
-    calling = true;
     reportAt = Double.POSITIVE_INFINITY;
+    if (hung) {
+      reportIn(LEAST_PAUSE_S);
+      return;
+    }
+    expireIfDue();
+    calling = true;
     changedMeanwhile = false;
     sentAt = timers.now();
     double sent = sentAt;
@@ -135,23 +214,46 @@
     byte[] body = worker.report();
     use.reports++;
     use.bytesOut += body.length;
-    if (!common.reach().reaches(zone(), node)) {
+    MessageFaults.Fate fate = common.faults().report(random);
+    boolean lost = mute || fate == MessageFaults.Fate.LOST;
+    if (lost || !common.reach().reaches(zone(), node)) {
       timers.after(ANSWER_S, () -> heard(Reply.UNCLEAR, sent, inSession));
       return;
     }
-    caller.call(
-        common.controllers().get(node),
-        "POST",
-        "/hello",
+    if (fate == MessageFaults.Fate.LATE) {
+      copyLater(body);
+    }
+    boolean unanswered = fate == MessageFaults.Fate.UNANSWERED;
+    hello(
+        node,
         body,
-        ANSWER_S,
-        reply -> heard(reply, sent, inSession));
+        reply -> {
+          if (deaf || hung || unanswered) {
+            // The answer is lost; the worker gives the report up when its time is over.
+            double leftS = Math.max(0, sent + ANSWER_S - timers.now());
+            timers.after(leftS, () -> heard(Reply.UNCLEAR, sent, inSession));
+          } else {
+            heard(reply, sent, inSession);
+          }
+        });
+  }
+
+  private void hello(int controller, byte[] body, Consumer<Reply> then) {
+    caller.call(
+        common.controllers().get(controller), "POST", "/hello", body, ANSWER_S, then::accept);
+  }
+
+  /** A copy of a report comes much later, at any controller; nobody waits for its answer. */
+  private void copyLater(byte[] body) {
+    int controller = random.nextInt(common.controllers().size());
+    timers.after(common.faults().lateS(random), () -> hello(controller, body, reply -> {}));
   }
 
   private void heard(Reply reply, double sent, int inSession) {
     calling = false;
     use.bytesIn += reply.body().length;
     if (!stopped) {
+      expireIfDue();
       answered(reply, sent, inSession);
     }
   }
@@ -160,10 +262,10 @@
     try {
       if (reply.ok()) {
         if (inSession == session && worker.answered(reply.body())) {
-          answeredSentAt = sent;
+          renewed(sent);
           follow();
         }
-        reportIn(REPORT_S * (0.75 + random.nextDouble() / 2));
+        reportIn(common.options().reportS() * (0.75 + random.nextDouble() / 2));
         if (changedMeanwhile) {
           changed();
         }
@@ -227,32 +329,49 @@
   private void begin(String attempt) {
     String task = attempt.substring(0, attempt.lastIndexOf('#'));
     attempts.put(task, attempt);
-    common.rules().started(task, host());
+    common.rules().started(task, host(), timers.now());
     common.starts().started(common.rules().jobOf(task), timers.now());
-    double runS = common.meanRunS() * (0.5 + random.nextDouble());
+    double runS = common.options().runS() * (0.5 + random.nextDouble());
     timers.after(runS, () -> end(task, attempt));
     changed();
   }
 
   private void end(String task, String attempt) {
-    if (!stopped && attempts.remove(task, attempt)) {
+    if (hung) {
+      waiting.add(() -> end(task, attempt));
+    } else if (!stopped && attempts.remove(task, attempt)) {
       worker.exit(task, "done");
       common.rules().ended(task, host(), true);
       changed();
     }
   }
 
+  private void renewed(double sent) {
+    answeredSentAt = sent;
+    common.rules().leased(host(), sent + common.options().leaseS());
+  }
+
   private void watchLease() {
     if (stopped) {
       return;
     }
-    if (timers.now() - answeredSentAt > LEASE_S) {
-      attempts.keySet().forEach(task -> common.rules().ended(task, host(), false));
-      attempts.clear();
+    expireIfDue();
+    double endsAt = answeredSentAt + common.options().leaseS();
+    timers.after(Math.max(0, endsAt - timers.now()) + LEASE_LOOK_S, this::watchLease);
+  }
+
+  /** By its own clock alone the worker kills its tasks, before anything else reaches it. */
+  private void expireIfDue() {
+    if (!stopped && timers.now() - answeredSentAt > common.options().leaseS()) {
+      endAll();
       worker.newSession();
       session++;
-      answeredSentAt = timers.now();
+      renewed(timers.now());
     }
-    timers.after(LEAST_PAUSE_S, this::watchLease);
+  }
+
+  private void endAll() {
+    attempts.keySet().forEach(task -> common.rules().ended(task, host(), false));
+    attempts.clear();
   }
 }
--- a/src/test/java/dev/dunefront/load/JobSource.java
+++ b/src/test/java/dev/dunefront/load/JobSource.java
@@ -17,6 +17,9 @@
   private static final double RETRY_S = 1;
   private static final int IMAGES = 20;
 
+  /** Users who cancel a job do so within this time of its acceptance, in seconds. */
+  private static final double CANCEL_WITHIN_S = 15;
+
   private final LoadOptions options;
   private final List<String> controllers;
   private final Caller caller;
@@ -123,6 +126,10 @@
             accepted++;
             open++;
             timers.after(POLL_PAUSE_S, () -> poll(job.id(), attempt));
+            if (options.cancelShare() > 0 && random.nextDouble() < options.cancelShare()) {
+              double afterS = random.nextDouble() * CANCEL_WITHIN_S;
+              timers.after(afterS, () -> cancel(job.id(), attempt));
+            }
           } else {
             refused++;
             timers.after(
@@ -131,10 +138,29 @@
         });
   }
 
+  private void cancel(String id, int attempt) {
+    boolean askedAfterEnd = rules.over(id);
+    caller.call(
+        controllers.get(attempt % controllers.size()),
+        "POST",
+        "/v1/jobs/" + id + "/abort",
+        new byte[0],
+        SUBMIT_S,
+        reply -> {
+          if (reply.ok()) {
+            told(id, reply, askedAfterEnd);
+          } else {
+            double pauseS = Math.max(RETRY_S, reply.retryAfterS());
+            timers.after(pauseS, () -> cancel(id, attempt + 1));
+          }
+        });
+  }
+
+  /** Asks until the job is over, and once more, at another controller. */
   private void poll(String id, int attempt) {
-    String controller = controllers.get(attempt % controllers.size());
+    boolean askedAfterEnd = rules.over(id);
     caller.call(
-        controller,
+        controllers.get(attempt % controllers.size()),
         "GET",
         "/v1/jobs/" + id,
         null,
@@ -143,19 +169,27 @@
           if (reply.status() == 404) {
             rules.toldUnknown(id);
           }
-          if (done(reply)) {
-            open--;
-            rules.toldDone(id);
-          } else {
-            int next = reply.status() == 0 ? attempt + 1 : attempt;
+          if (reply.ok()) {
+            told(id, reply, askedAfterEnd);
+          }
+          if (!askedAfterEnd || !reply.ok()) {
+            int next = reply.ok() && !rules.over(id) ? attempt : attempt + 1;
             timers.after(POLL_PAUSE_S, () -> poll(id, next));
           }
         });
   }
 
-  private static boolean done(Reply reply) {
+  private void told(String id, Reply reply, boolean askedAfterEnd) {
+    boolean before = rules.over(id);
+    rules.told(id, status(reply), askedAfterEnd);
+    if (rules.over(id) && !before) {
+      open--;
+    }
+  }
+
+  private static String status(Reply reply) {
     try {
-      return reply.ok() && Doc.decode(reply.body()).text("status").equals("done");
+      return Doc.decode(reply.body()).text("status");
     } catch (BadMessage e) {
       throw new IllegalStateException(e);
     }
--- a/src/test/java/dev/dunefront/load/LoadOptions.java
+++ b/src/test/java/dev/dunefront/load/LoadOptions.java
@@ -27,6 +27,10 @@
  * @param stateRequests requests a second that the state service serves
  * @param stateChanges changes a second that it serves
  * @param seed seed of all random choices
+ * @param reportS how often a worker reports
+ * @param leaseS how long a worker's lease lasts
+ * @param stateRegion region of the state service; links from other regions lead through relays
+ * @param cancelShare part of the jobs that their users cancel
  */
 record LoadOptions(
     int controllers,
@@ -45,12 +49,17 @@
     boolean troubles,
     double stateRequests,
     double stateChanges,
-    long seed) {
+    long seed,
+    double reportS,
+    double leaseS,
+    int stateRegion,
+    double cancelShare) {
 
   /** The size of the users' letter, without troubles. */
   static final LoadOptions LETTER =
       new LoadOptions(
-          14, 1800, 23, 7, 730, 4000, 950, 240, 0.5, 14, 0.25, 30, 30, false, 500, 90, 1);
+          14, 1800, 23, 7, 730, 4000, 950, 240, 0.5, 14, 0.25, 30, 30, false, 500, 90, 1, 4, 22, 0,
+          0);
 
   /** Reads {@code name=value} arguments over the letter's values. */
   static LoadOptions parse(List<String> arguments) {
--- a/src/test/java/dev/dunefront/load/LoadSettings.java
+++ b/src/test/java/dev/dunefront/load/LoadSettings.java
@@ -10,8 +10,11 @@
   /** Within how many seconds urgent tasks are to start, of the users' letter. */
   private static final double URGENT_S = 2.8;
 
-  /** Where everything listens: the outside systems, and each controller's two ports. */
-  record Addresses(String state, String cloud, List<String> users, List<String> peers) {}
+  /**
+   * Where everything listens: the outside systems, the state service at an address for each
+   * controller, and each controller's two ports.
+   */
+  record Addresses(List<String> states, String cloud, List<String> users, List<String> peers) {}
 
   private LoadSettings() {}
 
@@ -60,8 +63,8 @@
     line(text, "within_s = %.1f", URGENT_S);
     line(text, "share = 0.9");
     line(text, "[facts.workers]");
-    line(text, "report_s = %.1f", HollowWorker.REPORT_S);
-    line(text, "lease_s = %.1f", HollowWorker.LEASE_S);
+    line(text, "report_s = %.1f", options.reportS());
+    line(text, "lease_s = %.1f", options.leaseS());
     line(text, "cancel_s = 42.0");
     line(text, "[facts.state]");
     line(text, "rps = %.1f", options.stateRequests());
--- a/src/test/java/dev/dunefront/load/RegionNetwork.java
+++ b/src/test/java/dev/dunefront/load/RegionNetwork.java
@@ -11,6 +11,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 
 /**
  * The network between regions: relays on loopback that deliver bytes after the time that a packet
@@ -29,8 +30,12 @@
   private volatile int cutRegion = -1;
   private volatile boolean closed;
 
+  /** Whether the way from one region to another is blocked, at {@code from * regions + to}. */
+  private final AtomicIntegerArray blocked;
+
   RegionNetwork(int regions) throws IOException {
     this.regions = regions;
+    this.blocked = new AtomicIntegerArray(regions * regions);
   }
 
   /** One way between two regions, in seconds. */
@@ -54,14 +59,23 @@
     cutRegion = region;
   }
 
-  /** Ends the cut; what was held arrives. */
+  /** Blocks the way from one region to another, or opens it: what was held arrives then. */
+  void block(int from, int to, boolean on) {
+    blocked.set(from * regions + to, on ? 1 : 0);
+  }
+
+  /** Ends all cuts; what was held arrives. */
   void heal() {
     cutRegion = -1;
+    for (int way = 0; way < blocked.length(); way++) {
+      blocked.set(way, 0);
+    }
   }
 
   /** Whether something from one region reaches another now. */
   boolean reaches(int from, int to) {
-    return from == to || from != cutRegion && to != cutRegion;
+    boolean cut = from == cutRegion || to == cutRegion;
+    return from == to || !cut && blocked.get(from * regions + to) == 0;
   }
 
   void close() {
@@ -178,7 +192,7 @@
     }
     try {
       // On loopback this answers at once, be it with a refusal.
-      SocketChannel far = SocketChannel.open(LoadRun.at(route.target));
+      SocketChannel far = SocketChannel.open(Deployment.at(route.target));
       join(route, near, far);
     } catch (IOException e) {
       near.close();
--- a/src/test/java/dev/dunefront/load/RuleChecker.java
+++ b/src/test/java/dev/dunefront/load/RuleChecker.java
@@ -12,6 +12,8 @@
  * team above its limit, no job done before its tasks, none forgotten.
  */
 final class RuleChecker {
+  static final String DONE = "done";
+  static final String CANCELLED = "cancelled";
   private static final int MOST_TOLD = 20;
 
   /** A submitted job. */
@@ -23,6 +25,13 @@
   private final Map<String, Integer> runningByTeam = new HashMap<>();
   private final Map<String, Set<String>> doneByJob = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
+
+  /** When the lease of a worker ends if nothing renews it, by machine, in seconds. */
+  private final Map<String, Double> leaseEnds = new HashMap<>();
+
+  /** What users were told at the end of a job. */
+  private final Map<String, String> finals = new HashMap<>();
+
   private int mostRunning;
 
   RuleChecker(int limitTasks) {
@@ -38,12 +47,23 @@
     return jobs.get(jobName(task));
   }
 
-  synchronized void started(String task, String host) {
+  /** A worker's lease lasts until then unless it is renewed; its tasks end with it. */
+  synchronized void leased(String host, double until) {
+    leaseEnds.put(host, until);
+  }
+
+  synchronized void started(String task, String host, double now) {
     Job job = jobOf(task);
     if (job == null) {
       broke("invented: " + task + " was never submitted");
       return;
     }
+    if (CANCELLED.equals(finals.get(job.id()))) {
+      broke("ran_cancelled: " + task + " starts on " + host);
+    }
+    if (runningOn.containsKey(task) || full(job)) {
+      expire(now);
+    }
     String other = runningOn.put(task, host);
     if (other != null) {
       broke("ran_twice: " + task + " starts on " + host + " while it is on " + other);
@@ -56,6 +76,17 @@
     mostRunning = Math.max(mostRunning, runningOn.size());
   }
 
+  private boolean full(Job job) {
+    return runningByTeam.getOrDefault(job.team(), 0) >= limitTasks;
+  }
+
+  /** By their workers' leases these tasks are gone, although the workers' threads are late. */
+  private void expire(double now) {
+    Map<String, String> gone = new HashMap<>(runningOn);
+    gone.values().removeIf(h -> leaseEnds.getOrDefault(h, Double.POSITIVE_INFINITY) >= now);
+    gone.forEach((task, host) -> ended(task, host, false));
+  }
+
   /** A task has left its machine, done or not. */
   synchronized void ended(String task, String host, boolean done) {
     if (!runningOn.remove(task, host)) {
@@ -77,6 +108,35 @@
     }
   }
 
+  /**
+   * A user was told how an accepted job stands.
+   *
+   * @param status of the protocol
+   * @param askedAfterEnd whether the user had been told of its end before asking
+   */
+  synchronized void told(String id, String status, boolean askedAfterEnd) {
+    String last = finals.get(id);
+    if (askedAfterEnd && !status.equals(last)) {
+      broke("went_back: " + id + " was " + last + " and is called " + status);
+    }
+    if (status.equals(DONE) || status.equals(CANCELLED)) {
+      finals.putIfAbsent(id, status);
+    }
+    if (status.equals(DONE)) {
+      toldDone(id);
+    }
+  }
+
+  /** Whether the user has been told that the job is over. */
+  synchronized boolean over(String id) {
+    return finals.containsKey(id);
+  }
+
+  /** A rule is broken that others have seen. */
+  synchronized void seenBroken(String rule) {
+    broke(rule);
+  }
+
   /** A user was told that an accepted job is not known. */
   synchronized void toldUnknown(String id) {
     broke("forgotten: " + id);
--- /dev/null
+++ b/src/test/java/dev/dunefront/load/SoakRun.java
@@ -0,0 +1,171 @@
+package dev.dunefront.load;
+
+import dev.dunefront.net.NoManagement;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The soak run: real controllers on loopback, jobs that come, end and are cancelled, and faults at
+ * random moments, drawn from a seed. Judges by what workers and users saw, by the controllers' own
+ * invariants, and by whether all that was accepted comes to its end once the faults are over.
+ *
+ * <p>Arguments are {@code seed=}, {@code seeds=} (how many runs, each with the next seed), {@code
+ * seconds=}, {@code workers=}, {@code controllers=}. Ends with 1 where something is broken. Where
+ * this machine is too slow for a judgement, it says so; that is no result.
+ */
+public final class SoakRun {
+  private static final double DRAIN_S = 100;
+
+  /** Tasks a second for each worker: they fill most of the room of all machines. */
+  private static final double LOAD = 0.85;
+
+  private static final int MOST_LINES = 25;
+  private static final String VIOLATED = "invariant violated";
+  private static final String FAILED = "error ";
+
+  private final LoadOptions options;
+  private final Path directory;
+  private final List<SoakFault> schedule;
+  private final List<String> broken = new ArrayList<>();
+
+  private SoakRun(LoadOptions options, Path directory) {
+    this.options = options;
+    this.directory = directory;
+    this.schedule = SoakSchedule.of(options);
+  }
+
+  /** What a run asks for, of the load tools' options. */
+  private static LoadOptions options(int controllers, int workers, double seconds, long seed) {
+    return LoadOptions.parse(
+        List.of(
+            "controllers=" + controllers,
+            "workers=" + workers,
+            "zones=" + controllers,
+            "regions=" + (controllers + 1),
+            "stateRegion=" + controllers,
+            "teams=3",
+            "limitTasks=" + workers * 3,
+            "startsPerS=" + LOAD * workers,
+            "tasksPerJob=8",
+            "taskCpus=1",
+            "runS=5",
+            "urgentShare=0.25",
+            "cancelShare=0.15",
+            "reportS=0.8",
+            "leaseS=5",
+            "measureS=" + seconds,
+            "stateRequests=600",
+            "stateChanges=300",
+            "seed=" + seed));
+  }
+
+  public static void main(String[] arguments) throws Exception {
+    long seed = 1;
+    int seeds = 1;
+    double seconds = 30;
+    int workers = 40;
+    int controllers = 3;
+    for (String argument : arguments) {
+      String value = argument.substring(argument.indexOf('=') + 1);
+      switch (argument.substring(0, argument.length() - value.length())) {
+        case "seed=" -> seed = Long.parseLong(value);
+        case "seeds=" -> seeds = Integer.parseInt(value);
+        case "seconds=" -> seconds = Double.parseDouble(value);
+        case "workers=" -> workers = Integer.parseInt(value);
+        case "controllers=" -> controllers = Integer.parseInt(value);
+        default -> throw new IllegalArgumentException("not an option: " + argument);
+      }
+    }
+    NoManagement.install();
+    boolean kept = true;
+    for (long s = seed; s < seed + seeds; s++) {
+      kept &= play(options(controllers, workers, seconds, s));
+    }
+    System.exit(kept ? 0 : 1);
+  }
+
+  /** Plays one seed; says whether nothing was broken. */
+  private static boolean play(LoadOptions options) throws IOException, InterruptedException {
+    Path parent = Files.createDirectories(Path.of("target", "soak"));
+    Path directory = Files.createTempDirectory(parent, "seed" + options.seed() + "-");
+    SoakRun run = new SoakRun(options, directory);
+    Deployment deployment = new Deployment(options, directory, "debug", true);
+    try {
+      deployment.start();
+    } catch (IOException e) {
+      System.out.println("NOT JUDGED: seed " + options.seed() + ": " + e.getMessage());
+      deployment.close();
+      return true;
+    }
+    try {
+      return run.play(deployment);
+    } finally {
+      deployment.close();
+    }
+  }
+
+  private boolean play(Deployment deployment) throws IOException, InterruptedException {
+    SlownessWatch watch = new SlownessWatch();
+    SoakFaults faults = new SoakFaults(deployment, schedule);
+    faults.start();
+    Thread.sleep(Math.round(options.measureS() * 1000));
+    int open = deployment.drain(DRAIN_S);
+    broken.addAll(deployment.rules().broken());
+    lookAtControllers(deployment);
+    if (open > 0 && !watch.slow()) {
+      broken.add(open + " accepted jobs are not over " + DRAIN_S + " s after the last fault");
+    }
+    System.out.printf(
+        "seed %d: %d faults, %d jobs accepted, %d tasks at once at the most, %d machines returned, %d left,"
+            + " worst pause of this process %.2f s: %s%n",
+        options.seed(),
+        schedule.size(),
+        deployment.source().accepted(),
+        deployment.rules().mostRunning(),
+        faults.deleted(),
+        open,
+        watch.worstS(),
+        verdict(open));
+    if (!broken.isEmpty()) {
+      tell(deployment);
+    }
+    return broken.isEmpty();
+  }
+
+  private String verdict(int open) {
+    if (!broken.isEmpty()) {
+      return "BROKEN " + broken;
+    }
+    return open > 0 ? "NOT JUDGED, this machine is too slow" : "kept";
+  }
+
+  private void lookAtControllers(Deployment deployment) throws IOException {
+    for (int i = 0; i < options.controllers(); i++) {
+      ControllerProcess controller = deployment.controllers().get(i);
+      if (!controller.alive()) {
+        broken.add(LoadSettings.controller(i) + " has ended by itself");
+      }
+      for (String line : controller.log()) {
+        if (line.contains(VIOLATED) || line.startsWith(FAILED)) {
+          broken.add(LoadSettings.controller(i) + ": " + line);
+        }
+      }
+    }
+  }
+
+  private void tell(Deployment deployment) throws IOException {
+    System.out.println("the schedule, from the first jobs on:");
+    schedule.forEach(System.out::println);
+    for (int i = 0; i < options.controllers(); i++) {
+      List<String> lines = deployment.controllers().get(i).log();
+      System.out.println("the last lines of " + LoadSettings.controller(i) + ":");
+      lines
+          .subList(Math.max(0, lines.size() - MOST_LINES), lines.size())
+          .forEach(System.out::println);
+    }
+    System.out.println("all of it is in " + directory);
+  }
+}
--- a/src/test/java/dev/dunefront/load/Troubles.java
+++ b/src/test/java/dev/dunefront/load/Troubles.java
@@ -1,6 +1,7 @@
 package dev.dunefront.load;
 
 import dev.dunefront.net.Timers;
+import dev.dunefront.net.XnioTimers;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,21 +36,14 @@
   private int lost;
   private boolean stopped;
 
-  Troubles(
-      LoadOptions options,
-      Timers timers,
-      XnioExecutor thread,
-      HollowFleet fleet,
-      Outside outside,
-      RegionNetwork network,
-      List<ControllerProcess> controllers) {
-    this.options = options;
-    this.timers = timers;
-    this.thread = thread;
-    this.fleet = fleet;
-    this.outside = outside;
-    this.network = network;
-    this.controllers = controllers;
+  Troubles(Deployment deployment) {
+    this.options = deployment.options();
+    this.thread = deployment.thread();
+    this.timers = new XnioTimers(deployment.thread());
+    this.fleet = deployment.fleet();
+    this.outside = deployment.outside();
+    this.network = deployment.network();
+    this.controllers = deployment.controllers();
     this.random = new Random(options.seed());
   }
 
