--- a/src/main/java/dev/dunefront/claim/StrayControl.java
+++ b/src/main/java/dev/dunefront/claim/StrayControl.java
@@ -29,6 +29,9 @@
   /** What is not recorded must not run, and is not kept once it has exited. */
   void reject(Claim c, List<TaskState> unrecorded, Room.Seen seen) {
     View view = seen.view();
+    if (unrecorded.isEmpty() && c.strays.isEmpty()) {
+      return;
+    }
     Set<Integer> alive = new HashSet<>();
     for (TaskState task : unrecorded) {
       if (task.exited()) {
--- a/src/test/java/dev/dunefront/story/StaleProofTest.java
+++ b/src/test/java/dev/dunefront/story/StaleProofTest.java
@@ -35,13 +35,7 @@
     w.start().pass(2);
     WorkerStandIn hangs = w.machine("host-1", "small", "a", "node-0");
     w.pass(5);
-    String holder = w.holder("host-1");
-    String claimant = holder.equals("node-0") ? "node-1" : "node-0";
-    assertEquals(201, w.submit(holder, World.job("wk-1", 1, CPUS_OF_A_MACHINE)).status());
-    w.pass(2);
-    assertEquals(201, w.submit(claimant, World.job("wk-2", 1, CPUS_OF_A_MACHINE)).status());
-    w.pass(2);
-    assertEquals(List.of("wk-1/0"), hangs.running(), "the other job waits in the machine's book");
+    String holder = fill(w, hangs);
 
     boolean[] leaseOver = {false};
     w.late =
@@ -81,13 +75,7 @@
     w.pass(5);
     w.hang("host-1", World.LEASE_S + 2);
     w.pass(World.LEASE_S + 5);
-    String holder = w.holder("host-1");
-    String claimant = holder.equals("node-0") ? "node-1" : "node-0";
-    assertEquals(201, w.submit(holder, World.job("wk-1", 1, CPUS_OF_A_MACHINE)).status());
-    w.pass(2);
-    assertEquals(201, w.submit(claimant, World.job("wk-2", 1, CPUS_OF_A_MACHINE)).status());
-    w.pass(2);
-    assertEquals(List.of("wk-1/0"), machine.running(), "in the second session");
+    String holder = fill(w, machine);
 
     w.late = m -> m instanceof Message.View v && v.host().equals("host-1") && v.session() < 2;
     machine.beginAnew();
@@ -234,4 +222,16 @@
         Doc.of().put("baton", worker.token()).put("tenure", 1).put("orders", List.of(start));
     assertEquals(200, worker.orders(command.encode()).status());
   }
+
+  /** A job of its holder's fills the only machine, and one of another controller waits for it. */
+  private static String fill(World w, WorkerStandIn machine) {
+    String holder = w.holder(machine.host());
+    String claimant = holder.equals("node-0") ? "node-1" : "node-0";
+    assertEquals(201, w.submit(holder, World.job("wk-1", 1, CPUS_OF_A_MACHINE)).status());
+    w.pass(2);
+    assertEquals(201, w.submit(claimant, World.job("wk-2", 1, CPUS_OF_A_MACHINE)).status());
+    w.pass(2);
+    assertEquals(List.of("wk-1/0"), machine.running(), "the other waits in the machine's book");
+    return holder;
+  }
 }
