--- /dev/null
+++ b/src/test/java/dev/dunefront/evidence/EndProofTest.java
@@ -0,0 +1,96 @@
+package dev.dunefront.evidence;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.evidence.EndProof.Attempt;
+import dev.dunefront.evidence.EndProof.Basis;
+import dev.dunefront.evidence.EndProof.Kind;
+import dev.dunefront.peer.Message.State;
+import dev.dunefront.peer.Message.TaskState;
+import dev.dunefront.peer.Message.View;
+import dev.dunefront.peer.Message.Why;
+import dev.dunefront.wire.Size;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a view proves of an attempt that was placed in a worker's second session. */
+class EndProofTest {
+  private static final long HOLD_STAMP = 40;
+  private static final Attempt PLACED = new Attempt(3, "host-1", 2);
+
+  private static View view(long session, boolean lost) {
+    List<Integer> none = List.of(0, 0, 0, 0);
+    return new View(
+        "host-1",
+        "small",
+        "a",
+        false,
+        5,
+        HOLD_STAMP,
+        session,
+        true,
+        lost,
+        !lost,
+        false,
+        false,
+        false,
+        0,
+        Size.NONE,
+        List.of(),
+        none,
+        none,
+        List.of());
+  }
+
+  private static EndProof find(long session, boolean lost, TaskState shown) {
+    View view = view(session, lost);
+    return EndProof.find(PLACED, shown, view, Basis.of("node-0", view, 0.1));
+  }
+
+  private static TaskState shown(State state, Why why) {
+    return new TaskState("wk-1", 0, PLACED.number(), state, why);
+  }
+
+  @Test
+  void aLeaseThatIsOverProvesForItsOwnSessionAlone() {
+    assertNull(find(1, true, null));
+    EndProof proof = find(2, true, shown(State.RUNNING, Why.NONE));
+    assertEquals(Kind.LEASE_OVER, proof.kind());
+    assertTrue(proof.conditional(), "another holder may hear the machine");
+    assertEquals(HOLD_STAMP, proof.basis().holdStamp());
+  }
+
+  @Test
+  void aLaterSessionProvesUnderItsHoldAlone() {
+    EndProof proof = find(3, false, null);
+    assertEquals(Kind.LATER_SESSION, proof.kind());
+    assertTrue(proof.conditional(), "it may be one of the worker's former life");
+  }
+
+  @Test
+  void whatIsShownAliveOrNotAtAllProvesNothing() {
+    assertNull(find(2, false, shown(State.RUNNING, Why.NONE)));
+    assertNull(find(2, false, null));
+    assertNull(find(1, false, null));
+  }
+
+  @Test
+  void anExitNeedsNoCondition() {
+    EndProof proof = find(2, false, shown(State.EXITED, Why.DONE));
+    assertEquals(Kind.EXITED, proof.kind());
+    assertEquals(Why.DONE, proof.why());
+    assertFalse(proof.conditional());
+  }
+
+  @Test
+  void aProofOfAnotherSessionDoesNotConcernTheAttempt() {
+    Basis former = Basis.of("node-0", view(1, true), 0.1);
+    assertFalse(new EndProof(Kind.LEASE_OVER, Why.NONE, former).concerns(PLACED));
+    assertFalse(new EndProof(Kind.LATER_SESSION, Why.NONE, former).concerns(PLACED));
+    assertFalse(new EndProof(Kind.EXITED, Why.DONE, former).concerns(PLACED));
+    assertTrue(EndProof.machineDeleted().concerns(PLACED));
+  }
+}
