--- a/src/test/java/dev/dunefront/load/HollowWorker.java
+++ b/src/test/java/dev/dunefront/load/HollowWorker.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -381,7 +382,7 @@
   }
 
   private void renewed(double sent) {
-    note(String.format(java.util.Locale.ROOT, "lease renewed from %.3f", sent));
+    note(String.format(Locale.ROOT, "lease renewed from %.3f", sent));
     answeredSentAt = sent;
     common.rules().leased(host(), sent + common.options().leaseS());
   }
