--- a/src/main/java/dev/dunefront/standin/FakeStateService.java
+++ b/src/main/java/dev/dunefront/standin/FakeStateService.java
@@ -35,6 +35,7 @@
   private long lastLease = 6;
   private int failedTxnOps;
   private boolean inOutage;
+  private boolean watchesReportEveryChange;
 
   public FakeStateService(Timers timers) {
     this.timers = timers;
@@ -51,6 +52,11 @@
     }
   }
 
+  /** Lets watches report every change of a key instead of its last one alone; both are allowed. */
+  public void setWatchesReportEveryChange(boolean on) {
+    watchesReportEveryChange = on;
+  }
+
   /** Changes in transactions with failed conditions so far; rate limits count them too. */
   public int failedTxnOps() {
     return failedTxnOps;
@@ -214,15 +220,10 @@
   }
 
   private void watch(String prefix, long from, double until, Consumer<Response> then) {
-    Map<String, Change> last = new LinkedHashMap<>();
-    for (Change c : changes.subList(firstIndexAfter(from), changes.size())) {
-      if (c.key.startsWith(prefix)) {
-        last.put(c.key, c);
-      }
-    }
-    if (!inOutage && (!last.isEmpty() || timers.now() >= until)) {
+    List<Change> reported = changesAfter(from, prefix);
+    if (!inOutage && (!reported.isEmpty() || timers.now() >= until)) {
       List<Document> events = new ArrayList<>();
-      for (Change c : last.values()) {
+      for (Change c : reported) {
         Document e =
             Document.create()
                 .put(c.data == null ? "remove" : "put", c.key)
@@ -245,6 +246,18 @@
     timers.after(Math.max(0.05, until - timers.now()), retry);
   }
 
+  private List<Change> changesAfter(long from, String prefix) {
+    List<Change> every = new ArrayList<>();
+    Map<String, Change> last = new LinkedHashMap<>();
+    for (Change c : changes.subList(firstIndexAfter(from), changes.size())) {
+      if (c.key.startsWith(prefix)) {
+        every.add(c);
+        last.put(c.key, c);
+      }
+    }
+    return watchesReportEveryChange ? every : List.copyOf(last.values());
+  }
+
   /** Index of the first change after a revision; changes are ordered by revision. */
   private int firstIndexAfter(long from) {
     int first = changes.size();
--- a/src/test/java/dev/dunefront/story/SimulatedCluster.java
+++ b/src/test/java/dev/dunefront/story/SimulatedCluster.java
@@ -186,6 +186,17 @@
 
   DeliveryPolicy deliveryPolicy = (from, path, body) -> Delivery.ON_TIME;
 
+  /** Chooses by how many seconds a response is late, from the sender and path of its request. */
+  interface ResponseDelay {
+    double chooseS(String from, String path);
+  }
+
+  /**
+   * Delays responses to controllers' requests, whose execution is not delayed. A response that the
+   * sender no longer waits for is lost.
+   */
+  ResponseDelay responseDelay = (from, path) -> 0;
+
   /**
    * Applies a delivery to the first transaction whose decoded body contains a text, and delivers
    * all other requests on time.
@@ -694,7 +705,7 @@
                 r -> {
                   if (!dropResponse.test(from, address)) {
                     clock.after(
-                        NETWORK_DELAY_S,
+                        NETWORK_DELAY_S + responseDelay.chooseS(from, path),
                         () -> respondUnlessRefused(from, path, () -> completeOnce.accept(r)));
                   }
                 });
--- /dev/null
+++ b/src/test/java/dev/dunefront/story/StaleSubmissionAnswerTest.java
@@ -0,0 +1,111 @@
+package dev.dunefront.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dev.dunefront.wire.Document;
+import dev.dunefront.wire.MalformedMessageException;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/**
+ * A submission is repeated at a controller whose replica is behind, right after the job's
+ * cancellation was confirmed elsewhere. The job is unclaimed, so that no controller announces its
+ * end to the others.
+ */
+class StaleSubmissionAnswerTest {
+  private static final String JOB = "wk-1";
+  private static final String LAGGING_NODE = "node-2";
+
+  /** Jobs that wait ahead of the job, so that no controller claims it. */
+  private static final int WAITING_JOBS = 12;
+
+  private static SimulatedCluster clusterWithUnclaimedJob() throws MalformedMessageException {
+    SimulatedCluster cluster = SimulatedCluster.withSmallMachines(3);
+    for (int i = 0; i < WAITING_JOBS; i++) {
+      String id = "wk-1" + (i + 10);
+      assertEquals(201, cluster.submit("node-" + i % 3, SimulatedCluster.job(id, 40, 1)).status());
+    }
+    cluster.advance(3);
+    return cluster;
+  }
+
+  private static Document job() {
+    return SimulatedCluster.job(JOB, 40, 1);
+  }
+
+  private static void submitAndCancelUnclaimed(SimulatedCluster cluster)
+      throws MalformedMessageException {
+    assertEquals(201, cluster.submit("node-0", job()).status());
+    assertEquals(0, cluster.stateService.value("w/j/" + JOB).count("term"), "it is unclaimed");
+    SimulatedCluster.ApiResponse cancelled = cluster.cancel("node-1", JOB);
+    assertEquals(200, cancelled.status());
+    assertEquals("cancelled", cancelled.jobStatus());
+  }
+
+  private static void assertRepeatedSubmissionIsCancelled(SimulatedCluster cluster) {
+    SimulatedCluster.ApiResponse repeated = cluster.submit(LAGGING_NODE, job());
+    assertEquals(200, repeated.status());
+    assertEquals("cancelled", repeated.jobStatus());
+    assertEquals(List.of(), cluster.operationHistory.violations);
+  }
+
+  @Example
+  void watchResponseFromBeforeTheCancellationArrivesDuringTheRepeatedSubmission()
+      throws MalformedMessageException {
+    SimulatedCluster cluster = clusterWithUnclaimedJob();
+    cluster.responseDelay =
+        (from, path) -> {
+          if (!from.equals(LAGGING_NODE)) {
+            return 0;
+          }
+          return path.startsWith("/watch") ? 0.1 : 0.3;
+        };
+    submitAndCancelUnclaimed(cluster);
+    assertRepeatedSubmissionIsCancelled(cluster);
+  }
+
+  @Example
+  void watchResponseWithAcceptanceAndCancellationArrivesDuringTheRepeatedSubmission()
+      throws MalformedMessageException {
+    SimulatedCluster cluster = clusterWithUnclaimedJob();
+    cluster.stateService.setWatchesReportEveryChange(true);
+    cluster.holdRequest = (from, to) -> from.equals(LAGGING_NODE);
+    // Ends the open watch; the next one is held.
+    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-2", 40, 1)).status());
+    cluster.advance(0.3);
+    submitAndCancelUnclaimed(cluster);
+    cluster.holdRequest = (from, to) -> false;
+    cluster.responseDelay =
+        (from, path) -> from.equals(LAGGING_NODE) && path.equals("/txn") ? 0.3 : 0;
+    cluster.clock.after(0.05, cluster::deliverHeld);
+    assertRepeatedSubmissionIsCancelled(cluster);
+  }
+
+  /** All responses of the state service are late at random, by up to 0.5 s. */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void noAnswerIsOlderThanAnEarlierOneWhenResponsesAreLate(@ForAll @IntRange(max = 39) int seed)
+      throws MalformedMessageException {
+    SimulatedCluster cluster = clusterWithUnclaimedJob();
+    Random random = new Random(seed);
+    cluster.responseDelay = (from, path) -> random.nextInt(4) == 0 ? 0.5 * random.nextDouble() : 0;
+    cluster.stateService.setWatchesReportEveryChange(random.nextBoolean());
+    for (int i = 0; i < 20; i++) {
+      String id = "wk-2" + (i + 10);
+      Document job = SimulatedCluster.job(id, 40, 1);
+      cluster.submit("node-" + random.nextInt(3), job);
+      cluster.cancel("node-" + random.nextInt(3), id);
+      for (int k = 0; k < 3; k++) {
+        cluster.submit("node-" + (i + k) % 3, job);
+        cluster.poll("node-" + random.nextInt(3), id);
+      }
+    }
+    assertTrue(cluster.cancelRequestedJobs.size() == 20);
+    assertEquals(List.of(), cluster.operationHistory.violations);
+  }
+}
