--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -3,26 +3,13 @@
 import dev.dunefront.claim.Claims;
 import dev.dunefront.config.Settings;
 import dev.dunefront.fleet.MachineCatalog;
-import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer.Responder;
 import dev.dunefront.net.Timers;
-import dev.dunefront.peer.Message;
 import dev.dunefront.peer.Peers;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.ReadBarrier;
 import dev.dunefront.store.StateStore;
-import dev.dunefront.store.StateStore.Outcome;
-import dev.dunefront.store.StateStore.RequestPriority;
-import dev.dunefront.store.Txn;
-import dev.dunefront.wire.JobSpec;
-import java.lang.System.Logger.Level;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
 
 /**
  * Serves the users' requests to submit, poll and cancel jobs. A change is confirmed only after it
@@ -32,40 +19,9 @@
  * refused immediately with a 503.
  */
 public final class JobApi {
-  private static final System.Logger LOG = System.getLogger(JobApi.class.getName());
-
-  /** Attempts to write a cancellation when the record changes concurrently. */
-  private static final int MAX_CANCEL_TRIES = 5;
-
-  /**
-   * How long a cancel request waits for the job's final status. Proving that all tasks have ended
-   * usually takes less.
-   */
-  private static final double CANCEL_WAIT_S = 0.5;
-
-  private final JobTable jobs;
-  private final Claims claims;
-  private final StateStore store;
-  private final Peers peers;
-  private final Timers timers;
-  private final DecisionLock decisionLock;
-
-  /** Concurrent reads for polls of jobs that the replica does not show; each poll costs a read. */
-  private static final int MAX_CONCURRENT_READS = 32;
-
-  private final ReadBarrier readBarrier;
   private final Submissions submissions;
-  private int readsInFlight;
-
-  /**
-   * Live jobs whose cancellation was written with an unknown outcome. If the replica shows the
-   * record as cancelled, the cancellation is broadcast. An entry is removed when it is broadcast or
-   * when the live record is gone.
-   */
-  private final Set<String> unannouncedCancellations = new HashSet<>();
-
-  /** Open cancel requests that wait for a job's final status, by job id. */
-  private final Map<String, List<Responder>> cancelWaiters = new HashMap<>();
+  private final StatusPolls statusPolls;
+  private final CancelRequests cancelRequests;
 
   public JobApi(
       Settings settings,
@@ -78,14 +34,9 @@
       Peers peers,
       Timers timers,
       DecisionLock decisionLock) {
-    this.jobs = jobs;
-    this.claims = claims;
-    this.store = store;
-    this.peers = peers;
-    this.timers = timers;
-    this.decisionLock = decisionLock;
-    this.readBarrier = readBarrier;
-    this.submissions = new Submissions(settings, membership, jobs, claims, catalog, store, timers);
+    submissions = new Submissions(settings, membership, jobs, claims, catalog, store, timers);
+    statusPolls = new StatusPolls(jobs, claims, store, readBarrier);
+    cancelRequests = new CancelRequests(jobs, claims, store, peers, timers, decisionLock);
     jobs.addListener((id, before, entry) -> onJobChanged(id, entry));
   }
 
@@ -93,204 +44,18 @@
     submissions.submit(body, responder);
   }
 
-  // ---- poll ----
-
   public void poll(String id, Responder responder) {
-    if (!JobSpec.isValidId(id)) {
-      responder.send(404, JobResponses.errorBody("no such job"));
-      return;
-    }
-    Status known = jobs.finalStatus(id);
-    if (known != null) {
-      responder.send(200, JobResponses.statusBody(claims, id, known, jobs.get(id)));
-      return;
-    }
-    if (store.unavailable()) {
-      JobResponses.sendRetryLater(responder);
-      return;
-    }
-    readBarrier.whenCurrent(
-        current -> {
-          if (!current) {
-            JobResponses.sendRetryLater(responder);
-            return;
-          }
-          JobTable.LookupResult live = jobs.lookUpLocally(id);
-          if (live != null) {
-            respondToPoll(id, live, responder);
-          } else if (readsInFlight >= MAX_CONCURRENT_READS) {
-            JobResponses.sendRetryLater(responder);
-          } else {
-            // The job has ended and its status was evicted here, or it was never submitted.
-            readsInFlight++;
-            jobs.readFinalStatus(
-                id,
-                RequestPriority.USER,
-                found -> {
-                  readsInFlight--;
-                  respondToPoll(id, found, responder);
-                });
-          }
-        });
-  }
-
-  private void respondToPoll(String id, JobTable.LookupResult found, Responder responder) {
-    switch (found.outcome()) {
-      case OK ->
-          responder.send(200, JobResponses.statusBody(claims, id, found.status(), found.entry()));
-      case NOT_FOUND -> responder.send(404, JobResponses.errorBody("no such job"));
-      default -> JobResponses.sendRetryLater(responder);
-    }
+    statusPolls.poll(id, responder);
   }
 
-  // ---- cancel ----
-
-  /**
-   * Cancels a job. The response is "cancelled" only once all tasks are proven to have ended, not
-   * when the request is recorded: the holder of a machine in a partitioned zone does not learn of
-   * the cancellation and keeps renewing its workers' leases, possibly for longer than the time
-   * within which users are promised that nothing runs. The proof usually takes a fraction of a
-   * second; if it takes longer, the user gets a 503 and retries.
-   */
   public void cancel(String id, Responder responder) {
-    if (!JobSpec.isValidId(id)) {
-      responder.send(404, JobResponses.errorBody("no such job"));
-      return;
-    }
-    cancel(id, responder, MAX_CANCEL_TRIES);
+    cancelRequests.cancel(id, responder);
   }
 
-  private void cancel(String id, Responder responder, int triesLeft) {
-    Status known = jobs.finalStatus(id);
-    if (known != null) {
-      responder.send(200, JobResponses.statusBody(claims, id, known, jobs.get(id)));
-      return;
-    }
-    if (store.unavailable() || triesLeft == 0) {
-      JobResponses.sendRetryLater(responder);
-      return;
-    }
-    jobs.readCurrent(
-        id,
-        RequestPriority.USER,
-        found -> {
-          if (found.outcome() == Outcome.NOT_FOUND) {
-            responder.send(404, JobResponses.errorBody("no such job"));
-          } else if (found.outcome() != Outcome.OK) {
-            JobResponses.sendRetryLater(responder);
-          } else if (found.status() != Status.OPEN) {
-            // A job that is done stays done while the last chunks of its task records are removed.
-            responder.send(200, JobResponses.statusBody(claims, id, found.status(), found.entry()));
-          } else if (found.entry().record().status() == Status.CANCELLED) {
-            // The writer may not have received a response to its write and not have broadcast it.
-            broadcastCancellation(id);
-            awaitFinalStatus(id, responder);
-          } else {
-            recordCancellation(found.entry(), responder, triesLeft);
-          }
-        });
-  }
-
-  /**
-   * Records the cancellation. A job that was never claimed cannot have tasks on any machine, so its
-   * final record is written immediately.
-   */
-  private void recordCancellation(JobTable.Entry entry, Responder responder, int triesLeft) {
-    JobRecord oldRecord = entry.record();
-    String id = oldRecord.spec().id();
-    boolean neverClaimed = oldRecord.term() == 0;
-    JobRecord newRecord = oldRecord.withStatus(Status.CANCELLED);
-    String writeId = store.newWriteId();
-    Txn txn = new Txn().requireRevision(JobRecord.key(id), entry.revision());
-    if (neverClaimed) {
-      txn.put(JobRecord.finalKey(id), JobRecord.finalToDocument(Status.CANCELLED, writeId))
-          .remove(JobRecord.key(id));
-    } else {
-      txn.put(JobRecord.key(id), newRecord.toDocument(writeId));
-    }
-    store.tryTxn(
-        txn,
-        RequestPriority.USER,
-        result -> {
-          if (result.ok()) {
-            LOG.log(Level.INFO, "cancelling job {0}", id);
-            if (neverClaimed) {
-              jobs.applyOwnFinalWrite(id, Status.CANCELLED, result.revision());
-            } else {
-              jobs.applyOwnWrite(id, newRecord, writeId, result.revision());
-              broadcastCancellation(id);
-            }
-            awaitFinalStatus(id, responder);
-          } else if (result.outcome() == Outcome.CONFLICT) {
-            cancel(id, responder, triesLeft - 1);
-          } else {
-            if (result.outcome() == Outcome.UNKNOWN) {
-              // The transaction may have been applied already, or may still be applied.
-              unannouncedCancellations.add(id);
-              onJobChanged(id, jobs.get(id));
-            }
-            JobResponses.sendRetryLater(responder);
-          }
-        });
-  }
-
-  /**
-   * Broadcasts a recorded cancellation to all peers. Controllers that the state service refuses
-   * learn of it only in this way.
-   */
-  private void broadcastCancellation(String id) {
-    unannouncedCancellations.remove(id);
-    peers.broadcast(new Message.JobCancelled(id));
-  }
-
-  /**
-   * Called when a live record changes. The change may show a submission or a cancellation of this
-   * controller whose write has had no response.
-   *
-   * @param entry the new record, or null if the live record is gone
-   */
   private void onJobChanged(String id, JobTable.Entry entry) {
     if (entry != null) {
       submissions.onRecordReplicated(id, entry);
     }
-    if (unannouncedCancellations.contains(id)) {
-      if (entry == null) {
-        unannouncedCancellations.remove(id);
-      } else if (entry.record().status() == Status.CANCELLED) {
-        broadcastCancellation(id);
-      }
-    }
-    completeCancelWaiters(id);
-  }
-
-  /** Responds when the final status is known, or with a 503 after {@link #CANCEL_WAIT_S}. */
-  private void awaitFinalStatus(String id, Responder responder) {
-    Status known = jobs.finalStatus(id);
-    if (known != null) {
-      responder.send(200, JobResponses.statusBody(claims, id, known, null));
-      return;
-    }
-    cancelWaiters.computeIfAbsent(id, k -> new ArrayList<>()).add(responder);
-    timers.after(
-        CANCEL_WAIT_S,
-        () ->
-            decisionLock.run(
-                () -> {
-                  List<Responder> waiting = cancelWaiters.get(id);
-                  if (waiting != null && waiting.remove(responder)) {
-                    JobResponses.sendRetryLater(responder);
-                    cancelWaiters.remove(id, List.of());
-                  }
-                }));
-  }
-
-  private void completeCancelWaiters(String id) {
-    Status known = jobs.finalStatus(id);
-    if (known != null) {
-      List<Responder> waiting = cancelWaiters.remove(id);
-      if (waiting != null) {
-        waiting.forEach(a -> a.send(200, JobResponses.statusBody(claims, id, known, null)));
-      }
-    }
+    cancelRequests.onJobChanged(id, entry);
   }
 }
