--- a/src/main/java/dev/dunefront/cli/Controller.java
+++ b/src/main/java/dev/dunefront/cli/Controller.java
@@ -15,6 +15,7 @@
 import dev.dunefront.job.JobApi;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
+import dev.dunefront.metrics.AnswerMonitor;
 import dev.dunefront.metrics.Meters;
 import dev.dunefront.metrics.SafetyMonitor;
 import dev.dunefront.net.DecisionLock;
@@ -81,6 +82,7 @@
   private final Peers peers;
   private final Meters meters = new Meters();
   private final SafetyMonitor safety = new SafetyMonitor();
+  private final AnswerMonitor answers = new AnswerMonitor();
   private final Map<String, StateStore.Usage> storeUsageByNode = new HashMap<>();
   private final TimerLag timerLag = new TimerLag();
   private String lastLoggedStall;
@@ -128,8 +130,9 @@
             pauseDetector);
     catalog = new MachineCatalog(settings.cloud(), caller, store, timers, decisionLock);
     holds = new HoldTable(replica);
-    jobs = new JobTable(store, replica, timers);
+    jobs = new JobTable(store, replica, timers, safety);
     safety.register(meters);
+    answers.register(meters);
     ControllerContext context =
         new ControllerContext(
             settings,
@@ -170,7 +173,9 @@
             readBarrier,
             peers,
             timers,
-            decisionLock);
+            decisionLock,
+            answers);
+    meters.gauge("dunefront.replica.lag.ms", () -> (int) Math.round(replica.lagS() * 1000));
     meters.gauge("dunefront.polls.waiting", readBarrier::waiting);
     meters.gauge("dunefront.polls.oldest.ms", () -> (int) Math.round(readBarrier.oldestS() * 1000));
     meters.gauge("dunefront.polls.proofs", readBarrier::readCount);
@@ -462,8 +467,8 @@
     if (m instanceof Message.Demand d) {
       autoscaler.receiveDemand(from, d);
     } else if (m instanceof Message.JobEnded e) {
-      jobs.finalStatusRecorded(
-          e.job(), e.done() ? JobRecord.Status.DONE : JobRecord.Status.CANCELLED);
+      jobs.finalStatusAnnounced(
+          e.job(), e.done() ? JobRecord.Status.DONE : JobRecord.Status.CANCELLED, from);
     } else if (m instanceof Message.JobCancelled c) {
       jobs.cancellationRecorded(c.job());
       claims.jobCancelled(c.job());
--- a/src/main/java/dev/dunefront/job/CancelRequests.java
+++ b/src/main/java/dev/dunefront/job/CancelRequests.java
@@ -1,6 +1,6 @@
 package dev.dunefront.job;
 
-import dev.dunefront.claim.Claims;
+import dev.dunefront.evidence.AnswerRefusal;
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer.Responder;
@@ -37,7 +37,7 @@
   private static final double CANCEL_WAIT_S = 0.5;
 
   private final JobTable jobs;
-  private final Claims claims;
+  private final JobResponses responses;
   private final StateStore store;
   private final Peers peers;
   private final Timers timers;
@@ -55,13 +55,13 @@
 
   CancelRequests(
       JobTable jobs,
-      Claims claims,
+      JobResponses responses,
       StateStore store,
       Peers peers,
       Timers timers,
       DecisionLock decisionLock) {
     this.jobs = jobs;
-    this.claims = claims;
+    this.responses = responses;
     this.store = store;
     this.peers = peers;
     this.timers = timers;
@@ -77,20 +77,24 @@
    */
   void cancel(String id, Responder responder) {
     if (!JobSpec.isValidId(id)) {
-      responder.send(404, JobResponses.errorBody("no such job"));
+      responses.sendNotFound(responder);
       return;
     }
     cancel(id, responder, MAX_CANCEL_TRIES);
   }
 
   private void cancel(String id, Responder responder, int triesLeft) {
-    Status known = jobs.finalStatus(id);
+    ConfirmedStatus known = jobs.confirmedFinalStatus(id);
     if (known != null) {
-      responder.send(200, JobResponses.statusBody(claims, id, known, jobs.get(id)));
+      responses.sendStatus(responder, id, known);
       return;
     }
-    if (store.unavailable() || triesLeft == 0) {
-      JobResponses.sendRetryLater(responder);
+    if (store.unavailable()) {
+      responses.sendRetryLater(responder, AnswerRefusal.STATE_UNAVAILABLE);
+      return;
+    }
+    if (triesLeft == 0) {
+      responses.sendRetryLater(responder, AnswerRefusal.RECORD_CHANGING);
       return;
     }
     jobs.readCurrent(
@@ -98,12 +102,12 @@
         RequestPriority.USER,
         found -> {
           if (found.outcome() == Outcome.NOT_FOUND) {
-            responder.send(404, JobResponses.errorBody("no such job"));
+            responses.sendNotFound(responder);
           } else if (found.outcome() != Outcome.OK) {
-            JobResponses.sendRetryLater(responder);
-          } else if (found.status() != Status.OPEN) {
+            responses.sendRetryLater(responder, AnswerRefusal.READ_FAILED);
+          } else if (found.status().status() != Status.OPEN) {
             // A job that is done stays done while the last chunks of its task records are removed.
-            responder.send(200, JobResponses.statusBody(claims, id, found.status(), found.entry()));
+            responses.sendStatus(responder, id, found.status());
           } else if (found.entry().record().status() == Status.CANCELLED) {
             // The writer may not have received a response to its write and not have broadcast it.
             broadcastCancellation(id);
@@ -136,7 +140,12 @@
         RequestPriority.USER,
         result -> {
           if (result.ok()) {
-            LOG.log(Level.INFO, "cancelling job {0}", id);
+            LOG.log(
+                Level.INFO,
+                "cancelling job {0}, {1}, written at revision {2}",
+                id,
+                neverClaimed ? "never claimed" : "claimed in term " + oldRecord.term(),
+                result.revision());
             if (neverClaimed) {
               jobs.applyOwnFinalWrite(id, Status.CANCELLED, result.revision());
             } else {
@@ -152,7 +161,7 @@
               unannouncedCancellations.add(id);
               onJobChanged(id, jobs.get(id));
             }
-            JobResponses.sendRetryLater(responder);
+            responses.sendRetryLater(responder, AnswerRefusal.WRITE_FAILED);
           }
         });
   }
@@ -185,9 +194,9 @@
 
   /** Responds when the final status is known, or with a 503 after {@link #CANCEL_WAIT_S}. */
   private void awaitFinalStatus(String id, Responder responder) {
-    Status known = jobs.finalStatus(id);
+    ConfirmedStatus known = jobs.confirmedFinalStatus(id);
     if (known != null) {
-      responder.send(200, JobResponses.statusBody(claims, id, known, null));
+      responses.sendStatus(responder, id, known);
       return;
     }
     cancelWaiters.computeIfAbsent(id, k -> new ArrayList<>()).add(responder);
@@ -198,18 +207,18 @@
                 () -> {
                   List<Responder> waiting = cancelWaiters.get(id);
                   if (waiting != null && waiting.remove(responder)) {
-                    JobResponses.sendRetryLater(responder);
+                    responses.sendRetryLater(responder, AnswerRefusal.CANCELLATION_PENDING);
                     cancelWaiters.remove(id, List.of());
                   }
                 }));
   }
 
   private void completeCancelWaiters(String id) {
-    Status known = jobs.finalStatus(id);
+    ConfirmedStatus known = jobs.confirmedFinalStatus(id);
     if (known != null) {
       List<Responder> waiting = cancelWaiters.remove(id);
       if (waiting != null) {
-        waiting.forEach(a -> a.send(200, JobResponses.statusBody(claims, id, known, null)));
+        waiting.forEach(responder -> responses.sendStatus(responder, id, known));
       }
     }
   }
--- a/src/main/java/dev/dunefront/job/JobApi.java
+++ b/src/main/java/dev/dunefront/job/JobApi.java
@@ -3,6 +3,7 @@
 import dev.dunefront.claim.Claims;
 import dev.dunefront.config.Settings;
 import dev.dunefront.fleet.MachineCatalog;
+import dev.dunefront.metrics.AnswerMonitor;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer.Responder;
 import dev.dunefront.net.Timers;
@@ -13,10 +14,10 @@
 
 /**
  * Serves the users' requests to submit, poll and cancel jobs. A change is confirmed only after it
- * is written to the state service. A status that can still change is checked against the state
- * service for every response: submit and cancel read the job's keys or write them conditionally,
- * polls share one read of all changes ({@link ReadBarrier}). A request that cannot be served is
- * refused immediately with a 503.
+ * is written to the state service. A status that can still change is reported only with evidence
+ * that is newer than the request ({@link ConfirmedStatus}): submit and cancel read the job's keys
+ * or write them conditionally, polls share one read of all changes ({@link ReadBarrier}). A request
+ * that cannot be served is refused immediately with a 503.
  */
 public final class JobApi {
   private final Submissions submissions;
@@ -33,10 +34,13 @@
       ReadBarrier readBarrier,
       Peers peers,
       Timers timers,
-      DecisionLock decisionLock) {
-    submissions = new Submissions(settings, membership, jobs, claims, catalog, store, timers);
-    statusPolls = new StatusPolls(jobs, claims, store, readBarrier);
-    cancelRequests = new CancelRequests(jobs, claims, store, peers, timers, decisionLock);
+      DecisionLock decisionLock,
+      AnswerMonitor answerMonitor) {
+    JobResponses responses = new JobResponses(jobs, claims, answerMonitor);
+    submissions =
+        new Submissions(settings, membership, jobs, claims, responses, catalog, store, timers);
+    statusPolls = new StatusPolls(jobs, responses, store, readBarrier);
+    cancelRequests = new CancelRequests(jobs, responses, store, peers, timers, decisionLock);
     jobs.addListener((id, before, entry) -> onJobChanged(id, entry));
   }
 
--- a/src/main/java/dev/dunefront/job/StatusPolls.java
+++ b/src/main/java/dev/dunefront/job/StatusPolls.java
@@ -1,7 +1,6 @@
 package dev.dunefront.job;
 
-import dev.dunefront.claim.Claims;
-import dev.dunefront.job.JobRecord.Status;
+import dev.dunefront.evidence.AnswerRefusal;
 import dev.dunefront.net.HttpServer.Responder;
 import dev.dunefront.store.ReadBarrier;
 import dev.dunefront.store.StateStore;
@@ -17,63 +16,64 @@
   private static final int MAX_CONCURRENT_READS = 32;
 
   private final JobTable jobs;
-  private final Claims claims;
+  private final JobResponses responses;
   private final StateStore store;
   private final ReadBarrier readBarrier;
   private int readsInFlight;
 
-  StatusPolls(JobTable jobs, Claims claims, StateStore store, ReadBarrier readBarrier) {
+  StatusPolls(JobTable jobs, JobResponses responses, StateStore store, ReadBarrier readBarrier) {
     this.jobs = jobs;
-    this.claims = claims;
+    this.responses = responses;
     this.store = store;
     this.readBarrier = readBarrier;
   }
 
   void poll(String id, Responder responder) {
     if (!JobSpec.isValidId(id)) {
-      responder.send(404, JobResponses.errorBody("no such job"));
+      responses.sendNotFound(responder);
       return;
     }
-    Status known = jobs.finalStatus(id);
+    ConfirmedStatus known = jobs.confirmedFinalStatus(id);
     if (known != null) {
-      responder.send(200, JobResponses.statusBody(claims, id, known, jobs.get(id)));
+      responses.sendStatus(responder, id, known);
       return;
     }
     if (store.unavailable()) {
-      JobResponses.sendRetryLater(responder);
+      responses.sendRetryLater(responder, AnswerRefusal.STATE_UNAVAILABLE);
       return;
     }
     readBarrier.whenCurrent(
-        current -> {
-          if (!current) {
-            JobResponses.sendRetryLater(responder);
+        confirmation -> {
+          if (confirmation.isEmpty()) {
+            responses.sendRetryLater(responder, AnswerRefusal.READ_BARRIER_FAILED);
             return;
           }
-          JobTable.LookupResult live = jobs.lookUpLocally(id);
+          JobTable.LookupResult live = jobs.lookUp(id, confirmation.get());
           if (live != null) {
-            respondToPoll(id, live, responder);
-          } else if (readsInFlight >= MAX_CONCURRENT_READS) {
-            JobResponses.sendRetryLater(responder);
+            responses.sendStatus(responder, id, live.status());
           } else {
-            // The job has ended and its status was evicted here, or it was never submitted.
-            readsInFlight++;
-            jobs.readFinalStatus(
-                id,
-                RequestPriority.USER,
-                found -> {
-                  readsInFlight--;
-                  respondToPoll(id, found, responder);
-                });
+            readFinalStatus(id, responder);
           }
         });
   }
 
-  private void respondToPoll(String id, JobTable.LookupResult found, Responder responder) {
-    switch (found.outcome()) {
-      case OK ->
-          responder.send(200, JobResponses.statusBody(claims, id, found.status(), found.entry()));
-      case NOT_FOUND -> responder.send(404, JobResponses.errorBody("no such job"));
-      default -> JobResponses.sendRetryLater(responder);
+  /** The job has ended and its status was evicted here, or it was never submitted. */
+  private void readFinalStatus(String id, Responder responder) {
+    if (readsInFlight >= MAX_CONCURRENT_READS) {
+      responses.sendRetryLater(responder, AnswerRefusal.TOO_MANY_READS);
+      return;
     }
+    readsInFlight++;
+    jobs.readFinalStatus(
+        id,
+        RequestPriority.USER,
+        found -> {
+          readsInFlight--;
+          switch (found.outcome()) {
+            case OK -> responses.sendStatus(responder, id, found.status());
+            case NOT_FOUND -> responses.sendNotFound(responder);
+            default -> responses.sendRetryLater(responder, AnswerRefusal.READ_FAILED);
+          }
+        });
   }
 }
--- a/src/main/java/dev/dunefront/job/Submissions.java
+++ b/src/main/java/dev/dunefront/job/Submissions.java
@@ -2,6 +2,7 @@
 
 import dev.dunefront.claim.Claims;
 import dev.dunefront.config.Settings;
+import dev.dunefront.evidence.AnswerRefusal;
 import dev.dunefront.fleet.MachineCatalog;
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.net.HttpServer.Responder;
@@ -32,6 +33,7 @@
   private final Membership membership;
   private final JobTable jobs;
   private final Claims claims;
+  private final JobResponses responses;
   private final MachineCatalog catalog;
   private final StateStore store;
   private final Timers timers;
@@ -44,6 +46,7 @@
       Membership membership,
       JobTable jobs,
       Claims claims,
+      JobResponses responses,
       MachineCatalog catalog,
       StateStore store,
       Timers timers) {
@@ -51,6 +54,7 @@
     this.membership = membership;
     this.jobs = jobs;
     this.claims = claims;
+    this.responses = responses;
     this.catalog = catalog;
     this.store = store;
     this.timers = timers;
@@ -62,16 +66,20 @@
       spec = JobSpec.fromSubmission(Document.decode(body));
     } catch (MalformedMessageException e) {
       LOG.log(Level.INFO, "rejected a malformed submission: {0}", e.getMessage());
-      responder.send(400, JobResponses.errorBody(e.getMessage()));
+      responses.sendError(responder, 400, e.getMessage());
       return;
     }
-    if (jobs.finalStatus(spec.id()) != null) {
-      responder.send(
-          200, JobResponses.statusBody(claims, spec.id(), jobs.finalStatus(spec.id()), null));
+    ConfirmedStatus known = jobs.confirmedFinalStatus(spec.id());
+    if (known != null) {
+      responses.sendStatus(responder, spec.id(), known);
       return;
     }
-    if (store.unavailable() || membership.ownIncarnation() == null) {
-      JobResponses.sendRetryLater(responder);
+    if (store.unavailable()) {
+      responses.sendRetryLater(responder, AnswerRefusal.STATE_UNAVAILABLE);
+      return;
+    }
+    if (membership.ownIncarnation() == null) {
+      responses.sendRetryLater(responder, AnswerRefusal.NOT_REGISTERED);
       return;
     }
     String reason = rejectionReason(spec);
@@ -79,7 +87,7 @@
       // A job that was accepted before is never rejected, even if it would be rejected now.
       respondWithCurrentStatus(spec, reason, responder);
     } else if (!catalog.isLoaded()) {
-      JobResponses.sendRetryLater(responder);
+      responses.sendRetryLater(responder, AnswerRefusal.CATALOG_UNKNOWN);
     } else {
       accept(spec, responder);
     }
@@ -91,7 +99,7 @@
         new JobRecord(
             spec, timers.wallClockMs(), claimant, claimant == null ? 0 : 1, Status.OPEN, 0);
     String writeId = store.newWriteId();
-    PendingSubmission pending = new PendingSubmission(responder);
+    PendingSubmission pending = new PendingSubmission(spec, writeId, responder, timers.now());
     pendingSubmissions.putIfAbsent(spec.id(), pending);
     store.tryTxn(
         new Txn()
@@ -111,46 +119,71 @@
             jobs.applyOwnWrite(spec.id(), record, writeId, result.revision());
           }
           pendingSubmissions.remove(spec.id(), pending);
-          if (pending.responded) {
-            return;
-          }
-          if (result.ok() || result.outcome() == Outcome.CONFLICT) {
-            // Another write has recorded the job, or it ended before the replica showed it.
-            respondWithCurrentStatus(spec, null, responder);
-          } else {
-            JobResponses.sendRetryLater(responder);
+          if (!pending.handled) {
+            writeCompleted(pending, result);
           }
         });
   }
 
+  private void writeCompleted(PendingSubmission pending, StateStore.WriteResult result) {
+    if (result.ok()) {
+      respondAccepted(pending, result.revision());
+    } else if (result.outcome() == Outcome.CONFLICT) {
+      // Another write has recorded the job, or it ended before the replica showed it.
+      respondWithCurrentStatus(pending.spec, null, pending.responder);
+    } else {
+      responses.sendRetryLater(pending.responder, AnswerRefusal.WRITE_FAILED);
+    }
+  }
+
+  private void respondAccepted(PendingSubmission pending, long revision) {
+    responses.sendAccepted(
+        pending.responder,
+        pending.spec.id(),
+        ConfirmedStatus.ofOwnWrite(revision, pending.requestedAt));
+  }
+
   /** A submission whose record is being written. */
   private static final class PendingSubmission {
+    final JobSpec spec;
+    final String writeId;
     final Responder responder;
-    boolean responded;
 
-    PendingSubmission(Responder responder) {
+    /** When the write was requested, in seconds. */
+    final double requestedAt;
+
+    /** Whether the response has been sent or a read for it has been started. */
+    boolean handled;
+
+    PendingSubmission(JobSpec spec, String writeId, Responder responder, double requestedAt) {
+      this.spec = spec;
+      this.writeId = writeId;
       this.responder = responder;
+      this.requestedAt = requestedAt;
     }
   }
 
   /**
-   * Responds to a submission as soon as the replica shows the job's record, even if the write is
-   * still in flight: the job is accepted, by this write or another. The response to the write may
-   * be lost; without this the user would wait and get a 503, and the job would wait until its claim
-   * is discovered.
+   * Responds to a submission as soon as the replica shows the job's record, even if the response to
+   * the write is late or lost; without this the user would wait and get a 503, and the job would
+   * wait until its claim is discovered. A record stored by another write proves only that the job
+   * was accepted at some time: it may have ended since, so its status is read.
    */
   void onRecordReplicated(String id, JobTable.Entry entry) {
     PendingSubmission pending = pendingSubmissions.remove(id);
     if (pending == null) {
       return;
     }
-    pending.responded = true;
+    pending.handled = true;
     JobRecord record = entry.record();
     if (record.isClaimedBy(membership.ownIncarnation()) && record.term() == 1) {
       claims.adopt(id, true);
     }
-    pending.responder.send(
-        201, JobResponses.statusBody(claims, id, jobs.lookUpLocally(id).status(), entry));
+    if (entry.writeId().equals(pending.writeId)) {
+      respondAccepted(pending, entry.revision());
+    } else {
+      respondWithCurrentStatus(pending.spec, null, pending.responder);
+    }
   }
 
   /**
@@ -165,11 +198,11 @@
         RequestPriority.USER,
         found -> {
           if (found.outcome() == Outcome.OK) {
-            responder.send(200, JobResponses.statusBody(claims, spec.id(), found.status(), null));
+            responses.sendStatus(responder, spec.id(), found.status());
           } else if (found.outcome() == Outcome.NOT_FOUND && reason != null) {
-            responder.send(422, JobResponses.errorBody(reason));
+            responses.sendError(responder, 422, reason);
           } else {
-            JobResponses.sendRetryLater(responder);
+            responses.sendRetryLater(responder, AnswerRefusal.READ_FAILED);
           }
         });
   }
--- a/src/main/java/dev/dunefront/metrics/Meters.java
+++ b/src/main/java/dev/dunefront/metrics/Meters.java
@@ -10,6 +10,7 @@
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -51,6 +52,23 @@
     labelledGauges.put(name, values);
   }
 
+  /**
+   * Adds a gauge with one label, whose values are the lower-case names of the counted constants.
+   */
+  public <K extends Enum<K>> void countsGauge(String name, String label, Map<K, Integer> counts) {
+    labelledGauge(name, () -> labelledValues(label, counts));
+  }
+
+  private static <K extends Enum<K>> List<LabelledValue> labelledValues(
+      String label, Map<K, Integer> counts) {
+    List<LabelledValue> values = new ArrayList<>();
+    counts.forEach(
+        (key, count) ->
+            values.add(
+                new LabelledValue(Map.of(label, key.name().toLowerCase(Locale.ROOT)), count)));
+    return values;
+  }
+
   /** Adds a gauge without labels, computed at each scrape. */
   public void gauge(String name, IntSupplier value) {
     plainGauges.put(name, value);
@@ -96,7 +114,7 @@
   }
 
   private void register(Request r, RequestStats s) {
-    String kind = r.name().toLowerCase(java.util.Locale.ROOT);
+    String kind = r.name().toLowerCase(Locale.ROOT);
     FunctionCounter.builder("dunefront.requests", s, x -> x.latencyMicros.getTotalCount())
         .tag("kind", kind)
         .register(registry);
--- a/src/main/java/dev/dunefront/metrics/SafetyMonitor.java
+++ b/src/main/java/dev/dunefront/metrics/SafetyMonitor.java
@@ -4,17 +4,14 @@
 import dev.dunefront.evidence.Invariant;
 import dev.dunefront.evidence.StartRefusal;
 import java.lang.System.Logger.Level;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
-import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 
 /**
  * Counts the decisions that ensure that no task runs twice: how attempts were proven to have ended,
- * which starts were refused, and how many strays were seen. A stray is an attempt on a machine that
- * no record names. Guarded by the controller's decision lock.
+ * which starts were refused, and how many strays were seen; and the violations of all invariants. A
+ * stray is an attempt on a machine that no record names. Guarded by the controller's decision lock.
  */
 public final class SafetyMonitor {
   private static final System.Logger LOG = System.getLogger(SafetyMonitor.class.getName());
@@ -67,23 +64,11 @@
 
   /** Registers all counts as gauges. */
   public void register(Meters meters) {
-    meters.labelledGauge("dunefront.attempts.ended", () -> labelledValues("proof", endsByProof));
-    meters.labelledGauge("dunefront.starts.refused", () -> labelledValues("reason", refusals));
-    meters.labelledGauge(
-        "dunefront.invariants.violated", () -> labelledValues("invariant", violations));
+    meters.countsGauge("dunefront.attempts.ended", "proof", endsByProof);
+    meters.countsGauge("dunefront.starts.refused", "reason", refusals);
+    meters.countsGauge("dunefront.invariants.violated", "invariant", violations);
     meters.gauge("dunefront.proofs.oldest.ms", () -> (int) Math.round(maxProofAgeS * 1000));
     meters.gauge("dunefront.strays.seen", () -> straysSeen);
     meters.gauge("dunefront.strays.outstanding", () -> straysSeen - straysResolved);
   }
-
-  private static <K extends Enum<K>> List<Meters.LabelledValue> labelledValues(
-      String label, Map<K, Integer> counts) {
-    List<Meters.LabelledValue> values = new ArrayList<>();
-    counts.forEach(
-        (key, count) ->
-            values.add(
-                new Meters.LabelledValue(
-                    Map.of(label, key.name().toLowerCase(Locale.ROOT)), count)));
-    return values;
-  }
 }
--- a/src/main/java/dev/dunefront/store/ReadBarrier.java
+++ b/src/main/java/dev/dunefront/store/ReadBarrier.java
@@ -4,6 +4,7 @@
 import dev.dunefront.net.Timers;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -23,12 +24,33 @@
   /** Maximum number of waiting requests; further ones are rejected at once. */
   private static final int MAX_WAITING = 4000;
 
+  /** Proof that the replica contains every change that was made before a read was requested. */
+  public static final class Confirmation {
+    private final long revision;
+    private final double requestedAt;
+
+    private Confirmation(long revision, double requestedAt) {
+      this.revision = revision;
+      this.requestedAt = requestedAt;
+    }
+
+    /** Revision up to which the replica contains all changes under the prefix. */
+    public long revision() {
+      return revision;
+    }
+
+    /** When the read was requested, in seconds. */
+    public double requestedAt() {
+      return requestedAt;
+    }
+  }
+
   private final StateStore store;
   private final Replica replica;
   private final Timers timers;
   private final DecisionLock decisionLock;
   private final String prefix;
-  private List<Consumer<Boolean>> waiting = new ArrayList<>();
+  private List<Consumer<Optional<Confirmation>>> waiting = new ArrayList<>();
   private double oldestWaitingSince;
   private double lastReadAt = Double.NEGATIVE_INFINITY;
   private boolean readScheduled;
@@ -62,12 +84,12 @@
   }
 
   /**
-   * Passes true to the callback once the replica is confirmed to be current, or false if it cannot
-   * be confirmed now.
+   * Passes a confirmation to the callback once the replica is confirmed to be current, or none if
+   * it cannot be confirmed now.
    */
-  public void whenCurrent(Consumer<Boolean> callback) {
+  public void whenCurrent(Consumer<Optional<Confirmation>> callback) {
     if (!replica.ready() || waiting.size() >= MAX_WAITING) {
-      callback.accept(false);
+      callback.accept(Optional.empty());
       return;
     }
     if (waiting.isEmpty()) {
@@ -103,8 +125,9 @@
     }
     readInFlight = true;
     readCount++;
-    lastReadAt = timers.now();
-    List<Consumer<Boolean>> served = waiting;
+    double requestedAt = timers.now();
+    lastReadAt = requestedAt;
+    List<Consumer<Optional<Confirmation>>> served = waiting;
     waiting = new ArrayList<>();
     verifiedRevision = Math.max(verifiedRevision, replica.appliedRevision());
     store.watch(
@@ -113,16 +136,22 @@
         0,
         result -> {
           readInFlight = false;
-          boolean ok = result.outcome() == StateStore.Outcome.OK;
-          if (ok) {
+          Optional<Confirmation> confirmation = Optional.empty();
+          if (result.outcome() == StateStore.Outcome.OK) {
             result.events().forEach(e -> replica.apply(e.key(), e.value(), e.revision()));
             verifiedRevision = Math.max(verifiedRevision, result.revision());
+            confirmation = Optional.of(new Confirmation(verifiedRevision, requestedAt));
           }
-          // A callback that throws must not prevent the others from running.
-          served.forEach(callback -> decisionLock.run(() -> callback.accept(ok)));
+          notifyServed(served, confirmation);
           if (!waiting.isEmpty()) {
             scheduleRead();
           }
         });
   }
+
+  /** A callback that throws must not prevent the others from running. */
+  private void notifyServed(
+      List<Consumer<Optional<Confirmation>>> served, Optional<Confirmation> confirmation) {
+    served.forEach(callback -> decisionLock.run(() -> callback.accept(confirmation)));
+  }
 }
--- a/src/main/java/dev/dunefront/store/Replica.java
+++ b/src/main/java/dev/dunefront/store/Replica.java
@@ -5,6 +5,7 @@
 import dev.dunefront.net.Timers;
 import dev.dunefront.store.StateStore.RequestPriority;
 import dev.dunefront.wire.Document;
+import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -16,6 +17,8 @@
  * behind.
  */
 public final class Replica {
+  private static final System.Logger LOG = System.getLogger(Replica.class.getName());
+
   /** Prefix of all copied keys. */
   public static final String PREFIX = "w/";
 
@@ -51,12 +54,16 @@
   /** The revision up to which all changes have been applied. */
   private long appliedRevision;
 
+  /** When the last watch or initial read was requested whose response has been applied. */
+  private double appliedWatchRequestedAt;
+
   public Replica(
       StateStore store, Timers timers, DecisionLock decisionLock, LoopWatchdog loopWatchdog) {
     this.store = store;
     this.timers = timers;
     this.decisionLock = decisionLock;
     this.loopWatchdog = loopWatchdog;
+    this.appliedWatchRequestedAt = timers.now();
   }
 
   /** Whether the initial read is complete. */
@@ -69,6 +76,14 @@
     return appliedRevision;
   }
 
+  /**
+   * Time since the last watch was requested whose response has been applied, in seconds: the
+   * replica may lack changes of this time. A watch without changes takes {@value #WATCH_BLOCK_S} s.
+   */
+  public double lagS() {
+    return timers.now() - appliedWatchRequestedAt;
+  }
+
   public void addListener(String prefix, Listener listener) {
     listeners.put(prefix, listener);
   }
@@ -80,6 +95,7 @@
   }
 
   private void start() {
+    double requestedAt = timers.now();
     store.range(
         PREFIX,
         RequestPriority.CORE,
@@ -99,6 +115,7 @@
             }
           }
           appliedRevision = Math.max(appliedRevision, range.revision());
+          appliedWatchRequestedAt = requestedAt;
           if (!ready) {
             ready = true;
             decisionLock.run(initialReadListener);
@@ -112,34 +129,43 @@
    * response, even if the request failed.
    */
   void catchUp(Runnable callback) {
+    double requestedAt = timers.now();
     store.watch(
         PREFIX,
         appliedRevision,
         0,
         watched -> {
-          applyWatchResult(watched);
+          applyWatchResult(watched, requestedAt);
           callback.run();
         });
   }
 
-  private void applyWatchResult(StateStore.WatchResult watched) {
+  private void applyWatchResult(StateStore.WatchResult watched, double requestedAt) {
     for (StateStore.WatchEvent e : watched.events()) {
       apply(e.key(), e.value(), e.revision());
     }
     if (watched.outcome() == StateStore.Outcome.OK) {
       appliedRevision = Math.max(appliedRevision, watched.revision());
+      appliedWatchRequestedAt = Math.max(appliedWatchRequestedAt, requestedAt);
+      LOG.log(
+          Level.DEBUG,
+          "applied {0} changes up to revision {1}, requested {2} s ago",
+          watched.events().size(),
+          watched.revision(),
+          timers.now() - requestedAt);
     }
   }
 
   private void watchFrom(long from) {
-    loopWatchdog.recordIteration("state watch", timers.now(), STALL_TIMEOUT_S);
+    double requestedAt = timers.now();
+    loopWatchdog.recordIteration("state watch", requestedAt, STALL_TIMEOUT_S);
     store.watch(
         PREFIX,
         from,
         WATCH_BLOCK_S,
         watched -> {
           loopWatchdog.recordIteration("state watch", timers.now(), STALL_TIMEOUT_S);
-          applyWatchResult(watched);
+          applyWatchResult(watched, requestedAt);
           if (watched.compacted()) {
             start();
             return;
--- a/src/test/java/dev/dunefront/fleet/RentPlanTest.java
+++ b/src/test/java/dev/dunefront/fleet/RentPlanTest.java
@@ -192,7 +192,7 @@
       JobSpec spec = spec("wk-s" + openJobs.size(), true, size, 1, 1.4);
       long at = 1_000_000 - (long) (agoS * 1000);
       openJobs.add(
-          new JobTable.Entry(new JobRecord(spec, at, null, 0, JobRecord.Status.OPEN, 0), 1));
+          new JobTable.Entry(new JobRecord(spec, at, null, 0, JobRecord.Status.OPEN, 0), 1, ""));
     }
   }
 
