--- a/src/main/java/dev/dunefront/store/Replica.java
+++ b/src/main/java/dev/dunefront/store/Replica.java
@@ -8,6 +8,7 @@
 import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -28,8 +29,6 @@
   /** A watch returns or times out well within this time. */
   private static final double STALL_TIMEOUT_S = 30;
 
-  private static final int MAX_TOMBSTONES = 4096;
-
   /** Receives each change; a null value means that the key was removed. */
   public interface Listener {
     void changed(String key, Document value, long revision);
@@ -39,13 +38,13 @@
   private final Timers timers;
   private final Map<String, Listener> listeners = new LinkedHashMap<>();
   private final Map<String, Long> revisions = new HashMap<>();
-  private final Map<String, Long> tombstones =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MAX_TOMBSTONES;
-        }
-      };
+
+  /**
+   * Revisions of removals that are newer than {@link #appliedRevision}, by key, in the order in
+   * which they became known.
+   */
+  private final Map<String, Long> tombstones = new LinkedHashMap<>();
+
   private final DecisionLock decisionLock;
   private final LoopWatchdog loopWatchdog;
   private boolean ready;
@@ -114,7 +113,7 @@
               apply(key, null, range.revision());
             }
           }
-          appliedRevision = Math.max(appliedRevision, range.revision());
+          advanceTo(range.revision());
           appliedWatchRequestedAt = requestedAt;
           if (!ready) {
             ready = true;
@@ -145,7 +144,7 @@
       apply(e.key(), e.value(), e.revision());
     }
     if (watched.outcome() == StateStore.Outcome.OK) {
-      appliedRevision = Math.max(appliedRevision, watched.revision());
+      advanceTo(watched.revision());
       appliedWatchRequestedAt = Math.max(appliedWatchRequestedAt, requestedAt);
       LOG.log(
           Level.DEBUG,
@@ -175,16 +174,25 @@
         });
   }
 
+  /** All changes up to this revision have been applied. */
+  private void advanceTo(long revision) {
+    appliedRevision = Math.max(appliedRevision, revision);
+    Iterator<Long> oldestFirst = tombstones.values().iterator();
+    while (oldestFirst.hasNext() && oldestFirst.next() <= appliedRevision) {
+      oldestFirst.remove();
+    }
+  }
+
   /**
    * Applies a change seen by a watch, a read or this controller's own write; older changes are
    * ignored.
    */
   public void apply(String key, Document value, long revision) {
-    if (revision <= revisions.getOrDefault(key, 0L)
-        || revision <= tombstones.getOrDefault(key, 0L)) {
+    if (isOutdated(key, revision)) {
       return;
     }
     if (value == null) {
+      tombstones.remove(key);
       tombstones.put(key, revision);
       if (revisions.remove(key) == null) {
         return;
@@ -201,4 +209,12 @@
           }
         });
   }
+
+  /** A key that is absent although all changes up to the revision are applied was removed since. */
+  private boolean isOutdated(String key, long revision) {
+    Long present = revisions.get(key);
+    return present != null
+        ? revision <= present
+        : revision <= appliedRevision || revision <= tombstones.getOrDefault(key, 0L);
+  }
 }
