--- a/src/test/java/dev/dunefront/story/JobStatusConsistencyTest.java
+++ b/src/test/java/dev/dunefront/story/JobStatusConsistencyTest.java
@@ -4,6 +4,7 @@
 
 import dev.dunefront.peer.Message;
 import dev.dunefront.standin.FakeWorker;
+import dev.dunefront.wire.Document;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
@@ -25,7 +26,8 @@
     WATCH_RESPONSES_DROPPED,
     WATCHES_DUPLICATED_LATE,
     TRANSACTION_RESPONSES_DROPPED,
-    JOB_ENDED_MESSAGES_HELD
+    JOB_ENDED_MESSAGES_HELD,
+    STATE_RESPONSES_LATE
   }
 
   private static void inject(SimulatedCluster cluster, Fault fault) {
@@ -66,6 +68,10 @@
                       : SimulatedCluster.Delivery.ON_TIME;
       case JOB_ENDED_MESSAGES_HELD ->
           cluster.holdPeerMessage = message -> message instanceof Message.JobEnded;
+      case STATE_RESPONSES_LATE -> {
+        double[] delaysS = {0, 0.003, 0.25, 0, 0.45, 0.02, 0.1};
+        cluster.responseDelay = (from, path) -> delaysS[requestCount[0]++ % delaysS.length];
+      }
     }
   }
 
@@ -73,6 +79,7 @@
     cluster.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
     cluster.stateServiceDelayS = () -> 0;
     cluster.holdPeerMessage = message -> false;
+    cluster.responseDelay = (from, path) -> 0;
     cluster.refusedByStateService.clear();
     cluster.advance(4);
   }
@@ -112,6 +119,43 @@
     assertEquals(List.of(), cluster.drainAndCheck());
   }
 
+  /**
+   * Jobs that no controller claims, as others wait for room before them, are cancelled at another
+   * controller and submitted again at a third one, a few milliseconds to a second later.
+   */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void cancelledAndSubmittedAgainWhileUnclaimed(
+      @ForAll Fault fault,
+      @ForAll @IntRange(max = 5) int delayStep,
+      @ForAll boolean watchesReportEveryChange) {
+    SimulatedCluster cluster = SimulatedCluster.withSmallMachines(3);
+    cluster.stateService.setWatchesReportEveryChange(watchesReportEveryChange);
+    for (int i = 0; i < 6; i++) {
+      cluster.submit("node-" + i % 3, SimulatedCluster.job("wk-1" + i, 60, 1));
+    }
+    cluster.advance(2);
+    inject(cluster, fault);
+    RedundantClients users = new RedundantClients(cluster);
+    double gapS = new double[] {0, 0.003, 0.01, 0.05, 0.4, 1.1}[delayStep];
+    for (int i = 0; i < 5; i++) {
+      String id = "wk-2" + i;
+      Document job = SimulatedCluster.job(id, 60, 1);
+      users.submit(job, i);
+      cluster.advance(0.1 + gapS);
+      users.cancel(id, i + 1);
+      for (int k = 0; k < 12; k++) {
+        cluster.advance(0.05);
+        cluster.requestWithRetries("POST", "/v1/jobs", job, id, i + k, 1);
+      }
+    }
+    cluster.advance(20);
+    clearFaults(cluster);
+    for (int i = 0; i < 5; i++) {
+      assertEquals("cancelled", cluster.poll("node-" + i % 3, "wk-2" + i).jobStatus());
+    }
+    assertEquals(List.of(), cluster.operationHistory.violations);
+  }
+
   /**
    * A cancellation, a poll or a repeated submission coincides with the end of the last task: the
    * job is either done or cancelled, and every later answer of every controller is the same.
