--- a/src/test/java/dev/dunefront/load/Deployment.java
+++ b/src/test/java/dev/dunefront/load/Deployment.java
@@ -36,6 +36,7 @@
   private final MessageFaults messageFaults = new MessageFaults();
   private final LatencyRecorder latencies = new LatencyRecorder();
   private final JobGenerator jobs;
+  private final CloseLookUsers closeLookUsers;
   private final XnioWorker userThreads;
   private final XnioWorker serviceThreads;
   private final List<ControllerProcess> controllers = new ArrayList<>();
@@ -90,6 +91,7 @@
             stateAddresses,
             loopbackAddress(addresses.cloud()),
             options.zoneNames(),
+            options.lateStateShare(),
             options.seed());
     // Started last: from here on only the network thread may access the relays.
     new Thread(network, "network").start();
@@ -110,6 +112,7 @@
         new UndertowHttpCaller(
             userThreads.getIoThread(), new DefaultByteBufferPool(false, 8192, 64, 4), timers);
     jobs = new JobGenerator(options, addresses.users(), caller, timers, invariants, latencies);
+    closeLookUsers = new CloseLookUsers(options, addresses.users(), caller, timers, invariants);
   }
 
   private boolean reachable(String zone, int controller) {
@@ -182,6 +185,7 @@
     }
     awaitUp();
     userThreads.getIoThread().execute(jobs::start);
+    userThreads.getIoThread().execute(closeLookUsers::start);
   }
 
   private void awaitUp() throws InterruptedException, IOException {
@@ -202,7 +206,7 @@
    * @return number of accepted jobs that have not finished
    */
   int drain(double seconds) throws InterruptedException {
-    jobs.stop();
+    stopUsers();
     long deadlineNs = System.nanoTime() + Math.round(seconds * 1e9);
     while (openJobs() > 0 && System.nanoTime() < deadlineNs) {
       Thread.sleep(POLL_INTERVAL_MS);
@@ -251,6 +255,10 @@
     return jobs;
   }
 
+  CloseLookUsers closeLookUsers() {
+    return closeLookUsers;
+  }
+
   /** The I/O thread of the users, on which faults are injected as well. */
   XnioIoThread userThread() {
     return userThreads.getIoThread();
@@ -260,9 +268,15 @@
     controllers.forEach(ControllerProcess::killProcess);
   }
 
+  /** Stops submissions. */
+  void stopUsers() {
+    jobs.stop();
+    closeLookUsers.stop();
+  }
+
   /** Stops everything. */
   void close() throws InterruptedException {
-    jobs.stop();
+    stopUsers();
     killControllers();
     network.close();
     fleet.close();
--- a/src/test/java/dev/dunefront/load/ExternalServices.java
+++ b/src/test/java/dev/dunefront/load/ExternalServices.java
@@ -47,9 +47,17 @@
   private static final double MIN_DELAY_S = 1;
   private static final double DELAY_SPREAD_S = 9;
 
+  /** The protocol says that responses occasionally take a few hundred milliseconds. */
+  private static final double MAX_LATE_RESPONSE_S = 0.5;
+
   private final XnioIoThread thread;
   private final XnioTimers timers;
   private final Random random;
+
+  /** Draws the responses that are late. */
+  private final Random lateResponses;
+
+  private final double lateStateShare;
   private MachineTerminator machineTerminator = (hosts, callback) -> callback.run();
   private final List<StateFaults> stateFaults = new ArrayList<>();
   private final FakeStateService state;
@@ -72,16 +80,20 @@
    *
    * @param stateAddresses one address of the state service for each controller, which identifies
    *     the controller
+   * @param lateStateShare share of the state service's responses that are late
    */
   ExternalServices(
       XnioWorker worker,
       List<InetSocketAddress> stateAddresses,
       InetSocketAddress cloudAddress,
       List<String> zones,
+      double lateStateShare,
       long seed) {
     thread = worker.getIoThread();
     timers = new XnioTimers(thread);
     random = new Random(seed);
+    lateResponses = new Random(seed + 1);
+    this.lateStateShare = lateStateShare;
     state = new FakeStateService(timers);
     cloud = new FakeCloud(zones, BOOT_S);
     DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192, 256, 4);
@@ -123,7 +135,18 @@
         return;
       }
     }
-    handle(request, reply -> respondUnlessRefused(faults, reply, responder));
+    handle(request, reply -> respondPossiblyLate(faults, reply, responder));
+  }
+
+  /** Sends a response on time or late; the request has been executed in either case. */
+  private void respondPossiblyLate(
+      StateFaults faults, Response reply, HttpServer.Responder responder) {
+    if (lateResponses.nextDouble() < lateStateShare) {
+      double delayS = lateResponses.nextDouble() * MAX_LATE_RESPONSE_S;
+      timers.after(delayS, () -> respondUnlessRefused(faults, reply, responder));
+    } else {
+      respondUnlessRefused(faults, reply, responder);
+    }
   }
 
   /** Holds the response of a watch that was open when its controller's refusal began. */
--- a/src/test/java/dev/dunefront/load/JobGenerator.java
+++ b/src/test/java/dev/dunefront/load/JobGenerator.java
@@ -92,28 +92,34 @@
         new InvariantChecker.Job(id, team, options.tasksPerJob(), urgent, timers.now());
     invariants.jobSubmitted(job);
     byte[] body =
-        Document.create()
-            .put("id", id)
-            .put("batchclass", urgent ? LoadSettings.URGENT_CLASS : "bulk")
-            .put("owner", team)
-            .put("shape", "sweep")
-            .put("urgency", urgent ? "high" : "normal")
-            .put("pieces", options.tasksPerJob())
-            .put("vcpus", options.taskCpus())
-            .put("cards", 0.0)
-            .put("ram_gb", options.taskCpus())
-            .put("bundle", "img-" + random.nextInt(IMAGES))
-            .put("size_gb", 1.0)
-            .put("same_place", false)
-            .put("apart", false)
-            .put("loaners", true)
-            .put("expect_s", options.runS())
-            .put("snapshot_every_s", 0.0)
-            .put("snapshot_s", 0.0)
-            .encode();
+        jobBody(options, job, urgent ? "high" : "normal", "img-" + random.nextInt(IMAGES));
     post(job, body, submittedJobs);
   }
 
+  /** The body of a submission. */
+  static byte[] jobBody(
+      LoadOptions options, InvariantChecker.Job job, String urgency, String image) {
+    return Document.create()
+        .put("id", job.id())
+        .put("batchclass", job.urgent() ? LoadSettings.URGENT_CLASS : "bulk")
+        .put("owner", job.team())
+        .put("shape", "sweep")
+        .put("urgency", urgency)
+        .put("pieces", job.tasks())
+        .put("vcpus", options.taskCpus())
+        .put("cards", 0.0)
+        .put("ram_gb", options.taskCpus())
+        .put("bundle", image)
+        .put("size_gb", 1.0)
+        .put("same_place", false)
+        .put("apart", false)
+        .put("loaners", true)
+        .put("expect_s", options.runS())
+        .put("snapshot_every_s", 0.0)
+        .put("snapshot_s", 0.0)
+        .encode();
+  }
+
   private void post(InvariantChecker.Job job, byte[] body, int attempt) {
     String controller = controllers.get(attempt % controllers.size());
     caller.call(
@@ -190,7 +196,8 @@
     }
   }
 
-  private static String statusOf(Response reply) {
+  /** The job status in a response to a user. */
+  static String statusOf(Response reply) {
     try {
       return Document.decode(reply.body()).text("status");
     } catch (MalformedMessageException e) {
--- a/src/test/java/dev/dunefront/load/LoadOptions.java
+++ b/src/test/java/dev/dunefront/load/LoadOptions.java
@@ -31,6 +31,9 @@
  * @param leaseS duration of a worker's lease
  * @param stateRegion region of the state service; links from other regions run through relays
  * @param cancelShare share of the jobs that users cancel
+ * @param closeLooksPerS jobs per second that {@link CloseLookUsers} submit
+ * @param lateStateShare share of the state service's responses that are late, by up to half a
+ *     second
  */
 record LoadOptions(
     int controllers,
@@ -53,13 +56,15 @@
     double reportS,
     double leaseS,
     int stateRegion,
-    double cancelShare) {
+    double cancelShare,
+    double closeLooksPerS,
+    double lateStateShare) {
 
   /** The size of the {@link TargetDeployment}, without faults. */
   static final LoadOptions TARGET =
       new LoadOptions(
           14, 1800, 23, 7, 730, 4000, 950, 240, 0.5, 14, 0.25, 30, 30, false, 500, 90, 1, 4, 22, 0,
-          0);
+          0, 0, 0);
 
   /** Applies {@code name=value} arguments to {@link #TARGET}. */
   static LoadOptions parse(List<String> arguments) {
--- a/src/test/java/dev/dunefront/load/SoakRun.java
+++ b/src/test/java/dev/dunefront/load/SoakRun.java
@@ -59,6 +59,8 @@
             "runS=5",
             "urgentShare=0.25",
             "cancelShare=0.15",
+            "closeLooksPerS=3",
+            "lateStateShare=0.05",
             "reportS=0.8",
             "leaseS=5",
             "measureS=" + seconds,
@@ -117,7 +119,7 @@
     SoakFaults faults = new SoakFaults(deployment, schedule);
     faults.start();
     Thread.sleep(Math.round(options.measureS() * 1000));
-    deployment.jobs().stop();
+    deployment.stopUsers();
     // Waits for the restart of controllers killed late, which checkControllers would report dead.
     Thread.sleep(Math.round(remainingFaultTimeS() * 1000));
     int open = deployment.drain(DRAIN_TIMEOUT_S);
@@ -128,11 +130,12 @@
           open + " accepted jobs have not finished " + DRAIN_TIMEOUT_S + " s after the last fault");
     }
     System.out.printf(
-        "seed %d: %d faults, %d jobs accepted, %d tasks at once at the most, %d machines returned, %d left,"
-            + " worst pause of this process %.2f s: %s%n",
+        "seed %d: %d faults, %d jobs accepted, %d answers looked at closely, %d tasks at once at the"
+            + " most, %d machines returned, %d left, worst pause of this process %.2f s: %s%n",
         options.seed(),
         schedule.size(),
         deployment.jobs().acceptedJobs(),
+        deployment.closeLookUsers().looks(),
         deployment.invariants().mostRunning(),
         faults.returnedMachines(),
         open,
