--- a/src/test/java/dev/dunefront/story/BulkTakeoverTest.java
+++ b/src/test/java/dev/dunefront/story/BulkTakeoverTest.java
@@ -29,16 +29,16 @@
     cluster.rps = 250;
     cluster.start().advance(2);
     for (int i = 0; i < MACHINES; i++) {
-      cluster.addMachine("host-" + i, "large", "a", "node-" + i % 5);
+      cluster.machines.addMachine("host-" + i, "large", "a", "node-" + i % 5);
     }
     cluster.advance(6);
     for (int i = 0; i < JOBS; i++) {
       String urgency = i % 5 == 0 ? "high" : "normal";
       Document job = SimulatedCluster.job("wk-" + i, TASKS, 1).put("urgency", urgency);
-      assertEquals(201, cluster.submit("node-" + i % 5, job).status());
+      assertEquals(201, cluster.users.submit("node-" + i % 5, job).status());
     }
     cluster.advance(12);
-    assertEquals(JOBS * TASKS, cluster.runningCount());
+    assertEquals(JOBS * TASKS, cluster.machines.runningCount());
     return cluster;
   }
 
@@ -107,8 +107,8 @@
         cluster.stateService.failedTxnOps() - failedOpsBefore <= 12,
         cluster.stateService.failedTxnOps() - failedOpsBefore + " failed operations");
     cluster.advance(2 * SimulatedCluster.LEASE_S);
-    assertEquals(JOBS * TASKS, cluster.runningCount(), "running tasks were lost");
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(JOBS * TASKS, cluster.machines.runningCount(), "running tasks were lost");
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   /**
@@ -127,11 +127,11 @@
     double elapsedS = awaitAllClaimedS(cluster, 30);
     assertTrue(elapsedS < TAKEOVER_BOUND_S + 1, "claimed after " + elapsedS + " s");
     cluster.advance(3 * SimulatedCluster.LEASE_S);
-    assertEquals(JOBS * TASKS, cluster.runningCount(), "running tasks were lost");
-    cluster.completeAllTasks();
+    assertEquals(JOBS * TASKS, cluster.machines.runningCount(), "running tasks were lost");
+    cluster.machines.completeAllTasks();
     cluster.advance(15);
-    assertEquals(0, cluster.runningCount());
+    assertEquals(0, cluster.machines.runningCount());
     assertEquals(0, cluster.stateService.keys("w/j/").size(), "not all jobs are done");
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 }
--- a/src/test/java/dev/dunefront/story/CancelWithUnknownWriteTest.java
+++ b/src/test/java/dev/dunefront/story/CancelWithUnknownWriteTest.java
@@ -40,15 +40,16 @@
     SimulatedCluster cluster = new SimulatedCluster(3);
     cluster.start().advance(3);
     for (int i = 0; i < 8; i++) {
-      assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-" + i, 1, 1)).status());
+      assertEquals(
+          201, cluster.users.submit("node-0", SimulatedCluster.job("wk-" + i, 1, 1)).status());
     }
     cluster.advance(3);
     List<String> batch = new ArrayList<>();
-    cluster.deliveryPolicy =
+    cluster.network.deliveryPolicy =
         (from, path, body) -> {
           List<String> ids = path.equals("/txn") ? jobsWrittenBy(body) : List.of();
           if (!batch.isEmpty() || ids.size() <= index) {
-            return SimulatedCluster.Delivery.ON_TIME;
+            return SimulatedNetwork.Delivery.ON_TIME;
           }
           batch.addAll(ids);
           String otherNode = from.equals("node-1") ? "node-2" : "node-1";
@@ -56,22 +57,22 @@
               0.3,
               () -> {
                 String id = ids.get(index);
-                cluster.cancelRequestedJobs.add(id);
-                cluster.requestWithRetries(
+                cluster.users.cancelRequestedJobs.add(id);
+                cluster.users.requestWithRetries(
                     "POST", "/v1/jobs/" + id + "/abort", null, id, otherNode.charAt(5) - '1', 8);
               });
-          return SimulatedCluster.Delivery.RESPONSE_DROPPED;
+          return SimulatedNetwork.Delivery.RESPONSE_DROPPED;
         };
     cluster.nodes.get("node-0").crash();
     cluster.advance(16);
     assertTrue(batch.size() > index, "too few jobs are taken over in one transaction");
     String id = batch.get(index);
-    assertEquals("cancelled", cluster.poll("node-1", id).jobStatus());
-    assertEquals("cancelled", cluster.poll("node-2", id).jobStatus());
+    assertEquals("cancelled", cluster.users.poll("node-1", id).jobStatus());
+    assertEquals("cancelled", cluster.users.poll("node-2", id).jobStatus());
     for (int i = 0; i < 3; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-1");
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-1");
     }
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   /**
@@ -83,30 +84,31 @@
   void jobCancelledWhileTaskEndOutcomeIsUnknownEnds() {
     SimulatedCluster cluster = SimulatedCluster.withTeamLimit(3, 3);
     cluster.start().advance(3);
-    FakeWorker m = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.advance(4);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 1, 3)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 3)).status());
     cluster.advance(3);
     assertEquals(1, m.running().size());
     BooleanSupplier responseDropped =
-        cluster.faultFirstTransaction(
+        cluster.network.faultFirstTransaction(
             "put=w/j/wk-1",
-            SimulatedCluster.Delivery.RESPONSE_DROPPED,
+            SimulatedNetwork.Delivery.RESPONSE_DROPPED,
             from ->
                 cluster.clock.after(
                     0.3,
                     () -> {
-                      cluster.cancelRequestedJobs.add("wk-1");
-                      cluster.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 8);
+                      cluster.users.cancelRequestedJobs.add("wk-1");
+                      cluster.users.requestWithRetries(
+                          "POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 8);
                     }));
     // The only machine is lost, so nothing can be placed again.
     m.newSession();
-    cluster.isolatedHosts.add("host-1");
+    cluster.machines.isolatedHosts.add("host-1");
     cluster.advance(3 * SimulatedCluster.LEASE_S);
     assertTrue(responseDropped.getAsBoolean(), "the end of the attempt was not recorded");
     for (String node : cluster.nodes.keySet()) {
-      assertEquals("cancelled", cluster.poll(node, "wk-1").jobStatus());
+      assertEquals("cancelled", cluster.users.poll(node, "wk-1").jobStatus());
     }
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/CancellationDuringOutageTest.java
+++ b/src/test/java/dev/dunefront/story/CancellationDuringOutageTest.java
@@ -22,7 +22,7 @@
     SimulatedCluster w = new SimulatedCluster(5);
     w.start().advance(2);
     for (int i = 0; i < 10; i++) {
-      w.addMachine("host-" + i, "small", "a", "node-" + i % 5);
+      w.machines.addMachine("host-" + i, "small", "a", "node-" + i % 5);
     }
     w.advance(5);
     return w;
@@ -37,7 +37,7 @@
     for (int i = 0; i < 4; i++) {
       String id = "wk-" + round + i;
       Document job = SimulatedCluster.job(id, 6, 1).put("shape", i == 1 ? "daemon" : "sweep");
-      assertEquals(201, w.submit(i == 2 ? "node-1" : "node-0", job).status());
+      assertEquals(201, w.users.submit(i == 2 ? "node-1" : "node-0", job).status());
       ids.add(id);
     }
     w.advance(2);
@@ -58,31 +58,33 @@
     for (int round = 1; round <= 2; round++) {
       List<String> ids = submitJobs(w, round);
       List<String> toCancel = ids.subList(0, 3);
-      w.refusedByStateService.add(refused);
+      w.network.refusedByStateService.add(refused);
       w.advance(longerThanItsLease ? 6 : 0.5);
       for (String id : toCancel) {
-        w.cancelRequestedJobs.add(id);
-        w.requestWithRetries("POST", "/v1/jobs/" + id + "/abort", null, id, refusedNumber + 1, 60);
+        w.users.cancelRequestedJobs.add(id);
+        w.users.requestWithRetries(
+            "POST", "/v1/jobs/" + id + "/abort", null, id, refusedNumber + 1, 60);
       }
       w.advance(0.2);
       w.stateService.outage(true);
       w.advance(6);
       for (String id : toCancel) {
-        assertEquals(0, w.runningCount(id), id + " keeps running during the outage");
+        assertEquals(0, w.machines.runningCount(id), id + " keeps running during the outage");
       }
       w.advance(longerThanTasksMayLive ? 24 : 2);
       w.stateService.outage(false);
       w.advance(1);
-      w.refusedByStateService.clear();
+      w.network.refusedByStateService.clear();
       w.advance(15);
       for (String id : toCancel) {
-        assertEquals("cancelled", w.poll(refused, id).jobStatus());
+        assertEquals("cancelled", w.users.poll(refused, id).jobStatus());
       }
-      assertEquals(6, w.runningCount(ids.get(3)), "the job that was not cancelled keeps running");
-      w.completeAllTasks();
+      assertEquals(
+          6, w.machines.runningCount(ids.get(3)), "the job that was not cancelled keeps running");
+      w.machines.completeAllTasks();
       w.advance(4);
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -96,33 +98,33 @@
     SimulatedCluster w = new SimulatedCluster(5);
     w.start().advance(4);
     if (olderCancellationPending) {
-      w.addMachine("host-1", "small", "a", "node-0");
+      w.machines.addMachine("host-1", "small", "a", "node-0");
       w.advance(5);
-      assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-2", 1, 4)).status());
+      assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 4)).status());
       w.advance(2);
-      assertEquals(1, w.runningCount("wk-2"));
+      assertEquals(1, w.machines.runningCount("wk-2"));
       // The machine receives no command, and its reports keep its lease alive, so its task is not
       // proved to have ended.
-      w.deliveryPolicy =
+      w.network.deliveryPolicy =
           (from, path, body) ->
               path.equals("/orders")
-                  ? SimulatedCluster.Delivery.DROPPED
-                  : SimulatedCluster.Delivery.ON_TIME;
-      assertEquals(503, w.cancel("node-1", "wk-2").status());
+                  ? SimulatedNetwork.Delivery.DROPPED
+                  : SimulatedNetwork.Delivery.ON_TIME;
+      assertEquals(503, w.users.cancel("node-1", "wk-2").status());
       w.advance(4);
     }
-    w.refusedByStateService.add("node-4");
-    w.holdPeerMessage = message -> message instanceof Message.JobEnded;
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 6, 1)).status());
+    w.network.refusedByStateService.add("node-4");
+    w.network.holdPeerMessage = message -> message instanceof Message.JobEnded;
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 6, 1)).status());
     w.advance(2);
-    w.cancel("node-1", "wk-1");
+    w.users.cancel("node-1", "wk-1");
     w.advance(2);
-    assertEquals("cancelled", w.poll("node-0", "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.poll("node-0", "wk-1").jobStatus());
     // By then the open watch has been abandoned, and with it the changes it would have returned.
     w.advance(15);
     int older = olderCancellationPending ? 1 : 0;
     assertEquals(older + 1, waitingCancellations(w, "node-4"));
-    w.refusedByStateService.clear();
+    w.network.refusedByStateService.clear();
     w.advance(20);
     assertEquals(older, waitingCancellations(w, "node-4"));
   }
@@ -160,60 +162,60 @@
   void cancelledTasksStopDespiteObstacle(@ForAll Obstacle obstacle) {
     SimulatedCluster w = new SimulatedCluster(5);
     w.start().advance(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.advance(5);
-    String holder = w.holderOf("host-1");
+    String holder = w.machines.holderOf("host-1");
     List<String> others = new ArrayList<>(w.nodes.keySet());
     others.remove(holder);
-    w.refusedByStateService.add(holder);
+    w.network.refusedByStateService.add(holder);
     if (obstacle == Obstacle.COMMAND_UNANSWERED) {
-      w.deliveryPolicy =
+      w.network.deliveryPolicy =
           (from, path, body) ->
               body.contains("verb=run")
-                  ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                  : SimulatedCluster.Delivery.ON_TIME;
+                  ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                  : SimulatedNetwork.Delivery.ON_TIME;
     }
     if (obstacle == Obstacle.START_DELAYED) {
-      w.holdPeerMessage = message -> message instanceof Message.StartTask;
+      w.network.holdPeerMessage = message -> message instanceof Message.StartTask;
     }
-    assertEquals(201, w.submit(others.get(0), SimulatedCluster.job("wk-1", 3, 1)).status());
+    assertEquals(201, w.users.submit(others.get(0), SimulatedCluster.job("wk-1", 3, 1)).status());
     w.advance(0.7);
     if (obstacle == Obstacle.MACHINE_CUT_OFF) {
-      w.dropDelivery = (from, to) -> from.equals("host-1:9") || to.equals("host-1:9");
-      w.clock.after(4, () -> w.dropDelivery = (from, to) -> false);
+      w.network.dropDelivery = (from, to) -> from.equals("host-1:9") || to.equals("host-1:9");
+      w.clock.after(4, () -> w.network.dropDelivery = (from, to) -> false);
     }
     if (obstacle == Obstacle.CANCELLATION_LOST) {
-      w.holdPeerMessage =
+      w.network.holdPeerMessage =
           message -> message instanceof Message.JobCancelled || message instanceof Message.StopTask;
     }
-    assertEquals(503, w.cancel(others.get(1), "wk-1").status());
+    assertEquals(503, w.users.cancel(others.get(1), "wk-1").status());
     w.stateService.outage(true);
     if (obstacle == Obstacle.CANCELLATION_LOST) {
       w.nodes.get(others.get(0)).crash();
       w.clock.after(
           3,
           () -> {
-            w.holdPeerMessage = message -> false;
-            w.reconnectLinks(holder);
+            w.network.holdPeerMessage = message -> false;
+            w.network.reconnectLinks(holder);
           });
     }
     if (obstacle == Obstacle.START_DELAYED) {
       w.nodes.get(others.get(0)).crash();
       w.advance(1);
-      w.deliverHeld();
-      w.holdPeerMessage = message -> false;
+      w.network.deliverHeld();
+      w.network.holdPeerMessage = message -> false;
     }
     w.advance(12);
     assertEquals(List.of(), m.running());
     w.advance(20);
     w.stateService.outage(false);
-    w.refusedByStateService.clear();
-    w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
+    w.network.refusedByStateService.clear();
+    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
     if (!w.nodes.get(others.get(0)).up()) {
       w.nodes.get(others.get(0)).start();
     }
     w.advance(20);
-    assertEquals("cancelled", w.poll(others.get(1), "wk-1").jobStatus());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals("cancelled", w.users.poll(others.get(1), "wk-1").jobStatus());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/CleanupTest.java
+++ b/src/test/java/dev/dunefront/story/CleanupTest.java
@@ -34,9 +34,9 @@
    */
   private static SimulatedCluster clusterWithDeletedMachine() {
     SimulatedCluster cluster = newCluster();
-    cluster.addMachine("host-1", "small", "a", "node-0");
+    cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.start().advance(3);
-    cluster.isolatedHosts.add("host-1");
+    cluster.machines.isolatedHosts.add("host-1");
     for (int i = 0; i < 90 && !cluster.cloud.deleted("host-1"); i++) {
       cluster.advance(1);
     }
@@ -68,16 +68,16 @@
     // Its open watches are answered soon; from then on it receives no more updates.
     boolean[] renewalsPass = {true};
     cluster.advance(RECORD_RETENTION_S - 16);
-    cluster.deliveryPolicy =
+    cluster.network.deliveryPolicy =
         (from, path, body) ->
             from.equals(replacedNode)
                     && (path.startsWith("/watch") || path.endsWith("/touch") && !renewalsPass[0])
-                ? SimulatedCluster.Delivery.DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
+                ? SimulatedNetwork.Delivery.DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
     cluster.advance(12);
     renewalsPass[0] = false;
     int[] removalAttempts = {0};
-    cluster.requestListener =
+    cluster.network.requestListener =
         (from, path, body) -> {
           if (from.equals(replacedNode) && body.contains("remove=w/h/host-1")) {
             removalAttempts[0]++;
@@ -88,13 +88,13 @@
     // removal.
     cluster.nodes.keySet().stream()
         .filter(n -> !n.equals(replacedNode))
-        .forEach(cluster.refusedByStateService::add);
+        .forEach(cluster.network.refusedByStateService::add);
     cluster.nodes.get(replacedNode).expireLease();
     cluster.advance(8);
     assertTrue(removalAttempts[0] > 0, "the replaced holder made no attempt to remove the record");
     assertTrue(cluster.stateService.value("w/h/host-1") != null, "the removal was not refused");
-    cluster.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
-    cluster.refusedByStateService.clear();
+    cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    cluster.network.refusedByStateService.clear();
     cluster.advance(20);
     assertNull(
         cluster.stateService.value("w/h/host-1"),
@@ -108,34 +108,34 @@
   @Test
   void reportAfterRecordRemovalCausesNoDuplicateRun() {
     SimulatedCluster cluster = newCluster();
-    FakeWorker m = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.start().advance(3);
-    assertEquals(201, cluster.submit("node-1", SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, cluster.users.submit("node-1", SimulatedCluster.job("wk-1", 2, 1)).status());
     cluster.advance(1);
     assertEquals(2, m.running().size());
     byte[] delayedReport = m.report();
-    cluster.isolatedHosts.add("host-1");
+    cluster.machines.isolatedHosts.add("host-1");
     cluster.advance(90);
     assertTrue(cluster.cloud.deleted("host-1"));
-    FakeWorker otherWorker = cluster.addMachine("host-2", "small", "a", "node-0");
+    FakeWorker otherWorker = cluster.machines.addMachine("host-2", "small", "a", "node-0");
     cluster.advance(RECORD_RETENTION_S + 10);
     assertNull(cluster.stateService.value("w/h/host-1"));
     assertEquals(
         2, otherWorker.running().size(), "the tasks were not restarted on the other machine");
     for (String node : List.of("node-0", "node-1", "node-2")) {
-      cluster.request(node, "POST", "/hello", delayedReport);
+      cluster.users.request(node, "POST", "/hello", delayedReport);
     }
-    cluster.submit("node-0", SimulatedCluster.job("wk-2", 6, 1));
+    cluster.users.submit("node-0", SimulatedCluster.job("wk-2", 6, 1));
     for (int i = 0; i < 60; i++) {
       cluster.advance(1);
       otherWorker.running().forEach(t -> otherWorker.exit(t, "done"));
     }
-    assertEquals("done", cluster.poll("node-0", "wk-1").jobStatus());
+    assertEquals("done", cluster.users.poll("node-0", "wk-1").jobStatus());
     assertEquals(
         "done",
-        cluster.poll("node-0", "wk-2").jobStatus(),
+        cluster.users.poll("node-0", "wk-2").jobStatus(),
         "tasks placed on the deleted machine did not run elsewhere");
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   /**
@@ -145,17 +145,17 @@
   @Test
   void holderReleasesMachineWhoseRecordIsRemoved() {
     SimulatedCluster cluster = newCluster();
-    FakeWorker m = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.start().advance(3);
     cluster.writeState("w/h/host-1", Document.create().put("holder", "node-9#1").put("baton", 7));
     cluster.advance(20);
     assertNotEquals(null, cluster.stateService.value("w/h/host-1"));
     cluster.removeState("w/h/host-1");
     cluster.advance(6);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 4, 1)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 4, 1)).status());
     cluster.advance(4);
     assertEquals(4, m.running().size(), "the machine is not held again, or its room is not used");
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   /**
@@ -166,14 +166,14 @@
   void recordsOfReclaimedMachinesAreRemoved() {
     SimulatedCluster cluster = newCluster();
     for (int i = 0; i < 12; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-0");
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-0");
       cluster.writeState(
           "w/h/host-" + i, Document.create().put("holder", "node-9#1").put("baton", 7));
     }
     cluster.start().advance(20);
     assertEquals(12, cluster.stateService.keys("w/h/").size());
     for (int i = 0; i < 10; i++) {
-      cluster.isolatedHosts.add("host-" + i);
+      cluster.machines.isolatedHosts.add("host-" + i);
       cluster.cloud.reclaim("host-" + i);
     }
     cluster.advance(90 + RECORD_RETENTION_S);
@@ -187,9 +187,9 @@
   @Test
   void longSilentMachineIsNoLongerHeld() {
     SimulatedCluster cluster = newCluster();
-    FakeWorker m = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     int[] maxHeld = {0};
-    cluster.holdPeerMessage =
+    cluster.network.holdPeerMessage =
         message -> {
           if (message instanceof Message.ControllerStatus status) {
             maxHeld[0] = Math.max(maxHeld[0], status.heldMachines());
@@ -198,15 +198,15 @@
         };
     cluster.start().advance(5);
     assertEquals(1, maxHeld[0]);
-    cluster.isolatedHosts.add("host-1");
+    cluster.machines.isolatedHosts.add("host-1");
     cluster.cloud.reclaim("host-1");
     cluster.advance(12 * SimulatedCluster.LEASE_S);
     maxHeld[0] = 0;
     cluster.advance(2);
     assertEquals(0, maxHeld[0]);
-    cluster.isolatedHosts.clear();
+    cluster.machines.isolatedHosts.clear();
     cluster.advance(5);
-    cluster.submit("node-1", SimulatedCluster.job("wk-1", 4, 1));
+    cluster.users.submit("node-1", SimulatedCluster.job("wk-1", 4, 1));
     cluster.advance(3);
     assertEquals(4, m.running().size(), "a machine that reports again is not held again");
   }
@@ -239,23 +239,24 @@
       assertEquals(
           201,
           cluster
+              .users
               .submit(
                   "node-" + round % 3, SimulatedCluster.job("wk-" + round, MACHINES_PER_ROUND, 4))
               .status());
       for (int i = 0; i < 12; i++) {
         cluster.advance(2);
-        cluster.completeAllTasks();
+        cluster.machines.completeAllTasks();
       }
       if (round >= RENTAL_ROUNDS / 2) {
         maxKeys = Math.max(maxKeys, cluster.stateService.keys("w/").size());
       }
     }
     assertTrue(
-        cluster.rentedCount() >= RENTAL_ROUNDS * MACHINES_PER_ROUND * 0.9,
-        cluster.rentedCount() + " machines were rented");
+        cluster.machines.rentedCount() >= RENTAL_ROUNDS * MACHINES_PER_ROUND * 0.9,
+        cluster.machines.rentedCount() + " machines were rented");
     assertTrue(maxKeys < 10 * MACHINES_PER_ROUND, maxKeys + " keys");
     cluster.advance(3 * RECORD_RETENTION_S + RENTAL_ROUNDS * MACHINES_PER_ROUND / 9.0 / 2);
-    assertEquals(0, cluster.workers.size());
+    assertEquals(0, cluster.machines.workers.size());
     assertEquals(List.of(), cluster.stateService.keys("w/h/"), "machine records are left");
     assertEquals(
         0, cluster.stateService.keys("w/j/").size() + cluster.stateService.keys("t/").size());
--- a/src/test/java/dev/dunefront/story/ClearCommandTest.java
+++ b/src/test/java/dev/dunefront/story/ClearCommandTest.java
@@ -18,7 +18,7 @@
     SimulatedCluster cluster = new SimulatedCluster(2);
     cluster.start().advance(2);
     for (int i = 0; i < MACHINES; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 2);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 2);
     }
     cluster.advance(6);
     return cluster;
@@ -29,28 +29,28 @@
    */
   private static int countClearOnlyCommands(SimulatedCluster cluster, String job) {
     int[] clearOnlyCommands = {0};
-    cluster.requestListener =
+    cluster.network.requestListener =
         (from, path, body) -> {
           boolean clearsAlone = body.contains("clear") && !body.contains("verb=run");
           clearOnlyCommands[0] += path.equals("/orders") && clearsAlone ? 1 : 0;
         };
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job(job, TASKS, 1)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job(job, TASKS, 1)).status());
     cluster.advance(2);
-    assertEquals(TASKS, cluster.runningCount());
+    assertEquals(TASKS, cluster.machines.runningCount());
     // Tasks end one after the other, so that each end is reported separately.
-    for (FakeWorker m : List.copyOf(cluster.workers.values())) {
+    for (FakeWorker m : List.copyOf(cluster.machines.workers.values())) {
       for (String task : m.running()) {
         m.exit(task, "done");
         cluster.advance(0.5);
       }
     }
     cluster.advance(4);
-    assertEquals("done", cluster.poll("node-1", job).jobStatus());
+    assertEquals("done", cluster.users.poll("node-1", job).jobStatus());
     return clearOnlyCommands[0];
   }
 
   private static int tasksKnownToWorkers(SimulatedCluster cluster) {
-    return cluster.workers.values().stream().mapToInt(FakeWorker::taskCount).sum();
+    return cluster.machines.workers.values().stream().mapToInt(FakeWorker::taskCount).sum();
   }
 
   @Test
@@ -70,21 +70,22 @@
   void clearLostWithReportResponseIsResent() {
     SimulatedCluster cluster = startCluster();
     countClearOnlyCommands(cluster, "wk-1");
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-2", TASKS, 1)).status());
+    assertEquals(
+        201, cluster.users.submit("node-0", SimulatedCluster.job("wk-2", TASKS, 1)).status());
     cluster.advance(2);
-    assertEquals(TASKS, cluster.runningCount());
+    assertEquals(TASKS, cluster.machines.runningCount());
     // For a while the reports of one worker arrive, but neither their responses nor direct
     // commands reach it.
-    cluster.completeAllTasks();
+    cluster.machines.completeAllTasks();
     cluster.advance(0.5);
-    String blockedHost = List.copyOf(cluster.workers.values()).get(0).host();
-    cluster.inboundBlockedHosts.add(blockedHost);
+    String blockedHost = List.copyOf(cluster.machines.workers.values()).get(0).host();
+    cluster.machines.inboundBlockedHosts.add(blockedHost);
     cluster.advance(3);
-    cluster.inboundBlockedHosts.clear();
+    cluster.machines.inboundBlockedHosts.clear();
     cluster.advance(8);
     assertEquals(0, tasksKnownToWorkers(cluster));
-    assertEquals("done", cluster.poll("node-1", "wk-2").jobStatus());
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals("done", cluster.users.poll("node-1", "wk-2").jobStatus());
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   /**
@@ -95,9 +96,9 @@
   void clearOfEarlierAttemptDoesNotEndLaterAttempt() {
     SimulatedCluster cluster = new SimulatedCluster(1);
     cluster.start().advance(2);
-    FakeWorker worker = cluster.addMachine("host-0", "small", "a", "node-0");
+    FakeWorker worker = cluster.machines.addMachine("host-0", "small", "a", "node-0");
     cluster.advance(6);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
     cluster.advance(2);
     assertEquals(List.of("wk-1/0"), worker.running());
     worker.exit("wk-1/0", "error");
@@ -108,8 +109,8 @@
     cluster.advance(5);
     assertEquals(List.of("wk-1/0"), worker.running(), "the new attempt was ended");
     assertEquals(2, worker.starts().size());
-    cluster.completeAllTasks();
+    cluster.machines.completeAllTasks();
     cluster.advance(4);
-    assertEquals("done", cluster.poll("node-0", "wk-1").jobStatus());
+    assertEquals("done", cluster.users.poll("node-0", "wk-1").jobStatus());
   }
 }
--- a/src/test/java/dev/dunefront/story/ClusterScenarioTest.java
+++ b/src/test/java/dev/dunefront/story/ClusterScenarioTest.java
@@ -27,20 +27,20 @@
   @Test
   void everyControllerReportsACompletedJobAsDone() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 2, 2)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 2)).status());
     w.advance(1);
     assertEquals(Set.of("wk-1/0", "wk-1/1"), new HashSet<>(m.running()));
-    assertEquals("running", w.poll("node-2", "wk-1").jobStatus());
+    assertEquals("running", w.users.poll("node-2", "wk-1").jobStatus());
     m.exit("wk-1/0", "done");
     w.advance(2);
-    assertEquals("running", w.poll("node-1", "wk-1").jobStatus());
+    assertEquals("running", w.users.poll("node-1", "wk-1").jobStatus());
     m.exit("wk-1/1", "done");
     w.advance(3);
     for (String node : w.nodes.keySet()) {
-      assertEquals("done", w.poll(node, "wk-1").jobStatus());
-      assertEquals(200, w.submit(node, SimulatedCluster.job("wk-1", 2, 2)).status());
+      assertEquals("done", w.users.poll(node, "wk-1").jobStatus());
+      assertEquals(200, w.users.submit(node, SimulatedCluster.job("wk-1", 2, 2)).status());
     }
     assertEquals(0, m.taskCount(), "ended tasks are cleared from the machine");
     assertEquals(
@@ -51,10 +51,10 @@
   @Test
   void resubmissionToAnotherControllerCreatesNoSecondJob() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
-    assertEquals(200, w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
+    assertEquals(200, w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
     w.advance(2);
     assertEquals(List.of("wk-1/0#1"), m.starts());
   }
@@ -67,12 +67,12 @@
   @Test
   void jobWhoseAcceptanceWasUnconfirmedIsClaimed() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.dropResponse = (from, to) -> from.equals("node-0") && to.equals("10.2.0.1:1");
-    assertEquals(503, w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
-    w.dropResponse = (from, to) -> false;
-    assertEquals(200, w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
+    w.network.dropResponse = (from, to) -> from.equals("node-0") && to.equals("10.2.0.1:1");
+    assertEquals(503, w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
+    w.network.dropResponse = (from, to) -> false;
+    assertEquals(200, w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
     // The watch response was lost as well; the claimant reads the record after the watch times out.
     w.advance(16);
     assertEquals(List.of("wk-1/0#1"), m.starts());
@@ -82,13 +82,13 @@
   @Test
   void higherPriorityTaskIsPlacedFirst() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 4));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 4));
     w.advance(1);
-    w.submit("node-0", SimulatedCluster.job("wk-2", 1, 4));
+    w.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 4));
     w.advance(1);
-    w.submit("node-1", SimulatedCluster.job("wk-3", 1, 4).put("urgency", "high"));
+    w.users.submit("node-1", SimulatedCluster.job("wk-3", 1, 4).put("urgency", "high"));
     w.advance(1);
     m.exit("wk-1/0", "done");
     w.advance(3);
@@ -100,14 +100,14 @@
   void jobWithALargeTaskIsClaimedBehindManySmallTasks() {
     SimulatedCluster w = new SimulatedCluster(1);
     for (int i = 0; i < 6; i++) {
-      w.addMachine("small-" + i, "small", "a", "node-0");
+      w.machines.addMachine("small-" + i, "small", "a", "node-0");
     }
-    w.addMachine("large-1", "large", "a", "node-0");
+    w.machines.addMachine("large-1", "large", "a", "node-0");
     w.start().advance(2);
     // The machines have 40 CPUs in total, so that 60 of the small tasks wait.
-    w.submit("node-0", SimulatedCluster.job("wk-1", 100, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 100, 1));
     w.advance(1);
-    w.submit("node-0", SimulatedCluster.job("wk-2", 1, 12));
+    w.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 12));
     w.advance(1);
     assertFalse(
         w.stateService.value("w/j/wk-2").toString().contains("claim=null"),
@@ -121,12 +121,12 @@
   @Test
   void onlyRecentlyStartedTasksArePreempted() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
     w.advance(2);
     assertEquals(4, m.running().size());
-    w.submit("node-1", SimulatedCluster.job("wk-2", 2, 1).put("urgency", "high"));
+    w.users.submit("node-1", SimulatedCluster.job("wk-2", 2, 1).put("urgency", "high"));
     w.advance(4);
     assertTrue(m.running().containsAll(List.of("wk-2/0", "wk-2/1")));
     assertEquals(4, m.running().size());
@@ -134,10 +134,10 @@
     m.exit("wk-2/1", "done");
     w.advance(30);
     assertEquals(4, m.running().stream().filter(t -> t.startsWith("wk-1")).count());
-    w.submit("node-1", SimulatedCluster.job("wk-3", 2, 1).put("urgency", "high"));
+    w.users.submit("node-1", SimulatedCluster.job("wk-3", 2, 1).put("urgency", "high"));
     w.advance(5);
     assertEquals(4, m.running().stream().filter(t -> t.startsWith("wk-1")).count());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -147,11 +147,11 @@
   @Test
   void preemptedTaskIsNotPreemptedAgain() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
     w.advance(2);
-    w.submit("node-1", SimulatedCluster.job("wk-2", 2, 1).put("urgency", "high"));
+    w.users.submit("node-1", SimulatedCluster.job("wk-2", 2, 1).put("urgency", "high"));
     w.advance(3);
     assertTrue(m.running().containsAll(List.of("wk-2/0", "wk-2/1")));
     m.exit("wk-2/0", "done");
@@ -160,13 +160,13 @@
     assertEquals(4, m.running().size());
     List<String> restarted = m.starts().stream().filter(s -> s.endsWith("#2")).toList();
     assertEquals(2, restarted.size(), "two preempted tasks have restarted");
-    w.submit("node-1", SimulatedCluster.job("wk-3", 4, 1).put("urgency", "high"));
+    w.users.submit("node-1", SimulatedCluster.job("wk-3", 4, 1).put("urgency", "high"));
     w.advance(4);
     assertEquals(2, m.running().stream().filter(t -> t.startsWith("wk-3")).count());
     for (String start : restarted) {
       assertTrue(m.running().contains(start.substring(0, start.indexOf('#'))), start);
     }
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -176,18 +176,18 @@
   @Test
   void startWithLostResponseIsNotRepeatedElsewhere() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-1");
     w.start().advance(2);
-    w.dropResponse = (from, to) -> to.endsWith(":9");
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.network.dropResponse = (from, to) -> to.endsWith(":9");
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(5);
-    w.dropResponse = (from, to) -> false;
+    w.network.dropResponse = (from, to) -> false;
     w.advance(10);
     assertEquals(1, a.running().size() + b.running().size());
     assertEquals(
         1, a.starts().size() + b.starts().size(), "the task is started once and keeps running");
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -197,21 +197,21 @@
   @Test
   void delayedStartCommandIsRefused() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-1");
     w.start().advance(2);
-    w.holdRequest = (from, to) -> to.endsWith(":9");
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.network.holdRequest = (from, to) -> to.endsWith(":9");
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(2);
-    assertTrue(w.heldCount() > 0, "the start command is held");
-    w.holdRequest = (from, to) -> false;
+    assertTrue(w.network.heldCount() > 0, "the start command is held");
+    w.network.holdRequest = (from, to) -> false;
     w.advance(10);
     assertEquals(
         1, a.running().size() + b.running().size(), "the task is placed again under a new token");
-    w.deliverHeld();
+    w.network.deliverHeld();
     w.advance(3);
     assertEquals(1, a.running().size() + b.running().size());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -221,9 +221,9 @@
   @Test
   void tasksKeepRunningWhenTheirClaimantCrashes() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 3, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 3, 1));
     w.advance(1);
     assertEquals(3, m.running().size());
     w.nodes.get("node-0").crash();
@@ -231,7 +231,7 @@
     assertEquals(3, m.running().size());
     m.running().forEach(id -> m.exit(id, "done"));
     w.advance(4);
-    assertEquals("done", w.poll("node-2", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-2", "wk-1").jobStatus());
     assertEquals(3, m.starts().size());
   }
 
@@ -242,9 +242,9 @@
   @Test
   void tasksKeepRunningWhenAllControllersCrash() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 3, 2));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 3, 2));
     w.advance(1);
     w.nodes.values().forEach(SimulatedCluster.Node::crash);
     w.advance(3);
@@ -255,7 +255,7 @@
     w.advance(4);
     m.running().forEach(id -> m.exit(id, "done"));
     w.advance(4);
-    assertEquals("done", w.poll("node-2", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-2", "wk-1").jobStatus());
     assertEquals(3, m.starts().size());
   }
 
@@ -266,17 +266,17 @@
   @Test
   void placementIsStartedWhenTheHolderCrashesBeforeSendingIt() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
     // The placement is recorded, but the holder cannot send the start command to the worker.
-    w.dropDelivery = (from, to) -> from.equals("node-1") && to.endsWith(":9");
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.network.dropDelivery = (from, to) -> from.equals("node-1") && to.endsWith(":9");
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(1);
     w.nodes.get("node-1").crash();
-    w.dropDelivery = (from, to) -> false;
+    w.network.dropDelivery = (from, to) -> false;
     w.advance(20);
     assertEquals(List.of("wk-1/0"), m.running());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -286,19 +286,19 @@
   @Test
   void tasksOfAnUnreachableMachineRestartOnlyAfterItsLeaseExpires() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(1);
     assertEquals(1, a.running().size());
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-1");
     w.advance(1);
-    w.isolatedHosts.add("host-1");
+    w.machines.isolatedHosts.add("host-1");
     w.advance(SimulatedCluster.LEASE_S - 3);
     assertEquals(0, b.running().size(), "the lease of the unreachable machine may still be valid");
     w.advance(8);
     assertEquals(List.of("wk-1/0"), b.running());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -308,11 +308,11 @@
   @Test
   void machineThatCannotReachItsHolderMovesToAnother() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(1);
-    w.dropDelivery = (from, to) -> from.equals(m.endpoint()) && to.equals("node-1");
+    w.network.dropDelivery = (from, to) -> from.equals(m.endpoint()) && to.equals("node-1");
     w.advance(12);
     assertEquals(List.of("wk-1/0"), m.running(), "another controller renewed the lease");
     assertEquals(1, m.starts().size());
@@ -325,14 +325,14 @@
   @Test
   void reportWithAHigherTokenIsRedirected() throws MalformedMessageException {
     SimulatedCluster w = new SimulatedCluster(1);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
     m.handleReportResponse(
         Document.create().put("baton", m.token() + 5).put("orders", List.of()).encode());
-    int status = w.request("node-0", "POST", "/hello", m.report()).status();
+    int status = w.users.request("node-0", "POST", "/hello", m.report()).status();
     assertEquals(421, status, "a 200 with a lower token would keep the worker at this controller");
     w.advance(6);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(2);
     assertEquals(
         1, m.running().size(), "the machine is held again under a token above the one it has seen");
@@ -344,20 +344,20 @@
   @Test
   void cancellationStopsAllTasksAndStatusNeverReverts() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
     w.advance(1);
-    assertEquals("cancelled", w.cancel("node-2", "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.cancel("node-2", "wk-1").jobStatus());
     for (String node : w.nodes.keySet()) {
-      assertEquals("cancelled", w.poll(node, "wk-1").jobStatus());
+      assertEquals("cancelled", w.users.poll(node, "wk-1").jobStatus());
     }
     w.advance(3);
     assertEquals(List.of(), m.running());
     int starts = m.starts().size();
     w.advance(10);
     assertEquals(starts, m.starts().size());
-    assertEquals("cancelled", w.poll("node-0", "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.poll("node-0", "wk-1").jobStatus());
     assertEquals(List.of(), w.stateService.keys("t/"));
   }
 
@@ -368,17 +368,17 @@
   @Test
   void cancellationCompletesAfterATakeover() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 4, 1));
     w.advance(1);
     w.nodes.get("node-0").crash();
-    assertEquals(503, w.cancel("node-2", "wk-1").status());
+    assertEquals(503, w.users.cancel("node-2", "wk-1").status());
     w.advance(15);
-    assertEquals("cancelled", w.cancel("node-2", "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.cancel("node-2", "wk-1").jobStatus());
     assertEquals(List.of(), m.running());
     assertEquals(List.of(), w.stateService.keys("w/j/"));
-    assertEquals("cancelled", w.poll("node-1", "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.poll("node-1", "wk-1").jobStatus());
   }
 
   /**
@@ -389,30 +389,30 @@
   @Test
   void jobIsNotReportedCancelledWhileAPartitionedTaskRuns() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.start().advance(2);
-    String holder = w.holderOf("host-1");
+    String holder = w.machines.holderOf("host-1");
     List<String> others = w.nodes.keySet().stream().filter(n -> !n.equals(holder)).toList();
-    w.submit(others.get(0), SimulatedCluster.job("wk-1", 2, 1));
+    w.users.submit(others.get(0), SimulatedCluster.job("wk-1", 2, 1));
     w.advance(1);
     assertEquals(2, m.running().size());
-    w.dropDelivery =
+    w.network.dropDelivery =
         (from, to) ->
             (from.equals(holder) || to.equals(holder))
                 && !from.endsWith(":9")
                 && !to.endsWith(":9");
-    w.dropResponse = w.dropDelivery;
+    w.network.dropResponse = w.network.dropDelivery;
     for (int i = 0; i < 15; i++) {
-      assertEquals(503, w.cancel(others.get(0), "wk-1").status());
-      assertEquals(1, w.cancel(others.get(1), "wk-1").retryAfterS());
-      assertEquals("running", w.poll(others.get(0), "wk-1").jobStatus());
+      assertEquals(503, w.users.cancel(others.get(0), "wk-1").status());
+      assertEquals(1, w.users.cancel(others.get(1), "wk-1").retryAfterS());
+      assertEquals("running", w.users.poll(others.get(0), "wk-1").jobStatus());
       w.advance(2);
     }
     assertEquals(2, m.running().size());
-    w.dropResponse = (from, to) -> false;
-    w.dropDelivery = (from, to) -> false;
+    w.network.dropResponse = (from, to) -> false;
+    w.network.dropDelivery = (from, to) -> false;
     w.advance(10);
-    assertEquals("cancelled", w.cancel(others.get(1), "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.cancel(others.get(1), "wk-1").jobStatus());
     assertEquals(List.of(), m.running());
   }
 
@@ -427,10 +427,10 @@
     JobSpec spec = JobSpec.fromDocument(SimulatedCluster.job("wk-1", 20_000, 1));
     JobRecord done = new JobRecord(spec, 1, "node-9#1", 1, JobRecord.Status.DONE, 0);
     w.writeState(JobRecord.key("wk-1"), done.toDocument("m"));
-    assertEquals("done", w.cancel("node-0", "wk-1").jobStatus());
+    assertEquals("done", w.users.cancel("node-0", "wk-1").jobStatus());
     w.advance(10);
-    assertEquals("done", w.poll("node-1", "wk-1").jobStatus());
-    assertEquals("done", w.cancel("node-1", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-1", "wk-1").jobStatus());
+    assertEquals("done", w.users.cancel("node-1", "wk-1").jobStatus());
   }
 
   /**
@@ -441,12 +441,12 @@
   void teamLimitHoldsAcrossAControllerCrash() {
     SimulatedCluster w =
         new SimulatedCluster(3, "[[facts.teams]]\nname = \"t\"\ncpus = 1.0\ncpus_max = 3.0\n");
-    FakeWorker a = w.addMachine("host-1", "large", "a", "node-0");
-    FakeWorker b = w.addMachine("host-2", "large", "a", "node-1");
+    FakeWorker a = w.machines.addMachine("host-1", "large", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "large", "a", "node-1");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 6, 1));
-    w.submit("node-1", SimulatedCluster.job("wk-2", 6, 1));
-    w.submit("node-2", SimulatedCluster.job("wk-3", 6, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 6, 1));
+    w.users.submit("node-1", SimulatedCluster.job("wk-2", 6, 1));
+    w.users.submit("node-2", SimulatedCluster.job("wk-3", 6, 1));
     w.advance(3);
     assertEquals(3, a.running().size() + b.running().size());
     w.nodes.get("node-0").crash();
@@ -463,9 +463,9 @@
     }
     w.advance(3);
     for (String id : List.of("wk-1", "wk-2", "wk-3")) {
-      assertEquals("done", w.poll("node-1", id).jobStatus());
+      assertEquals("done", w.users.poll("node-1", id).jobStatus());
     }
-    assertEquals(422, w.submit("node-1", SimulatedCluster.job("wk-9", 1, 4)).status());
+    assertEquals(422, w.users.submit("node-1", SimulatedCluster.job("wk-9", 1, 4)).status());
   }
 
   /**
@@ -475,28 +475,30 @@
   @Test
   void stateServiceOutageFailsRequestsFastWhileTasksRun() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
-    w.submit("node-0", SimulatedCluster.job("wk-2", 1, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 1));
     w.advance(1);
     m.exit("wk-2/0", "done");
     w.advance(3);
-    assertEquals("done", w.poll("node-0", "wk-2").jobStatus());
+    assertEquals("done", w.users.poll("node-0", "wk-2").jobStatus());
     w.stateService.outage(true);
     w.advance(3);
-    SimulatedCluster.ApiResponse response = w.submit("node-0", SimulatedCluster.job("wk-3", 1, 1));
+    SimulatedUsers.ApiResponse response =
+        w.users.submit("node-0", SimulatedCluster.job("wk-3", 1, 1));
     assertEquals(503, response.status());
     assertTrue(response.retryAfterS() > 0);
-    assertEquals(503, w.poll("node-0", "wk-1").status());
-    assertEquals("done", w.poll("node-0", "wk-2").jobStatus(), "a final status never changes");
+    assertEquals(503, w.users.poll("node-0", "wk-1").status());
+    assertEquals(
+        "done", w.users.poll("node-0", "wk-2").jobStatus(), "a final status never changes");
     w.advance(3 * SimulatedCluster.LEASE_S);
     assertEquals(List.of("wk-1/0"), m.running(), "the lease is renewed during the outage");
     w.stateService.outage(false);
     w.advance(4);
     m.exit("wk-1/0", "done");
     w.advance(3);
-    assertEquals("done", w.poll("node-1", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-1", "wk-1").jobStatus());
   }
 
   /**
@@ -506,34 +508,36 @@
   @Test
   void controllerRefusedByTheStateServiceReportsUnhealthy() {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 2, 1));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 1));
     w.advance(1);
     assertEquals(2, m.running().size());
-    w.refusedByStateService.add("node-0");
+    w.network.refusedByStateService.add("node-0");
     w.advance(3);
-    assertEquals(503, w.request("node-0", "GET", "/up", new byte[0]).status());
-    assertEquals(200, w.request("node-1", "GET", "/up", new byte[0]).status());
+    assertEquals(503, w.users.request("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(200, w.users.request("node-1", "GET", "/up", new byte[0]).status());
     w.advance(10);
     m.exit("wk-1/0", "done");
     m.exit("wk-1/1", "done");
     w.advance(4);
     assertEquals(
-        "done", w.poll("node-1", "wk-1").jobStatus(), "another controller has claimed the job");
-    assertEquals(201, w.submit("node-2", SimulatedCluster.job("wk-2", 1, 1)).status());
+        "done",
+        w.users.poll("node-1", "wk-1").jobStatus(),
+        "another controller has claimed the job");
+    assertEquals(201, w.users.submit("node-2", SimulatedCluster.job("wk-2", 1, 1)).status());
     w.advance(3);
     assertEquals(
         List.of("wk-2/0"),
         m.running(),
         "the refused controller still allocates room on its machines");
-    w.refusedByStateService.clear();
+    w.network.refusedByStateService.clear();
     w.advance(8);
-    assertEquals(200, w.request("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(200, w.users.request("node-0", "GET", "/up", new byte[0]).status());
     assertEquals(List.of("wk-2/0"), m.running());
     w.stateService.outage(true);
     w.advance(3);
-    assertEquals(200, w.request("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(200, w.users.request("node-0", "GET", "/up", new byte[0]).status());
   }
 
   /**
@@ -543,18 +547,19 @@
   @Test
   void delayedTransactionDoesNotCreateTheJobTwice() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.holdRequest = (from, to) -> to.equals("10.2.0.1:1") && from.equals("node-0");
-    SimulatedCluster.ApiResponse response = w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.network.holdRequest = (from, to) -> to.equals("10.2.0.1:1") && from.equals("node-0");
+    SimulatedUsers.ApiResponse response =
+        w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     assertEquals(
         503, response.status(), "the job is not accepted before its record is known to be written");
-    w.holdRequest = (from, to) -> false;
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
-    w.deliverHeld();
+    w.network.holdRequest = (from, to) -> false;
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
+    w.network.deliverHeld();
     w.advance(12);
     assertEquals(List.of("wk-1/0"), m.running());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -564,15 +569,16 @@
   @Test
   void hugeJobStaysWithinStateServiceLimits() {
     SimulatedCluster w = new SimulatedCluster(2);
-    w.addMachine("host-1", "large", "a", "node-0");
+    w.machines.addMachine("host-1", "large", "a", "node-0");
     w.start().advance(2);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 100_000, 0.001)).status());
+    assertEquals(
+        201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 100_000, 0.001)).status());
     w.advance(20);
     assertFalse(w.stateService.keys("t/wk-1/").isEmpty());
     for (String key : w.stateService.keys("t/wk-1/")) {
       assertTrue(w.stateService.value(key).encode().length < 16 * 1024);
     }
-    assertEquals("cancelled", w.cancel("node-1", "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.cancel("node-1", "wk-1").jobStatus());
     w.advance(60);
     assertEquals(List.of(), w.stateService.keys("t/"));
   }
@@ -584,11 +590,11 @@
   @Test
   void failuresAreAttributedToTheMachineOrToTheJob() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker bad = w.addMachine("host-1", "large", "a", "node-0");
+    FakeWorker bad = w.machines.addMachine("host-1", "large", "a", "node-0");
     w.start().advance(2);
     // Two jobs fail on the only machine, both at first and when they are retried.
     for (String id : List.of("wk-1", "wk-2")) {
-      w.submit("node-0", SimulatedCluster.job(id, 1, 1));
+      w.users.submit("node-0", SimulatedCluster.job(id, 1, 1));
     }
     for (int i = 0; i < 80; i++) {
       w.advance(1);
@@ -598,12 +604,12 @@
 
     // With a second machine on which the same jobs succeed, the fault is attributed at once.
     SimulatedCluster u = new SimulatedCluster(2);
-    FakeWorker faulty = u.addMachine("host-1", "large", "a", "node-0");
-    FakeWorker good = u.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker faulty = u.machines.addMachine("host-1", "large", "a", "node-0");
+    FakeWorker good = u.machines.addMachine("host-2", "small", "a", "node-1");
     u.start().advance(2);
     for (int i = 0; i < 20; i++) {
       if (i % 3 == 0) {
-        u.submit("node-0", SimulatedCluster.job("wk-" + i, 5, 1));
+        u.users.submit("node-0", SimulatedCluster.job("wk-" + i, 5, 1));
       }
       u.advance(1);
       faulty.running().forEach(t -> faulty.exit(t, "error"));
@@ -613,10 +619,10 @@
     assertFalse(u.cloud.deleted("host-2"));
 
     SimulatedCluster v = new SimulatedCluster(2);
-    FakeWorker a = v.addMachine("host-1", "large", "a", "node-0");
-    FakeWorker b = v.addMachine("host-2", "large", "a", "node-1");
+    FakeWorker a = v.machines.addMachine("host-1", "large", "a", "node-0");
+    FakeWorker b = v.machines.addMachine("host-2", "large", "a", "node-1");
     v.start().advance(2);
-    v.submit("node-0", SimulatedCluster.job("wk-1", 8, 1));
+    v.users.submit("node-0", SimulatedCluster.job("wk-1", 8, 1));
     for (int i = 0; i < 60; i++) {
       v.advance(1);
       for (FakeWorker m : List.of(a, b)) {
@@ -626,7 +632,7 @@
     assertFalse(v.cloud.deleted("host-1") || v.cloud.deleted("host-2"));
     assertTrue(
         a.starts().size() + b.starts().size() < 40, "retries of the failing job are limited");
-    v.submit("node-1", SimulatedCluster.job("wk-2", 1, 1));
+    v.users.submit("node-1", SimulatedCluster.job("wk-2", 1, 1));
     v.advance(3);
     assertEquals(
         1,
@@ -644,8 +650,8 @@
     w.cloud.capacity(5);
     w.start().advance(2);
     boolean[] dropping = {true};
-    w.dropResponse = (from, to) -> to.equals("10.2.0.2:1") && dropping[0];
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.network.dropResponse = (from, to) -> to.equals("10.2.0.2:1") && dropping[0];
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(9);
     dropping[0] = false;
     w.advance(9);
@@ -660,17 +666,17 @@
   @Test
   void deletingAnUnreachableMachineProvesThatItsTasksEnded() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1));
+    w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(1);
     assertEquals(1, a.running().size());
     // Machine and holder fail together, so that no controller knows when the lease expired.
-    w.isolatedHosts.add("host-1");
+    w.machines.isolatedHosts.add("host-1");
     w.nodes.get("node-0").crash();
     w.advance(60);
     assertTrue(w.cloud.deleted("host-1"));
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-1");
     w.advance(5);
     assertEquals(List.of("wk-1/0"), b.running());
   }
@@ -683,13 +689,13 @@
   @Test
   void reclaimNoticeMovesTasksThatCannotFinishInTime() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1).put("expect_s", 60.0));
-    w.submit("node-0", SimulatedCluster.job("wk-2", 1, 1).put("expect_s", 9.0));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1).put("expect_s", 60.0));
+    w.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 1).put("expect_s", 9.0));
     w.advance(5);
     assertEquals(2, a.running().size());
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-1");
     w.advance(1);
     a.setReclaimNotice(6);
     w.advance(2);
@@ -700,7 +706,7 @@
     w.advance(2);
     assertEquals(List.of(), a.running(), "no task is left on the machine when it is reclaimed");
     assertEquals(Set.of("wk-1/0", "wk-2/0"), new HashSet<>(b.running()));
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -710,16 +716,16 @@
   @Test
   void tasksAreReplacedWhenAMachineIsReclaimedAfterItsTokenRise() {
     SimulatedCluster w = new SimulatedCluster(1);
-    w.addMachine("host-1", "small", "a", "node-0");
+    w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.dropResponse = (from, to) -> to.equals("host-1:9");
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
+    w.network.dropResponse = (from, to) -> to.equals("host-1:9");
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1)).status());
     for (int i = 0; i < 200 && w.stateService.value("w/h/host-1") == null; i++) {
       w.advance(0.05);
     }
-    w.isolatedHosts.add("host-1");
+    w.machines.isolatedHosts.add("host-1");
     w.cloud.reclaim("host-1");
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-0");
     w.advance(SimulatedCluster.LEASE_S + 4);
     assertEquals(List.of("wk-1/0"), b.running());
   }
@@ -731,19 +737,19 @@
   @Test
   void tasksAreReplacedWhenAMachineWithoutHolderIsReclaimed() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(2);
-    w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1));
+    w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1));
     w.advance(1);
     assertEquals(1, a.running().size());
     // All controllers crash, and the cloud reclaims the machine before any restarts: the machine is
     // not listed, and no holder knows when its lease expired.
     w.nodes.values().forEach(SimulatedCluster.Node::crash);
-    w.isolatedHosts.add("host-1");
+    w.machines.isolatedHosts.add("host-1");
     w.cloud.reclaim("host-1");
     w.advance(2);
     w.nodes.values().forEach(SimulatedCluster.Node::start);
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-1");
     w.advance(SimulatedCluster.LEASE_S + 3);
     assertEquals(List.of(), b.running(), "the end of the task is not proven yet");
     w.advance(40);
@@ -757,15 +763,15 @@
   @Test
   void zoneConstraintsOfAJobAreHonored() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "large", "a", "node-0");
-    FakeWorker b = w.addMachine("host-2", "large", "b", "node-1");
+    FakeWorker a = w.machines.addMachine("host-1", "large", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "large", "b", "node-1");
     w.start().advance(2);
-    w.submit(
+    w.users.submit(
         "node-0", SimulatedCluster.job("wk-1", 5, 1).put("shape", "daemon").put("apart", true));
     w.advance(6);
     assertEquals(5, a.running().size() + b.running().size());
     assertTrue(a.running().size() <= 3 && b.running().size() <= 3);
-    w.submit("node-0", SimulatedCluster.job("wk-2", 4, 1).put("same_place", true));
+    w.users.submit("node-0", SimulatedCluster.job("wk-2", 4, 1).put("same_place", true));
     w.advance(6);
     long inA = a.running().stream().filter(t -> t.startsWith("wk-2")).count();
     assertTrue(inA == 4 || inA == 0);
@@ -778,24 +784,24 @@
   @Test
   void spreadTasksWaitForTheirZoneWithoutBlockingOtherJobs() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "large", "a", "node-0");
-    w.addMachine("host-2", "large", "b", "node-1");
+    FakeWorker a = w.machines.addMachine("host-1", "large", "a", "node-0");
+    w.machines.addMachine("host-2", "large", "b", "node-1");
     w.start().advance(2);
-    w.submit(
+    w.users.submit(
         "node-0", SimulatedCluster.job("wk-1", 4, 1).put("shape", "daemon").put("apart", true));
     w.advance(3);
     assertEquals(2, a.running().size());
-    w.isolatedHosts.add("host-2");
+    w.machines.isolatedHosts.add("host-2");
     w.cloud.reclaim("host-2");
     w.advance(SimulatedCluster.LEASE_S + 4);
-    w.submit("node-1", SimulatedCluster.job("wk-2", 2, 1));
+    w.users.submit("node-1", SimulatedCluster.job("wk-2", 2, 1));
     w.advance(4);
     assertEquals(2, a.running().stream().filter(t -> t.startsWith("wk-1")).count());
     assertEquals(2, a.running().stream().filter(t -> t.startsWith("wk-2")).count());
-    FakeWorker c = w.addMachine("host-3", "large", "b", "node-0");
+    FakeWorker c = w.machines.addMachine("host-3", "large", "b", "node-0");
     w.advance(6);
     assertEquals(2, c.running().stream().filter(t -> t.startsWith("wk-1")).count());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -807,12 +813,12 @@
     SimulatedCluster w = new SimulatedCluster(2);
     w.cloud.capacity(1);
     w.start().advance(2);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 3, 4));
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 3, 4));
     w.advance(8);
-    assertEquals(1, w.rentedCount());
+    assertEquals(1, w.machines.rentedCount());
     w.cloud.capacity(10);
     w.advance(14);
-    assertEquals(3, w.rentedCount(), "exactly the machines that are needed");
+    assertEquals(3, w.machines.rentedCount(), "exactly the machines that are needed");
   }
 
   /** Requests that can never succeed get a 4xx status, so that clients don't retry them. */
@@ -820,16 +826,20 @@
   void malformedAndUnsatisfiableRequestsAreRejected() {
     SimulatedCluster w = new SimulatedCluster(1);
     w.start().advance(2);
-    assertEquals(400, w.request("node-0", "POST", "/v1/jobs", new byte[] {1, 2, 3}).status());
-    assertEquals(400, w.submit("node-0", SimulatedCluster.job("nonsense", 1, 1)).status());
-    assertEquals(400, w.submit("node-0", SimulatedCluster.job("wk-1", 0, 1)).status());
+    assertEquals(400, w.users.request("node-0", "POST", "/v1/jobs", new byte[] {1, 2, 3}).status());
+    assertEquals(400, w.users.submit("node-0", SimulatedCluster.job("nonsense", 1, 1)).status());
+    assertEquals(400, w.users.submit("node-0", SimulatedCluster.job("wk-1", 0, 1)).status());
     assertEquals(
-        400, w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1).put("shape", "choir")).status());
+        400,
+        w.users
+            .submit("node-0", SimulatedCluster.job("wk-1", 1, 1).put("shape", "choir"))
+            .status());
     assertEquals(
-        422, w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1).put("owner", "x")).status());
-    assertEquals(422, w.submit("node-0", SimulatedCluster.job("wk-1", 1, 99)).status());
-    assertEquals(404, w.poll("node-0", "wk-1").status());
-    assertEquals(404, w.request("node-0", "GET", "/v2", new byte[0]).status());
-    assertEquals(405, w.request("node-0", "DELETE", "/v1/jobs/wk-1", new byte[0]).status());
+        422,
+        w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1).put("owner", "x")).status());
+    assertEquals(422, w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 99)).status());
+    assertEquals(404, w.users.poll("node-0", "wk-1").status());
+    assertEquals(404, w.users.request("node-0", "GET", "/v2", new byte[0]).status());
+    assertEquals(405, w.users.request("node-0", "DELETE", "/v1/jobs/wk-1", new byte[0]).status());
   }
 }
--- a/src/test/java/dev/dunefront/story/CombinedFaultsTest.java
+++ b/src/test/java/dev/dunefront/story/CombinedFaultsTest.java
@@ -69,18 +69,20 @@
       case ZONE_PARTITION, WORKERS_RESTART, MACHINES_STOP, MACHINES_HANG, MACHINES_CANNOT_SEND ->
           injectMachineFault(w, fault, random, forS);
       case LOST_RESPONSES -> {
-        SimulatedCluster.DeliveryPolicy before = w.deliveryPolicy;
-        w.deliveryPolicy =
+        SimulatedNetwork.DeliveryPolicy before = w.network.deliveryPolicy;
+        w.network.deliveryPolicy =
             (from, path, body) ->
                 path.equals("/txn") && random.nextInt(8) == 0
-                    ? SimulatedCluster.Delivery.RESPONSE_DROPPED
+                    ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
                     : before.choose(from, path, body);
         w.clock.after(
-            forS, () -> w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME);
+            forS,
+            () ->
+                w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME);
       }
       case OLD_REPORTS_AFTER_RESTART -> {
-        w.replayReportsAtNextStart = to -> random.nextInt(3) == 0;
-        w.clock.after(forS, () -> w.replayReportsAtNextStart = to -> false);
+        w.machines.replayReportsAtNextStart = to -> random.nextInt(3) == 0;
+        w.clock.after(forS, () -> w.machines.replayReportsAtNextStart = to -> false);
         w.clock.after(forS * random.nextDouble(), () -> crash(w, node, random.nextInt(80) / 10.0));
       }
       case REPEATED_CONTROLLER_CRASHES -> {
@@ -90,22 +92,25 @@
         }
       }
       case DELAYED_WRITES -> {
-        SimulatedCluster.DeliveryPolicy before = w.deliveryPolicy;
-        w.deliveryDelayS = 2 + random.nextInt(30);
-        w.deliveryPolicy =
+        SimulatedNetwork.DeliveryPolicy before = w.network.deliveryPolicy;
+        w.network.deliveryDelayS = 2 + random.nextInt(30);
+        w.network.deliveryPolicy =
             (from, path, body) ->
                 path.equals("/txn") && random.nextInt(12) == 0
-                    ? SimulatedCluster.Delivery.DELAYED
+                    ? SimulatedNetwork.Delivery.DELAYED
                     : before.choose(from, path, body);
         w.clock.after(
-            forS, () -> w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME);
+            forS,
+            () ->
+                w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME);
       }
       case REFUSED_THEN_OUTAGE -> {
-        w.refusedByStateService.add(node);
+        w.network.refusedByStateService.add(node);
         double waitS = 0.3 + random.nextInt(60) / 10.0;
         w.clock.after(waitS, () -> w.stateService.outage(true));
         w.clock.after(waitS + forS, () -> w.stateService.outage(false));
-        w.clock.after(waitS + forS + random.nextInt(3), () -> w.refusedByStateService.remove(node));
+        w.clock.after(
+            waitS + forS + random.nextInt(3), () -> w.network.refusedByStateService.remove(node));
       }
       case GRACEFUL_RESTART -> {
         SimulatedCluster.Node n = w.nodes.get(node);
@@ -122,46 +127,47 @@
       case CONTROLLER_LINK_DOWN -> cutControllerLink(w, node, "node-" + random.nextInt(5), forS);
       case SLOW_STATE_SERVICE -> {
         double worstS = 0.2 + random.nextInt(40) / 10.0;
-        w.stateServiceDelayS = () -> random.nextDouble() * worstS;
-        w.clock.after(forS, () -> w.stateServiceDelayS = () -> 0);
+        w.network.stateServiceDelayS = () -> random.nextDouble() * worstS;
+        w.clock.after(forS, () -> w.network.stateServiceDelayS = () -> 0);
       }
       case DELAYED_REPORT_COPIES -> {
-        w.duplicateReportDelaysS = List.of(0.5 + random.nextInt(30), SimulatedCluster.LEASE_S * 2);
-        w.clock.after(forS, () -> w.duplicateReportDelaysS = List.of());
+        w.machines.duplicateReportDelaysS =
+            List.of(0.5 + random.nextInt(30), SimulatedCluster.LEASE_S * 2);
+        w.clock.after(forS, () -> w.machines.duplicateReportDelaysS = List.of());
       }
       case CONTROLLER_ISOLATED -> {
-        dropMessages(w, SimulatedCluster.isolatedFromPeersAndState(node), forS);
-        w.dropResponse = (from, to) -> from.equals(node) && to.equals(STATE_SERVICE);
-        w.clock.after(5, () -> w.timeOutLinks(node));
+        dropMessages(w, SimulatedNetwork.isolatedFromPeersAndState(node), forS);
+        w.network.dropResponse = (from, to) -> from.equals(node) && to.equals(STATE_SERVICE);
+        w.clock.after(5, () -> w.network.timeOutLinks(node));
         w.clock.after(
             forS,
             () -> {
-              w.dropResponse = (from, to) -> false;
-              w.reconnectLinks(node);
+              w.network.dropResponse = (from, to) -> false;
+              w.network.reconnectLinks(node);
             });
       }
       case CRASH_WITH_SILENT_MACHINES -> {
         for (int i = 0; i < 5; i++) {
           String host = "host-" + random.nextInt(10);
-          w.isolatedHosts.add(host);
-          w.clock.after(forS, () -> w.isolatedHosts.remove(host));
+          w.machines.isolatedHosts.add(host);
+          w.clock.after(forS, () -> w.machines.isolatedHosts.remove(host));
         }
         crash(w, node, 0.05 + random.nextInt(100) / 20.0);
       }
       case DELAYED_COMMANDS -> {
-        w.heldPath = "/orders";
+        w.network.heldPath = "/orders";
         w.clock.after(
             forS,
             () -> {
-              w.heldPath = null;
-              w.deliverHeld();
+              w.network.heldPath = null;
+              w.network.deliverHeld();
             });
       }
       case MACHINES_CANNOT_RECEIVE -> {
         for (int i = 0; i < 4; i++) {
           String host = "host-" + random.nextInt(10);
-          w.inboundBlockedHosts.add(host);
-          w.clock.after(forS, () -> w.inboundBlockedHosts.remove(host));
+          w.machines.inboundBlockedHosts.add(host);
+          w.clock.after(forS, () -> w.machines.inboundBlockedHosts.remove(host));
         }
       }
       case ALL_CONTROLLERS_CRASH ->
@@ -172,18 +178,20 @@
         }
       }
       case STATE_SERVICE_REFUSES_CONTROLLER -> {
-        w.refusedByStateService.add(node);
-        w.clock.after(forS, () -> w.refusedByStateService.remove(node));
+        w.network.refusedByStateService.add(node);
+        w.clock.after(forS, () -> w.network.refusedByStateService.remove(node));
       }
       case LOST_COMMANDS -> {
-        SimulatedCluster.DeliveryPolicy before = w.deliveryPolicy;
-        w.deliveryPolicy =
+        SimulatedNetwork.DeliveryPolicy before = w.network.deliveryPolicy;
+        w.network.deliveryPolicy =
             (from, path, body) ->
                 path.equals("/orders") && random.nextInt(3) == 0
-                    ? SimulatedCluster.Delivery.values()[1 + random.nextInt(3)]
+                    ? SimulatedNetwork.Delivery.values()[1 + random.nextInt(3)]
                     : before.choose(from, path, body);
         w.clock.after(
-            forS, () -> w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME);
+            forS,
+            () ->
+                w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME);
       }
     }
   }
@@ -193,7 +201,7 @@
     String host = "host-" + random.nextInt(10);
     if (fault == Fault.MACHINES_HANG) {
       for (int i = 0; i < 4; i++) {
-        w.hang("host-" + random.nextInt(10), forS);
+        w.machines.hang("host-" + random.nextInt(10), forS);
       }
       return;
     }
@@ -207,22 +215,22 @@
       return;
     }
     if (fault == Fault.ZONE_PARTITION) {
-      w.partitionZone("b");
-      w.clock.after(forS, w::healPartition);
+      w.network.partitionZone("b");
+      w.clock.after(forS, w.network::healPartition);
       return;
     }
     for (int i = 0; i < 3; i++) {
-      FakeWorker m = w.workers.get("host-" + random.nextInt(10) + ":9");
+      FakeWorker m = w.machines.workers.get("host-" + random.nextInt(10) + ":9");
       if (m != null && fault == Fault.WORKERS_RESTART) {
         m.restart();
       } else if (m != null && !KEPT_MACHINES.contains(m.host())) {
         // The machine stops with all its tasks, and no report announces it.
         m.newSession();
-        w.isolatedHosts.add(m.host());
+        w.machines.isolatedHosts.add(m.host());
         w.clock.after(LISTED_AS_FAILED_AFTER_S, () -> w.cloud.markFailed(m.host()));
       }
     }
-    w.isolatedHosts.remove(host);
+    w.machines.isolatedHosts.remove(host);
   }
 
   /**
@@ -236,15 +244,15 @@
         (from, to) ->
             from.equals(first) && to.equals(second) || from.equals(second) && to.equals(first),
         forS);
-    w.clock.after(5, () -> w.timeOutLinks(first));
-    w.clock.after(forS, () -> w.reconnectLinks(first));
+    w.clock.after(5, () -> w.network.timeOutLinks(first));
+    w.clock.after(forS, () -> w.network.reconnectLinks(first));
   }
 
   /** Drops further messages for a while. When that ends, all other message loss ends as well. */
   private static void dropMessages(
       SimulatedCluster w, BiPredicate<String, String> lost, double forS) {
-    w.dropDelivery = w.dropDelivery.or(lost);
-    w.clock.after(forS, () -> w.dropDelivery = (from, to) -> false);
+    w.network.dropDelivery = w.network.dropDelivery.or(lost);
+    w.clock.after(forS, () -> w.network.dropDelivery = (from, to) -> false);
   }
 
   private static boolean isWorker(String address) {
@@ -272,7 +280,7 @@
 
   /** Finishes the first task of some machines, so that tasks end one at a time. */
   private static void finishSomeTasks(SimulatedCluster w, Random random) {
-    for (FakeWorker m : w.workers.values()) {
+    for (FakeWorker m : w.machines.workers.values()) {
       if (random.nextInt(4) == 0) {
         m.running().stream().limit(1).forEach(t -> m.exit(t, "done"));
       }
@@ -296,7 +304,7 @@
       // The submission is sent twice and the status is polled at all controllers meanwhile.
       new RedundantClients(w).submit(job, node);
     } else {
-      w.requestWithRetries("POST", "/v1/jobs", job, "wk-" + n, node, 40);
+      w.users.requestWithRetries("POST", "/v1/jobs", job, "wk-" + n, node, 40);
     }
   }
 
@@ -309,14 +317,15 @@
     Random random = new Random(seed);
     SimulatedCluster w =
         SimulatedCluster.withTeamLimit(List.of("a", "a", "a", "b", "b"), TEAM_CPU_LIMIT);
-    w.ignoreConditionOn = preconditionIgnored;
+    w.network.ignoreConditionOn = preconditionIgnored;
     if (random.nextBoolean()) {
       w.withRentingDelays(random.nextBoolean() ? 3 : 1, 3);
       w.cloud.capacity(12);
     }
     w.start().advance(2);
     for (int i = 0; i < 10; i++) {
-      w.addMachine("host-" + i, i == 3 ? "large" : "small", i < 6 ? "a" : "b", "node-" + i % 5);
+      w.machines.addMachine(
+          "host-" + i, i == 3 ? "large" : "small", i < 6 ? "a" : "b", "node-" + i % 5);
     }
     w.advance(4);
     int n = 0;
@@ -339,7 +348,7 @@
     for (int i = 0; i < 40; i++) {
       w.advance(1);
       String id = "wk-" + random.nextInt(n);
-      w.requestWithRetries("GET", "/v1/jobs/" + id, null, id, random.nextInt(5), 1);
+      w.users.requestWithRetries("GET", "/v1/jobs/" + id, null, id, random.nextInt(5), 1);
       if (i % 4 == 0) {
         finishSomeTasks(w, random);
       }
@@ -356,9 +365,9 @@
       @ForAll @IntRange(max = 1_000_000) int seed) {
     SimulatedCluster w = simulate(faults, seed);
     if (seed % 4 == 0) {
-      w.checkStarvationWhileTasksRun();
+      w.users.checkStarvationWhileTasksRun();
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -375,7 +384,11 @@
                 Fault.values()[seed % Fault.values().length],
                 Fault.values()[seed / 3 % Fault.values().length]);
         try {
-          found = !simulate(faults, seed, key -> key.startsWith(ignored)).drainAndCheck().isEmpty();
+          found =
+              !simulate(faults, seed, key -> key.startsWith(ignored))
+                  .users
+                  .drainAndCheck()
+                  .isEmpty();
         } catch (AssertionError e) {
           found = true;
         }
--- a/src/test/java/dev/dunefront/story/ControllerMembershipTest.java
+++ b/src/test/java/dev/dunefront/story/ControllerMembershipTest.java
@@ -29,13 +29,13 @@
                 .findFirst()
                 .get()
                 .name;
-        SimulatedCluster.ApiResponse response =
-            cluster.submit(node, SimulatedCluster.job("wk-" + ++submittedJobs, 20, 1));
+        SimulatedUsers.ApiResponse response =
+            cluster.users.submit(node, SimulatedCluster.job("wk-" + ++submittedJobs, 20, 1));
         assertTrue(response != null && (response.status() == 201 || response.status() == 503));
       }
       cluster.advance(1);
       if (s % 6 == 5) {
-        cluster.completeAllTasks();
+        cluster.machines.completeAllTasks();
       }
     }
   }
@@ -44,9 +44,10 @@
   private static Map<String, Integer> machinesPerController(SimulatedCluster cluster) {
     Map<String, Integer> machineCounts = new HashMap<>();
     cluster
+        .machines
         .workers
         .values()
-        .forEach(m -> machineCounts.merge(cluster.holderOf(m.host()), 1, Integer::sum));
+        .forEach(m -> machineCounts.merge(cluster.machines.holderOf(m.host()), 1, Integer::sum));
     return machineCounts;
   }
 
@@ -58,11 +59,11 @@
   private void finishAllJobs(SimulatedCluster cluster) {
     for (int s = 0; s < 40; s++) {
       cluster.advance(1);
-      cluster.completeAllTasks();
+      cluster.machines.completeAllTasks();
     }
-    assertEquals(0, cluster.runningCount());
+    assertEquals(0, cluster.machines.runningCount());
     assertEquals(List.of(), cluster.stateService.keys("w/j/"), "accepted jobs have not ended");
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   @Test
@@ -71,7 +72,7 @@
         new SimulatedCluster(List.of("a", "b", "a"), SimulatedCluster.ONE_TEAM);
     cluster.start().advance(3);
     for (int i = 0; i < MACHINES; i++) {
-      cluster.addMachine("host-" + i, "small", i % 2 == 0 ? "a" : "b", "node-" + i % 3);
+      cluster.machines.addMachine("host-" + i, "small", i % 2 == 0 ? "a" : "b", "node-" + i % 3);
     }
     runWorkload(cluster, 10);
     for (String zone : List.of("b", "a", "b", "a")) {
@@ -120,16 +121,17 @@
     SimulatedCluster cluster = new SimulatedCluster(3);
     cluster.start().advance(3);
     for (int i = 0; i < 120; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
     }
     cluster.advance(8);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 480, 1)).status());
+    assertEquals(
+        201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 480, 1)).status());
     cluster.advance(4);
-    assertEquals(480, cluster.runningCount());
+    assertEquals(480, cluster.machines.runningCount());
     List<String> ownHosts =
-        cluster.workers.values().stream()
+        cluster.machines.workers.values().stream()
             .map(FakeWorker::host)
-            .filter(host -> cluster.holderOf(host).equals("node-0"))
+            .filter(host -> cluster.machines.holderOf(host).equals("node-0"))
             .toList();
     cluster.addController("a");
     for (String node : List.of("node-1", "node-2", "node-3")) {
@@ -140,30 +142,30 @@
       cluster.nodes.get(node).start();
       cluster.advance(6);
     }
-    cluster.deliveryPolicy =
+    cluster.network.deliveryPolicy =
         (from, path, body) ->
             from.equals("node-0") && path.startsWith("/watch")
-                ? SimulatedCluster.Delivery.DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
+                ? SimulatedNetwork.Delivery.DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
     cluster.advance(25);
     assertEquals(4, rosterNodes(cluster).size());
-    cluster.dropDelivery = (from, to) -> to.equals("node-0") && from.startsWith("host-");
+    cluster.network.dropDelivery = (from, to) -> to.equals("node-0") && from.startsWith("host-");
     cluster.advance(SimulatedCluster.LEASE_S + 6);
     long moved =
         ownHosts.stream()
             .filter(
                 h ->
-                    cluster.holderOf(h).equals("node-3")
+                    cluster.machines.holderOf(h).equals("node-3")
                         && cluster.stateService.value("w/h/" + h) == null)
             .count();
     assertTrue(moved > 3, moved + " machines are held by the new controller without a record");
     // Room for tasks that would wrongly be placed again.
     for (int i = 120; i < 160; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
     }
     cluster.advance(15);
-    assertEquals(List.of(), cluster.overlappingRuns);
-    assertEquals(480, cluster.runningCount(), "tasks were lost");
+    assertEquals(List.of(), cluster.users.overlappingRuns);
+    assertEquals(480, cluster.machines.runningCount(), "tasks were lost");
   }
 
   /**
@@ -176,7 +178,7 @@
       SimulatedCluster cluster = new SimulatedCluster(3);
       cluster.start().advance(3);
       for (int i = 0; i < 20; i++) {
-        cluster.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+        cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
       }
       runWorkload(cluster, 8);
       cluster.addController("a");
@@ -189,18 +191,19 @@
         runWorkload(cluster, 6);
       }
       // Its watches are lost, so it receives no writes; all other messages reach it.
-      cluster.deliveryPolicy =
+      cluster.network.deliveryPolicy =
           (from, path, body) ->
               from.equals(delayedNode) && path.startsWith("/watch")
-                  ? SimulatedCluster.Delivery.DROPPED
-                  : SimulatedCluster.Delivery.ON_TIME;
+                  ? SimulatedNetwork.Delivery.DROPPED
+                  : SimulatedNetwork.Delivery.ON_TIME;
       runWorkload(cluster, 40);
-      cluster.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
+      cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
       runWorkload(cluster, 20);
       assertEquals(4, rosterNodes(cluster).size(), delayedNode + " receives the roster late");
-      assertEquals(List.of(), cluster.overlappingRuns, delayedNode + " receives the roster late");
-      for (FakeWorker m : cluster.workers.values()) {
-        assertTrue(cluster.nodes.get(cluster.holderOf(m.host())).up());
+      assertEquals(
+          List.of(), cluster.users.overlappingRuns, delayedNode + " receives the roster late");
+      for (FakeWorker m : cluster.machines.workers.values()) {
+        assertTrue(cluster.nodes.get(cluster.machines.holderOf(m.host())).up());
       }
       finishAllJobs(cluster);
     }
--- a/src/test/java/dev/dunefront/story/ControllerOutageTest.java
+++ b/src/test/java/dev/dunefront/story/ControllerOutageTest.java
@@ -19,20 +19,22 @@
     SimulatedCluster cluster = SimulatedCluster.withSmallMachines(9);
     for (int i = 0; i < 6; i++) {
       assertEquals(
-          201, cluster.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 5, 1)).status());
+          201,
+          cluster.users.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 5, 1)).status());
     }
     cluster.advance(2);
-    assertEquals(30, cluster.runningCount());
+    assertEquals(30, cluster.machines.runningCount());
     return cluster;
   }
 
   /** Submits and completes jobs at the unaffected controllers while time advances. */
   private static void advanceUnderLoad(SimulatedCluster cluster, double seconds) {
-    int jobCount = cluster.acceptedJobs.size();
+    int jobCount = cluster.users.acceptedJobs.size();
     for (double s = 0; s < seconds; s += 4) {
-      cluster.submit("node-" + (1 + jobCount % 2), SimulatedCluster.job("wk-1" + jobCount++, 3, 1));
+      cluster.users.submit(
+          "node-" + (1 + jobCount % 2), SimulatedCluster.job("wk-1" + jobCount++, 3, 1));
       cluster.advance(Math.min(4, seconds - s));
-      cluster.completeAllTasks();
+      cluster.machines.completeAllTasks();
     }
   }
 
@@ -45,15 +47,15 @@
     for (double pauseS : new double[] {2, 7, 10, 25, 30}) {
       for (boolean twice : new boolean[] {false, true}) {
         SimulatedCluster cluster = startCluster();
-        cluster.cancel("node-1", "wk-5");
+        cluster.users.cancel("node-1", "wk-5");
         cluster.nodes.get("node-0").pause(pauseS);
         advanceUnderLoad(cluster, pauseS + 0.5);
         if (twice) {
           cluster.nodes.get("node-0").pause(pauseS);
           advanceUnderLoad(cluster, pauseS + 1);
         }
-        assertEquals(List.of(), cluster.drainAndCheck(), pauseS + " s, twice: " + twice);
-        assertEquals("cancelled", cluster.poll("node-0", "wk-5").jobStatus());
+        assertEquals(List.of(), cluster.users.drainAndCheck(), pauseS + " s, twice: " + twice);
+        assertEquals("cancelled", cluster.users.poll("node-0", "wk-5").jobStatus());
       }
     }
   }
@@ -67,7 +69,7 @@
     for (String step : List.of("/touch", "put=t/", "/orders", "put=w/h/", "put=u/rent")) {
       SimulatedCluster cluster = startCluster().withRentingDelays(5, 4);
       boolean[] paused = {false};
-      cluster.deliveryPolicy =
+      cluster.network.deliveryPolicy =
           (from, path, body) -> {
             if (!paused[0]
                 && from.equals("node-0")
@@ -75,12 +77,12 @@
               paused[0] = true;
               cluster.clock.after(0.001, () -> cluster.nodes.get("node-0").pause(11));
             }
-            return SimulatedCluster.Delivery.ON_TIME;
+            return SimulatedNetwork.Delivery.ON_TIME;
           };
-      cluster.submit("node-0", SimulatedCluster.job("wk-20", 30, 1));
+      cluster.users.submit("node-0", SimulatedCluster.job("wk-20", 30, 1));
       advanceUnderLoad(cluster, 24);
-      cluster.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
-      assertEquals(List.of(), cluster.drainAndCheck(), "during a request with " + step);
+      cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+      assertEquals(List.of(), cluster.users.drainAndCheck(), "during a request with " + step);
     }
   }
 
@@ -113,28 +115,30 @@
           SimulatedCluster cluster = startCluster();
           BiPredicate<String, String> partition = partitions.get(kind);
           if (held) {
-            cluster.holdRequest = (from, to) -> partition.test(from, to) && !to.startsWith("node-");
-            cluster.dropDelivery = (from, to) -> partition.test(from, to) && to.startsWith("node-");
+            cluster.network.holdRequest =
+                (from, to) -> partition.test(from, to) && !to.startsWith("node-");
+            cluster.network.dropDelivery =
+                (from, to) -> partition.test(from, to) && to.startsWith("node-");
           } else {
-            cluster.dropDelivery = partition;
+            cluster.network.dropDelivery = partition;
           }
-          cluster.dropResponse = partition.and(stateServiceRequests);
-          cluster.clock.after(5, () -> cluster.timeOutLinks("node-0"));
+          cluster.network.dropResponse = partition.and(stateServiceRequests);
+          cluster.clock.after(5, () -> cluster.network.timeOutLinks("node-0"));
           advanceUnderLoad(cluster, partitionS);
           if (kind == 0 && partitionS > 10) {
-            assertEquals(503, cluster.request("node-0", "GET", "/up", new byte[0]).status());
+            assertEquals(503, cluster.users.request("node-0", "GET", "/up", new byte[0]).status());
           }
-          cluster.holdRequest = (from, to) -> false;
-          cluster.dropDelivery = (from, to) -> false;
-          cluster.dropResponse = (from, to) -> false;
-          cluster.deliverHeld();
-          cluster.reconnectLinks("node-0");
+          cluster.network.holdRequest = (from, to) -> false;
+          cluster.network.dropDelivery = (from, to) -> false;
+          cluster.network.dropResponse = (from, to) -> false;
+          cluster.network.deliverHeld();
+          cluster.network.reconnectLinks("node-0");
           cluster.advance(2);
           assertEquals(
               List.of(),
-              cluster.drainAndCheck(),
+              cluster.users.drainAndCheck(),
               "partition " + kind + " for " + partitionS + " s, held: " + held);
-          assertEquals(200, cluster.request("node-0", "GET", "/up", new byte[0]).status());
+          assertEquals(200, cluster.users.request("node-0", "GET", "/up", new byte[0]).status());
         }
       }
     }
@@ -144,15 +148,17 @@
   @Test
   void controllerWithoutStateServiceRejectsRequestsAtOnce() {
     SimulatedCluster cluster = startCluster();
-    cluster.dropDelivery = (from, to) -> from.equals("node-0") && to.equals(STATE_SERVICE_ADDRESS);
-    cluster.dropResponse = (from, to) -> from.equals("node-0") && to.equals(STATE_SERVICE_ADDRESS);
+    cluster.network.dropDelivery =
+        (from, to) -> from.equals("node-0") && to.equals(STATE_SERVICE_ADDRESS);
+    cluster.network.dropResponse =
+        (from, to) -> from.equals("node-0") && to.equals(STATE_SERVICE_ADDRESS);
     cluster.advance(4);
     double requestedAtS = cluster.clock.now();
-    assertEquals(503, cluster.submit("node-0", SimulatedCluster.job("wk-9", 1, 1)).status());
+    assertEquals(503, cluster.users.submit("node-0", SimulatedCluster.job("wk-9", 1, 1)).status());
     double elapsedS = cluster.clock.now() - requestedAtS;
-    assertEquals(503, cluster.request("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(503, cluster.users.request("node-0", "GET", "/up", new byte[0]).status());
     requestedAtS = cluster.clock.now();
-    assertEquals(201, cluster.submit("node-1", SimulatedCluster.job("wk-9", 1, 1)).status());
+    assertEquals(201, cluster.users.submit("node-1", SimulatedCluster.job("wk-9", 1, 1)).status());
     assertTrue(
         elapsedS <= cluster.clock.now() - requestedAtS + 0.01,
         "the refusal takes longer than a successful request");
@@ -166,12 +172,12 @@
     node.pause(90);
     for (int i = 0; i < 10; i++) {
       String otherNode = node.name.equals("node-1") ? "node-2" : "node-1";
-      cluster.submit(otherNode, SimulatedCluster.job("wk-5" + i, 2, 1));
+      cluster.users.submit(otherNode, SimulatedCluster.job("wk-5" + i, 2, 1));
       cluster.advance(9);
-      cluster.completeAllTasks();
+      cluster.machines.completeAllTasks();
     }
     cluster.advance(3);
-    assertEquals(List.of(), cluster.drainAndCheck());
-    assertEquals(List.of(), cluster.deletedWhileInUse);
+    assertEquals(List.of(), cluster.users.drainAndCheck());
+    assertEquals(List.of(), cluster.machines.deletedWhileInUse);
   }
 }
--- a/src/test/java/dev/dunefront/story/ControllerRestartTest.java
+++ b/src/test/java/dev/dunefront/story/ControllerRestartTest.java
@@ -21,7 +21,7 @@
     SimulatedCluster w = SimulatedCluster.withTeamLimit(3, 24);
     w.start().advance(2);
     for (int i = 0; i < 6; i++) {
-      w.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+      w.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
     }
     w.advance(5);
     return w;
@@ -58,7 +58,7 @@
       throws Exception {
     SimulatedCluster w = world();
     RedundantClients users = new RedundantClients(w);
-    List<FakeWorker> machines = List.copyOf(w.workers.values());
+    List<FakeWorker> machines = List.copyOf(w.machines.workers.values());
     List<byte[]> reports = new ArrayList<>();
     if (reportTime == ReportTime.BEFORE_ANY_TASK_RAN) {
       machines.forEach(m -> reports.add(m.report()));
@@ -86,31 +86,33 @@
     restarted.forEach(SimulatedCluster.Node::crash);
     switch (change) {
       case NONE -> {}
-      case TASKS_ENDED -> w.completeAllTasks();
+      case TASKS_ENDED -> w.machines.completeAllTasks();
       case SESSION_ENDED -> machines.forEach(FakeWorker::newSession);
       case MACHINES_SILENT -> {
-        machines.forEach(m -> w.isolatedHosts.add(m.host()));
-        w.clock.after(12, w.isolatedHosts::clear);
+        machines.forEach(m -> w.machines.isolatedHosts.add(m.host()));
+        w.clock.after(12, w.machines.isolatedHosts::clear);
       }
       case REPORTS_LOST -> {
-        w.dropDelivery = (from, to) -> from.startsWith("host-");
-        w.clock.after(12, () -> w.dropDelivery = (from, to) -> false);
+        w.network.dropDelivery = (from, to) -> from.startsWith("host-");
+        w.clock.after(12, () -> w.network.dropDelivery = (from, to) -> false);
       }
     }
     w.advance(1);
     restarted.forEach(SimulatedCluster.Node::start);
     w.advance(new double[] {0.2, 0.6, 2.5}[delay]);
     for (int i = 0; i < 3; i++) {
-      w.nodes.keySet().forEach(n -> reports.forEach(r -> w.deliverReport(n, r)));
+      w.nodes.keySet().forEach(n -> reports.forEach(r -> w.machines.deliverReport(n, r)));
       w.advance(1.7);
     }
     w.advance(20);
-    w.nodes.keySet().forEach(n -> reports.forEach(r -> w.deliverReport(n, r)));
+    w.nodes.keySet().forEach(n -> reports.forEach(r -> w.machines.deliverReport(n, r)));
     w.advance(10);
-    assertEquals("cancelled", w.poll("node-1", "wk-0").jobStatus());
+    assertEquals("cancelled", w.users.poll("node-1", "wk-0").jobStatus());
     assertEquals(
-        change == MachineChange.TASKS_ENDED ? 0 : 15, w.runningCount(), "all remaining tasks run");
-    assertEquals(List.of(), w.drainAndCheck());
+        change == MachineChange.TASKS_ENDED ? 0 : 15,
+        w.machines.runningCount(),
+        "all remaining tasks run");
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -121,36 +123,36 @@
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void machineWithOnlyAnOldReportIsReturned(@ForAll boolean cancelled) {
     SimulatedCluster w = world();
-    FakeWorker m = w.workers.get("host-1:9");
+    FakeWorker m = w.machines.workers.get("host-1:9");
     byte[] oldReport = m.report();
-    w.deliveryPolicy =
+    w.network.deliveryPolicy =
         (from, path, body) ->
             body.contains("verb=run")
-                ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 24, 1)).status());
+                ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 24, 1)).status());
     w.advance(2);
-    w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
+    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
     w.advance(4);
-    assertEquals(24, w.runningCount());
-    w.isolatedHosts.add("host-1");
+    assertEquals(24, w.machines.runningCount());
+    w.machines.isolatedHosts.add("host-1");
     w.nodes.values().forEach(SimulatedCluster.Node::crash);
     if (cancelled) {
-      w.cancelRequestedJobs.add("wk-1");
-      w.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 90);
+      w.users.cancelRequestedJobs.add("wk-1");
+      w.users.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 90);
     }
     w.advance(1);
     w.nodes.values().forEach(SimulatedCluster.Node::start);
     w.advance(1);
-    w.nodes.keySet().forEach(n -> w.deliverReport(n, oldReport));
+    w.nodes.keySet().forEach(n -> w.machines.deliverReport(n, oldReport));
     w.advance(100);
     assertTrue(
         w.cloud.deleted("host-1"),
         "the machine is returned, which proves that its tasks have ended");
     if (cancelled) {
-      assertEquals("cancelled", w.poll("node-0", "wk-1").jobStatus());
+      assertEquals("cancelled", w.users.poll("node-0", "wk-1").jobStatus());
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -169,12 +171,12 @@
     String renter = w.recordedNode("w/u/rent");
     double[] writeDelaysS = {0.02, 0.7, 0.2, 1.1, 0.4};
     int[] n = {0};
-    w.stateServiceDelayS = () -> writeDelaysS[n[0]++ % writeDelaysS.length];
-    w.deliveryPolicy =
+    w.network.stateServiceDelayS = () -> writeDelaysS[n[0]++ % writeDelaysS.length];
+    w.network.deliveryPolicy =
         (from, path, body) ->
             responsesLost && path.equals("/txn") && n[0] % 5 == 2
-                ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
+                ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
     RedundantClients users = new RedundantClients(w);
     users.submit(SimulatedCluster.job("wk-1", 8, 2), 0);
     users.submit(SimulatedCluster.job("wk-2", 8, 1), 1);
@@ -186,18 +188,18 @@
       w.nodes.get(crashed).start();
     }
     w.advance(14);
-    w.stateServiceDelayS = () -> 0;
-    w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
+    w.network.stateServiceDelayS = () -> 0;
+    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
     w.advance(20);
     // Six machines suffice. One or two extra machines are known to be rented occasionally; renting
     // twice would give twelve.
-    assertTrue(w.rentedCount() <= 8, w.rentedCount() + " machines were rented");
-    assertEquals(16, w.runningCount(), "all tasks run");
-    assertEquals(List.of(), w.deletedWhileInUse);
+    assertTrue(w.machines.rentedCount() <= 8, w.machines.rentedCount() + " machines were rented");
+    assertEquals(16, w.machines.runningCount(), "all tasks run");
+    assertEquals(List.of(), w.machines.deletedWhileInUse);
     if (!restartsSoon) {
       w.nodes.get(crashed).start();
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -212,7 +214,7 @@
     int n = 0;
     for (int change = 0; change < 10; change++) {
       users.submit(SimulatedCluster.job("wk-" + n, 2 + change % 3, 1), change);
-      if (change % 3 == 2 && w.acceptedJobs.containsKey("wk-" + (n - 1))) {
+      if (change % 3 == 2 && w.users.acceptedJobs.containsKey("wk-" + (n - 1))) {
         users.cancel("wk-" + (n - 1), change);
       }
       n++;
@@ -227,16 +229,17 @@
       }
       w.advance(12);
       if (change % 2 == 1) {
-        w.workers
+        w.machines
+            .workers
             .values()
             .forEach(m -> m.running().stream().limit(1).forEach(t -> m.exit(t, "done")));
       }
     }
     w.advance(10);
-    for (String id : w.cancelRequestedJobs) {
-      assertEquals("cancelled", w.poll("node-0", id).jobStatus());
+    for (String id : w.users.cancelRequestedJobs) {
+      assertEquals("cancelled", w.users.poll("node-0", id).jobStatus());
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /** All controllers are down for longer than a lease, so that the workers have ended all tasks. */
@@ -244,25 +247,26 @@
   void allControllersAreDownForLongerThanALease(@ForAll boolean outage, @ForAll boolean cancelled) {
     SimulatedCluster w = world();
     for (int i = 0; i < 4; i++) {
-      assertEquals(201, w.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 4, 1)).status());
+      assertEquals(
+          201, w.users.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 4, 1)).status());
     }
     w.advance(3);
     if (cancelled) {
-      w.cancelRequestedJobs.add("wk-0");
-      w.requestWithRetries("POST", "/v1/jobs/wk-0/abort", null, "wk-0", 1, 40);
+      w.users.cancelRequestedJobs.add("wk-0");
+      w.users.requestWithRetries("POST", "/v1/jobs/wk-0/abort", null, "wk-0", 1, 40);
       w.advance(0.005);
     }
     w.nodes.values().forEach(SimulatedCluster.Node::crash);
     w.stateService.outage(outage);
     w.advance(SimulatedCluster.LEASE_S + 4);
-    assertEquals(0, w.runningCount(), "the workers' leases have expired");
+    assertEquals(0, w.machines.runningCount(), "the workers' leases have expired");
     w.nodes.values().forEach(SimulatedCluster.Node::start);
     w.advance(outage ? 5 : 0);
     w.stateService.outage(false);
     w.advance(12);
-    assertEquals(cancelled ? 12 : 16, w.runningCount());
-    w.checkStarvationWhileTasksRun();
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(cancelled ? 12 : 16, w.machines.runningCount());
+    w.users.checkStarvationWhileTasksRun();
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -273,20 +277,21 @@
   void controllersRestartWhileMachinesAreUnreachable() {
     for (boolean cannotReceive : List.of(true, false)) {
       SimulatedCluster w = world();
-      assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 20, 1)).status());
+      assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 20, 1)).status());
       w.advance(3);
       for (int i = 0; i < 3; i++) {
-        (cannotReceive ? w.inboundBlockedHosts : w.isolatedHosts).add("host-" + i);
+        (cannotReceive ? w.machines.inboundBlockedHosts : w.machines.isolatedHosts)
+            .add("host-" + i);
       }
       w.nodes.values().forEach(SimulatedCluster.Node::crash);
       w.advance(0.5);
       w.nodes.values().forEach(SimulatedCluster.Node::start);
       w.advance(4);
-      w.inboundBlockedHosts.clear();
-      w.isolatedHosts.clear();
+      w.machines.inboundBlockedHosts.clear();
+      w.machines.isolatedHosts.clear();
       w.advance(20);
-      assertEquals(20, w.runningCount("wk-1"));
-      assertEquals(List.of(), w.drainAndCheck());
+      assertEquals(20, w.machines.runningCount("wk-1"));
+      assertEquals(List.of(), w.users.drainAndCheck());
     }
   }
 }
--- a/src/test/java/dev/dunefront/story/DelayedMessageTest.java
+++ b/src/test/java/dev/dunefront/story/DelayedMessageTest.java
@@ -27,41 +27,45 @@
   @Test
   void deniedAttemptStaysRefusedWhenMachineReturnsToItsHolder() {
     SimulatedCluster w = new SimulatedCluster(List.of("a", "a", "b"), SimulatedCluster.ONE_TEAM);
-    FakeWorker a = w.addMachine("host-1", "small", "b", "node-0");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "b", "node-0");
     w.nodes.get("node-0").start();
     w.nodes.get("node-1").start();
     w.advance(8);
-    assertEquals("node-0", w.holderOf("host-1"), "no controller of the machine's zone is up");
+    assertEquals(
+        "node-0", w.machines.holderOf("host-1"), "no controller of the machine's zone is up");
     // From the start request on, all messages about room on that machine are held back.
-    w.holdPeerMessage =
+    w.network.holdPeerMessage =
         m ->
             m instanceof Message.StartTask s && s.host().equals("host-1")
-                || m instanceof Message.Offer o && o.host().equals("host-1") && w.heldCount() > 0;
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
+                || m instanceof Message.Offer o
+                    && o.host().equals("host-1")
+                    && w.network.heldCount() > 0;
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
     w.advance(3);
-    assertTrue(w.heldCount() > 0, "the start is held back, and the attempt is denied meanwhile");
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-0");
+    assertTrue(
+        w.network.heldCount() > 0, "the start is held back, and the attempt is denied meanwhile");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-0");
     for (int i = 0; i < 60 && b.running().isEmpty(); i++) {
       w.advance(1);
     }
     assertEquals(List.of("wk-1/0"), b.running());
     // The controller in the machine's zone starts, is assigned the machine, and cannot be reached
     // by it.
-    w.dropDelivery = (from, to) -> from.equals("host-1:9") && to.equals("node-2");
+    w.network.dropDelivery = (from, to) -> from.equals("host-1:9") && to.equals("node-2");
     long token = a.token();
     w.nodes.get("node-2").start();
     for (String next : List.of("node-2", "node-0")) {
-      for (int i = 0; i < 100 && !next.equals(w.holderOf("host-1")); i++) {
+      for (int i = 0; i < 100 && !next.equals(w.machines.holderOf("host-1")); i++) {
         w.advance(0.1);
       }
-      assertEquals(next, w.holderOf("host-1"));
+      assertEquals(next, w.machines.holderOf("host-1"));
     }
     w.advance(SimulatedCluster.REPORT_S);
     assertEquals(token, a.token(), "the hold is kept without a write");
-    w.deliverHeld();
+    w.network.deliverHeld();
     w.advance(4);
     assertEquals(List.of(), a.starts());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -72,9 +76,9 @@
   @Test
   void messagesOfFormerClaimantChangeNothing() throws MalformedMessageException {
     SimulatedCluster w = new SimulatedCluster(3);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(3);
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 2, 1)).status());
     w.advance(2);
     assertEquals(2, a.running().size());
     long term = w.stateService.value("w/j/wk-1").count("term");
@@ -84,27 +88,29 @@
         term + 1,
         w.stateService.value("w/j/wk-1").count("term"),
         "another controller has claimed the job");
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-0");
     w.advance(4);
-    assertEquals("node-0", w.holderOf("host-2"));
+    assertEquals("node-0", w.machines.holderOf("host-2"));
 
-    w.deliverPeerMessage("node-1", "node-0", new Message.StopTask("host-1", term, "wk-1", 0, 1, 0));
-    w.deliverPeerMessage(
+    w.network.deliverPeerMessage(
+        "node-1", "node-0", new Message.StopTask("host-1", term, "wk-1", 0, 1, 0));
+    w.network.deliverPeerMessage(
         "node-1", "node-0", new Message.StartTask(0, "host-2", b.token(), 1, term, "wk-1", 0, 1));
     w.advance(3);
     assertEquals(2, a.running().size());
     assertEquals(List.of(), b.starts());
 
-    w.refusedByStateService.addAll(List.of("node-0", "node-2"));
+    w.network.refusedByStateService.addAll(List.of("node-0", "node-2"));
     a.exit("wk-1/0", "done");
     w.advance(SimulatedCluster.REPORT_S + 0.1);
-    w.deliverPeerMessage("node-1", "node-0", new Message.ClearTask("host-1", term, "wk-1", 0, 1));
+    w.network.deliverPeerMessage(
+        "node-1", "node-0", new Message.ClearTask("host-1", term, "wk-1", 0, 1));
     w.advance(2);
-    w.refusedByStateService.clear();
+    w.network.refusedByStateService.clear();
     w.advance(3);
-    w.completeAllTasks();
+    w.machines.completeAllTasks();
     w.advance(5);
-    assertEquals("done", w.poll("node-0", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-0", "wk-1").jobStatus());
     assertEquals(2, a.starts().size() + b.starts().size(), "no task was run again");
   }
 
@@ -116,17 +122,17 @@
   @Test
   void nodeKeyWithAnotherIncarnationIsRewritten() throws MalformedMessageException {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(3);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
     w.advance(1);
     String incarnation = w.stateService.value("w/n/node-0").text("inc");
     w.writeState("w/n/node-0", Document.create().put("inc", "node-0#1"));
     w.advance(1);
     assertEquals(incarnation, w.stateService.value("w/n/node-0").text("inc"));
-    w.completeAllTasks();
+    w.machines.completeAllTasks();
     w.advance(4);
-    assertEquals("done", w.poll("node-1", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-1", "wk-1").jobStatus());
     assertEquals(2, m.starts().size());
   }
 
@@ -139,19 +145,19 @@
   @Test
   void delayedNodeKeyWriteOfEarlierIncarnationIsRefused() throws MalformedMessageException {
     SimulatedCluster w = new SimulatedCluster(3);
-    w.addMachine("host-1", "small", "a", "node-0");
+    w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(3);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
     w.advance(1);
     w.nodes.get("node-0").crash();
     int before = w.stateService.writes("w/n/node-0");
     int[] puts = new int[1];
-    w.deliveryDelayS = 2.2;
-    w.deliveryPolicy =
+    w.network.deliveryDelayS = 2.2;
+    w.network.deliveryPolicy =
         (from, path, body) ->
             path.equals("/txn") && body.contains("put=w/n/node-0") && puts[0]++ == 0
-                ? SimulatedCluster.Delivery.DELAYED
-                : SimulatedCluster.Delivery.ON_TIME;
+                ? SimulatedNetwork.Delivery.DELAYED
+                : SimulatedNetwork.Delivery.ON_TIME;
     w.nodes.get("node-0").start();
     w.advance(1.9);
     String incarnation = w.stateService.value("w/n/node-0").text("inc");
@@ -159,7 +165,7 @@
     assertEquals(2, puts[0], "the first write had no response, the second had one");
     assertEquals(incarnation, w.stateService.value("w/n/node-0").text("inc"));
     assertEquals(1, w.stateService.writes("w/n/node-0") - before, "the delayed write was refused");
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -171,21 +177,21 @@
   void reportCopyDoesNotMoveMachineFromItsReachableHolder() {
     SimulatedCluster w = new SimulatedCluster(List.of("a", "a", "b"), SimulatedCluster.ONE_TEAM);
     w.start().advance(2);
-    FakeWorker m = w.addMachine("host-1", "small", "b", "node-2");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "b", "node-2");
     w.advance(6);
-    assertEquals("node-2", w.holderOf("host-1"));
+    assertEquals("node-2", w.machines.holderOf("host-1"));
     byte[] report = m.report();
     w.advance(1);
-    w.partitionZone("b");
+    w.network.partitionZone("b");
     for (int i = 0; i < 2 * SimulatedCluster.LEASE_S; i++) {
       w.advance(1);
-      w.deliverReport("node-" + i % 2, report);
+      w.machines.deliverReport("node-" + i % 2, report);
     }
     assertEquals(List.of(), w.stateService.keys("w/h/"));
-    w.healPartition();
+    w.network.healPartition();
     w.advance(4);
-    assertEquals("node-2", w.holderOf("host-1"));
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals("node-2", w.machines.holderOf("host-1"));
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -205,30 +211,30 @@
   private static List<String> overlapsWithFormerHolder(boolean ignorePrecondition) {
     SimulatedCluster w = new SimulatedCluster(4);
     w.start().advance(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.advance(6);
-    String former = w.holderOf("host-1");
+    String former = w.machines.holderOf("host-1");
     int f = Integer.parseInt(former.substring("node-".length()));
     String next = "node-" + (f + 1) % 4;
     String claimant = "node-" + (f + 2) % 4;
-    assertEquals(201, w.submit(claimant, SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit(claimant, SimulatedCluster.job("wk-1", 2, 1)).status());
     w.advance(2);
     assertEquals(2, m.running().size());
-    w.ignoreConditionOn = key -> ignorePrecondition && key.startsWith("w/h/");
-    w.refusedByStateService.add(former);
-    w.dropDelivery =
+    w.network.ignoreConditionOn = key -> ignorePrecondition && key.startsWith("w/h/");
+    w.network.refusedByStateService.add(former);
+    w.network.dropDelivery =
         (from, to) ->
             from.equals("host-1:9") && to.equals(former)
                 || from.equals(former) && to.equals("host-1:9")
                 || from.equals(next) && to.equals(claimant)
                 || from.equals(claimant) && to.equals(next);
-    w.clock.after(5, () -> w.timeOutLinks(next));
+    w.clock.after(5, () -> w.network.timeOutLinks(next));
     for (int i = 2; i < 8; i++) {
-      w.addMachine("host-" + i, "small", "a", claimant);
+      w.machines.addMachine("host-" + i, "small", "a", claimant);
     }
     w.advance(2 * SimulatedCluster.LEASE_S);
-    assertEquals(next, w.holderOf("host-1"));
-    return w.overlappingRuns;
+    assertEquals(next, w.machines.holderOf("host-1"));
+    return w.users.overlappingRuns;
   }
 
   /**
@@ -240,28 +246,28 @@
   void deletionConfirmedWhileLeaseExpiryIsRecordedCounts() {
     SimulatedCluster w = SimulatedCluster.withTeamLimit(3, 2);
     w.start().advance(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.advance(5);
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 1, 2)).status());
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 2)).status());
     w.advance(2);
     assertEquals(1, m.running().size());
     BooleanSupplier intercepted =
-        w.faultFirstTransaction(
+        w.network.faultFirstTransaction(
             "t/wk-1/0",
-            SimulatedCluster.Delivery.DROPPED,
+            SimulatedNetwork.Delivery.DROPPED,
             from -> {
               Document dead = HoldTable.writeDeleted(w.clock.wallClockMs(), "x");
               w.clock.after(0.05, () -> w.writeState("w/h/host-1", dead));
             });
-    w.isolatedHosts.add("host-1");
+    w.machines.isolatedHosts.add("host-1");
     w.clock.after(5, () -> w.cloud.reclaim("host-1"));
-    FakeWorker next = w.addMachine("host-2", "small", "a", "node-0");
+    FakeWorker next = w.machines.addMachine("host-2", "small", "a", "node-0");
     w.advance(2 * SimulatedCluster.LEASE_S);
     assertTrue(
         intercepted.getAsBoolean(),
         "the lease has expired, and the write that records it was intercepted");
     w.advance(10);
     assertEquals(1, next.running().size());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/DutyFaultScheduleTest.java
+++ b/src/test/java/dev/dunefront/story/DutyFaultScheduleTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.dunefront.config.Tunables;
-import dev.dunefront.story.SimulatedCluster.Delivery;
+import dev.dunefront.story.SimulatedNetwork.Delivery;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -43,13 +43,13 @@
     SimulatedCluster w = new SimulatedCluster(2).withRentingDelays(100, 4);
     w.cloud.capacity(50);
     if (!preconditions) {
-      w.ignoreConditionOn = key -> key.equals("u/rent") || key.equals(RENT);
+      w.network.ignoreConditionOn = key -> key.equals("u/rent") || key.equals(RENT);
     }
     w.start().advance(3);
     String first = w.recordedNode(RENT);
     String second = first.equals("node-0") ? "node-1" : "node-0";
     int[] matched = new int[3];
-    w.deliveryPolicy =
+    w.network.deliveryPolicy =
         (from, path, body) -> {
           boolean ledgerWrite = path.equals("/txn") && body.contains("put=u/rent");
           if (from.equals(first) && ledgerWrite && matched[0]++ == 0) {
@@ -64,9 +64,9 @@
           }
           return Delivery.ON_TIME;
         };
-    w.submit(second, SimulatedCluster.job("wk-1", MACHINES_NEEDED, 4));
+    w.users.submit(second, SimulatedCluster.job("wk-1", MACHINES_NEEDED, 4));
     w.advance(55);
-    return w.rentedCount();
+    return w.machines.rentedCount();
   }
 
   private static void replace(SimulatedCluster w, String node, Replacement replacement) {
@@ -79,13 +79,13 @@
       case UNNOTICED_LEASE_LOSS -> {
         // The lease ends, and the notifications of that do not reach the holder for 12 s.
         w.nodes.get(node).expireLease();
-        SimulatedCluster.DeliveryPolicy before = w.deliveryPolicy;
-        w.deliveryPolicy =
+        SimulatedNetwork.DeliveryPolicy before = w.network.deliveryPolicy;
+        w.network.deliveryPolicy =
             (from, path, body) ->
                 from.equals(node) && (path.startsWith("/watch") || path.endsWith("/touch"))
                     ? Delivery.DROPPED
                     : before.choose(from, path, body);
-        w.clock.after(12, () -> w.deliveryPolicy = before);
+        w.clock.after(12, () -> w.network.deliveryPolicy = before);
       }
     }
   }
@@ -140,24 +140,24 @@
       if (second % 8 == 0) {
         // If the chosen controller is down, the user submits to the next one that is up.
         int node = firstUpController(w, second);
-        w.submit("node-" + node, SimulatedCluster.job("wk-" + second, 3, 2));
+        w.users.submit("node-" + node, SimulatedCluster.job("wk-" + second, 3, 2));
       }
       w.advance(1);
       if (second % 5 == 4) {
-        w.completeAllTasks();
+        w.machines.completeAllTasks();
       }
     }
     for (int second = 0; second < 110; second++) {
       w.advance(1);
       if (second % 5 == 4) {
-        w.completeAllTasks();
+        w.machines.completeAllTasks();
       }
     }
-    assertEquals(List.of(), w.deletedWhileInUse);
-    assertEquals(List.of(), w.overlappingRuns);
-    assertEquals(0, w.runningCount(), "all accepted tasks have ended");
+    assertEquals(List.of(), w.machines.deletedWhileInUse);
+    assertEquals(List.of(), w.users.overlappingRuns);
+    assertEquals(0, w.machines.runningCount(), "all accepted tasks have ended");
     assertEquals(List.of(), w.stateService.keys("w/j/"), "the end of every job is recorded");
-    assertEquals(0, w.workers.size(), "all machines are returned");
+    assertEquals(0, w.machines.workers.size(), "all machines are returned");
   }
 
   private static int firstUpController(SimulatedCluster w, int from) {
@@ -182,8 +182,8 @@
       case 1 -> n.pause(forS);
       case 2 -> n.expireLease();
       default -> {
-        w.refusedByStateService.add(node);
-        w.clock.after(forS, () -> w.refusedByStateService.remove(node));
+        w.network.refusedByStateService.add(node);
+        w.clock.after(forS, () -> w.network.refusedByStateService.remove(node));
       }
     }
   }
--- a/src/test/java/dev/dunefront/story/DutyTest.java
+++ b/src/test/java/dev/dunefront/story/DutyTest.java
@@ -66,8 +66,8 @@
 
     private static void dropMessages(
         SimulatedCluster w, java.util.function.BiPredicate<String, String> lost) {
-      w.dropDelivery = lost;
-      w.clock.after(15, () -> w.dropDelivery = (f, t) -> false);
+      w.network.dropDelivery = lost;
+      w.clock.after(15, () -> w.network.dropDelivery = (f, t) -> false);
     }
   }
 
@@ -102,7 +102,7 @@
    */
   private static List<String> failAt(SimulatedCluster w, Step step, Failure failure) {
     List<String> failed = new ArrayList<>();
-    w.requestListener =
+    w.network.requestListener =
         (from, path, body) -> {
           if (failed.isEmpty() && step.matches(path, body)) {
             failed.add(from);
@@ -128,13 +128,14 @@
         w.start().advance(3);
         List<String> failed = failAt(w, step, failure);
         String user = w.recordedNode(RENT).equals("node-0") ? "node-1" : "node-0";
-        assertEquals(201, w.submit(user, SimulatedCluster.job("wk-1", 6, 4)).status(), scenario);
+        assertEquals(
+            201, w.users.submit(user, SimulatedCluster.job("wk-1", 6, 4)).status(), scenario);
         w.advance(44);
         assertEquals(1, failed.size(), scenario);
-        assertEquals(6, w.rentedCount(), scenario);
+        assertEquals(6, w.machines.rentedCount(), scenario);
         w.advance(40);
-        assertEquals(6, w.runningCount(), scenario);
-        assertEquals(List.of(), w.overlappingRuns, scenario);
+        assertEquals(6, w.machines.runningCount(), scenario);
+        assertEquals(List.of(), w.users.overlappingRuns, scenario);
       }
     }
   }
@@ -151,7 +152,7 @@
         SimulatedCluster w = new SimulatedCluster(3);
         w.tunables = Tunables.withOverrides(Map.of("idle_boots", 1.0, "idle_warm_s", 0.0));
         for (int i = 0; i < 5; i++) {
-          w.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+          w.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
         }
         w.start().advance(3);
         List<String> failed = failAt(w, step, failure);
@@ -162,16 +163,16 @@
         // Another controller has work for all the machines while the return is in progress.
         w.advance(1);
         String user = failed.get(0).equals("node-0") ? "node-1" : "node-0";
-        w.submit(user, SimulatedCluster.job("wk-1", 5, 4));
+        w.users.submit(user, SimulatedCluster.job("wk-1", 5, 4));
         for (int second = 0; second < 60; second++) {
           w.advance(1);
           if (second % 12 == 11) {
-            w.completeAllTasks();
+            w.machines.completeAllTasks();
           }
         }
-        assertEquals(List.of(), w.deletedWhileInUse, scenario);
-        assertEquals(List.of(), w.overlappingRuns, scenario);
-        for (FakeWorker m : w.workers.values()) {
+        assertEquals(List.of(), w.machines.deletedWhileInUse, scenario);
+        assertEquals(List.of(), w.users.overlappingRuns, scenario);
+        for (FakeWorker m : w.machines.workers.values()) {
           assertEquals(List.of(), m.running(), scenario);
         }
       }
@@ -249,12 +250,12 @@
     w.start().advance(30);
     String renter = w.recordedNode(RENT);
     assertNotEquals(renter, w.recordedNode("w/u/cleanup"));
-    w.dropDelivery = (from, to) -> from.equals(renter) && to.equals(CLOUD);
+    w.network.dropDelivery = (from, to) -> from.equals(renter) && to.equals(CLOUD);
     w.advance(30);
     String next = w.recordedNode(RENT);
     assertNotNull(next);
     assertNotEquals(renter, next, "a controller that cannot reach the cloud releases the duty");
-    w.dropDelivery = (from, to) -> false;
+    w.network.dropDelivery = (from, to) -> false;
     w.advance(40);
     assertEquals(next, w.recordedNode(RENT), "the duty does not move back when the link recovers");
   }
@@ -267,7 +268,7 @@
   void controllerWithoutMachineTypesLeavesRentingToOthers() {
     for (String informed : List.of("node-0", "node-1", "node-2")) {
       SimulatedCluster w = new SimulatedCluster(3);
-      w.dropDelivery = (from, to) -> !from.equals(informed) && to.equals(CLOUD);
+      w.network.dropDelivery = (from, to) -> !from.equals(informed) && to.equals(CLOUD);
       w.start().advance(2);
       assertEquals(informed, w.recordedNode(RENT));
     }
@@ -279,7 +280,7 @@
     SimulatedCluster w = new SimulatedCluster(3);
     w.start().advance(5);
     int before = w.stateService.writes(RENT);
-    w.dropDelivery = (from, to) -> to.equals(CLOUD);
+    w.network.dropDelivery = (from, to) -> to.equals(CLOUD);
     w.advance(60);
     assertTrue(
         w.stateService.writes(RENT) - before <= 4, "the duty is handed over at most once in 20 s");
@@ -293,10 +294,10 @@
   void messageOfLowerTermIsRefusedAndItsSenderInformed() {
     SimulatedCluster w = new SimulatedCluster(3);
     w.tunables = Tunables.withOverrides(Map.of("idle_boots", 1.0, "idle_warm_s", 0.0));
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     List<Message.RetireMachine> retirements = new ArrayList<>();
     List<Message> dutyTerms = new ArrayList<>();
-    w.holdPeerMessage =
+    w.network.holdPeerMessage =
         message -> {
           if (message instanceof Message.RetireMachine r) {
             retirements.add(r);
@@ -313,10 +314,10 @@
     assertTrue(
         retirements.get(retirements.size() - 1).term() > retirements.get(0).term(),
         "the retirement is sent in a later term as well");
-    w.deliverPeerMessage(renter, w.holderOf("host-1"), retirements.get(0));
+    w.network.deliverPeerMessage(renter, w.machines.holderOf("host-1"), retirements.get(0));
     w.advance(0.1);
     assertFalse(dutyTerms.isEmpty(), "the sender is informed of the higher term");
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
     w.advance(0.3);
     assertEquals(1, m.running().size(), "the machine was not closed");
   }
--- a/src/test/java/dev/dunefront/story/FairnessTest.java
+++ b/src/test/java/dev/dunefront/story/FairnessTest.java
@@ -28,7 +28,7 @@
         Tunables.withOverrides(Map.of("idle_boots", 1000.0, "begin_s", START_BOUND_S));
     cluster.start().advance(2);
     for (int i = 0; i < machines; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 2);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 2);
     }
     cluster.advance(5);
     return cluster;
@@ -36,7 +36,7 @@
 
   /** Completes one task on each machine, so that tasks never end all at once. */
   private static void completeOneTaskPerMachine(SimulatedCluster cluster, int second) {
-    for (FakeWorker m : cluster.workers.values()) {
+    for (FakeWorker m : cluster.machines.workers.values()) {
       List<String> running = m.running();
       if (!running.isEmpty()) {
         m.exit(running.get(second % running.size()), "done");
@@ -45,7 +45,7 @@
   }
 
   private static boolean hasStarted(SimulatedCluster cluster, String job) {
-    return cluster.workers.values().stream()
+    return cluster.machines.workers.values().stream()
         .flatMap(m -> m.starts().stream())
         .anyMatch(s -> s.startsWith(job + "/"));
   }
@@ -58,16 +58,17 @@
   void wholeMachineBestEffortTaskStartsDespiteUrgentStream() {
     SimulatedCluster cluster = startCluster(4);
     for (int i = 0; i < 3; i++) {
-      cluster.submit(
+      cluster.users.submit(
           "node-" + i % 2, SimulatedCluster.job("wk-" + i, 60, 1).put("urgency", "high"));
     }
     cluster.advance(1);
-    cluster.submit("node-0", SimulatedCluster.job("wk-900", 3, 4).put("urgency", "best_effort"));
-    cluster.submit("node-1", SimulatedCluster.job("wk-901", 3, 3).put("urgency", "normal"));
+    cluster.users.submit(
+        "node-0", SimulatedCluster.job("wk-900", 3, 4).put("urgency", "best_effort"));
+    cluster.users.submit("node-1", SimulatedCluster.job("wk-901", 3, 3).put("urgency", "normal"));
     int nextJob = 3;
     for (int second = 0; second < START_BOUND_S; second++) {
       if (second % 4 == 0) {
-        cluster.submit(
+        cluster.users.submit(
             "node-" + nextJob % 2,
             SimulatedCluster.job("wk-" + nextJob++, 20, 1).put("urgency", "high"));
       }
@@ -76,7 +77,7 @@
     }
     assertTrue(hasStarted(cluster, "wk-900"), "the job of whole-machine tasks has not started");
     assertTrue(hasStarted(cluster, "wk-901"));
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   /**
@@ -94,14 +95,14 @@
       if (second % 3 == 0 && nextJob < jobs.size()) {
         int encoded = jobs.get(nextJob);
         String id = "wk-" + nextJob++;
-        cluster.submit(
+        cluster.users.submit(
             "node-" + encoded % 2,
             SimulatedCluster.job(id, 1 + encoded / 16, 1 + encoded % 4)
                 .put("urgency", urgencies[encoded / 4 % 4]));
         submittedAtS.put(id, cluster.clock.now());
       }
       if (second % 4 == 0) {
-        cluster.submit(
+        cluster.users.submit(
             "node-0", SimulatedCluster.job("wk-9" + second, 20, 1).put("urgency", "high"));
       }
       cluster.advance(1);
@@ -122,31 +123,31 @@
   @Example
   void bestEffortTasksUseIdleRoomAndArePreempted() {
     SimulatedCluster cluster = startCluster(4);
-    cluster.submit(
+    cluster.users.submit(
         "node-0",
         SimulatedCluster.job("wk-1", 40, 1)
             .put("urgency", "best_effort")
             .put("snapshot_every_s", 30.0)
             .put("snapshot_s", 3.0));
     cluster.advance(3);
-    assertEquals(16, cluster.runningCount(), "best-effort tasks do not use all idle room");
+    assertEquals(16, cluster.machines.runningCount(), "best-effort tasks do not use all idle room");
     cluster.advance(40);
-    cluster.submit("node-1", SimulatedCluster.job("wk-2", 10, 1));
+    cluster.users.submit("node-1", SimulatedCluster.job("wk-2", 10, 1));
     cluster.advance(6);
     long preemptingTasks =
-        cluster.workers.values().stream()
+        cluster.machines.workers.values().stream()
             .flatMap(m -> m.running().stream())
             .filter(t -> t.startsWith("wk-2/"))
             .count();
     assertEquals(10, preemptingTasks);
-    assertEquals(16, cluster.runningCount());
+    assertEquals(16, cluster.machines.runningCount());
     for (int second = 0; second < 40; second++) {
       cluster.advance(1);
       completeOneTaskPerMachine(cluster, second);
     }
-    assertEquals("done", cluster.poll("node-0", "wk-2").jobStatus());
+    assertEquals("done", cluster.users.poll("node-0", "wk-2").jobStatus());
     assertEquals(
-        List.of(), cluster.drainAndCheck(), "the best-effort tasks do not run to their end");
+        List.of(), cluster.users.drainAndCheck(), "the best-effort tasks do not run to their end");
   }
 
   /**
@@ -160,7 +161,7 @@
     int waitedJobs = 0;
     for (int second = 0; second < 90; second++) {
       if (second == 20) {
-        cluster.submit(
+        cluster.users.submit(
             "node-0",
             SimulatedCluster.job("wk-900", 40, 1)
                 .put("urgency", "best_effort")
@@ -169,13 +170,13 @@
       }
       String id = "wk-" + nextJob;
       if (second % 3 == 0) {
-        cluster.submit("node-" + nextJob++ % 2, SimulatedCluster.job(id, 2, 1));
+        cluster.users.submit("node-" + nextJob++ % 2, SimulatedCluster.job(id, 2, 1));
       }
       cluster.advance(1);
       if (second % 3 == 0 && second > 30) {
         waitedJobs += hasStarted(cluster, id) ? 0 : 1;
       }
-      for (FakeWorker m : cluster.workers.values()) {
+      for (FakeWorker m : cluster.machines.workers.values()) {
         // Tasks of the other jobs run for about five seconds, best-effort tasks for long.
         for (String task : m.running()) {
           if (!task.startsWith("wk-900/") && second % 5 == 4) {
@@ -189,7 +190,7 @@
         waitedJobs + " of 19 jobs waited; 16 do if best-effort tasks take all free room");
     assertTrue(hasStarted(cluster, "wk-900"), "no best-effort task uses idle room");
     long bestEffortTasks =
-        cluster.workers.values().stream()
+        cluster.machines.workers.values().stream()
             .flatMap(m -> m.running().stream())
             .filter(t -> t.startsWith("wk-900/"))
             .count();
--- a/src/test/java/dev/dunefront/story/FleetFaultTest.java
+++ b/src/test/java/dev/dunefront/story/FleetFaultTest.java
@@ -17,8 +17,8 @@
       "[[facts.teams]]\nname = \"t\"\ncpus = 100.0\ncpus_max = 50000.0\n";
 
   private static List<String> runningTasksInZone(SimulatedCluster cluster, String zone) {
-    return cluster.workers.values().stream()
-        .filter(m -> cluster.zoneOf(m).equals(zone))
+    return cluster.machines.workers.values().stream()
+        .filter(m -> cluster.machines.zoneOf(m).equals(zone))
         .flatMap(m -> m.running().stream())
         .toList();
   }
@@ -31,12 +31,12 @@
     for (int second = 0; second < timeoutS; second++) {
       cluster.advance(1);
       if (second % 4 == 3) {
-        cluster.completeAllTasks();
+        cluster.machines.completeAllTasks();
       }
       boolean allDone = true;
       for (int i = 0; i < jobs && allDone; i++) {
-        SimulatedCluster.ApiResponse response =
-            cluster.poll("node-" + i % cluster.nodes.size(), "wk-" + i);
+        SimulatedUsers.ApiResponse response =
+            cluster.users.poll("node-" + i % cluster.nodes.size(), "wk-" + i);
         allDone =
             response != null && response.status() == 200 && response.jobStatus().equals("done");
       }
@@ -65,27 +65,29 @@
           new SimulatedCluster(List.of("a", "a", "b", "b"), SimulatedCluster.ONE_TEAM);
       cluster.start().advance(2);
       for (int i = 0; i < 20; i++) {
-        cluster.addMachine("host-" + i, "small", i % 2 == 0 ? "a" : "b", "node-" + i % 4);
+        cluster.machines.addMachine("host-" + i, "small", i % 2 == 0 ? "a" : "b", "node-" + i % 4);
       }
       cluster.advance(6);
       for (int i = 0; i < 8; i++) {
         assertEquals(
-            201, cluster.submit("node-" + i % 4, SimulatedCluster.job("wk-" + i, 14, 1)).status());
+            201,
+            cluster.users.submit("node-" + i % 4, SimulatedCluster.job("wk-" + i, 14, 1)).status());
       }
       cluster.advance(1.5);
       List<String> inside = runningTasksInZone(cluster, "b");
       assertTrue(inside.size() > 10, inside + " run in the partitioned zone");
-      cluster.partitionZone("b");
+      cluster.network.partitionZone("b");
       cluster.advance(partitionS);
       List<String> runningAfter = runningTasksInZone(cluster, "b");
       assertTrue(
           runningAfter.containsAll(inside),
           "tasks in the zone ended during a partition of " + partitionS + " s");
       assertEquals(
-          List.of(), cluster.overlappingRuns, "during a partition of " + partitionS + " s");
-      cluster.healPartition();
+          List.of(), cluster.users.overlappingRuns, "during a partition of " + partitionS + " s");
+      cluster.network.healPartition();
       awaitJobsDoneS(cluster, 8, 60);
-      assertEquals(List.of(), cluster.overlappingRuns, "after a partition of " + partitionS + " s");
+      assertEquals(
+          List.of(), cluster.users.overlappingRuns, "after a partition of " + partitionS + " s");
     }
   }
 
@@ -105,7 +107,7 @@
       SimulatedCluster cluster = new SimulatedCluster(zones, SimulatedCluster.ONE_TEAM);
       cluster.start().advance(2);
       for (int i = 0; i < 24; i++) {
-        cluster.addMachine(
+        cluster.machines.addMachine(
             "host-" + i, "small", i % 3 == 0 ? "a" : "b", "node-" + i % zones.size());
       }
       cluster.advance(6);
@@ -113,16 +115,18 @@
         assertEquals(
             201,
             cluster
+                .users
                 .submit("node-" + i % zones.size(), SimulatedCluster.job("wk-" + i, 16, 1))
                 .status());
       }
       cluster.advance(3);
-      assertEquals(96, cluster.runningCount(), "not all tasks run with controllers in " + zones);
+      assertEquals(
+          96, cluster.machines.runningCount(), "not all tasks run with controllers in " + zones);
       cluster.nodes.get("node-0").crash();
       cluster.advance(3);
       cluster.nodes.get("node-0").start();
       awaitJobsDoneS(cluster, 6, 40);
-      assertEquals(List.of(), cluster.overlappingRuns, zones.toString());
+      assertEquals(List.of(), cluster.users.overlappingRuns, zones.toString());
     }
   }
 
@@ -135,30 +139,31 @@
     SimulatedCluster cluster = new SimulatedCluster(5, TEAM_WITH_LIMIT_TOML);
     cluster.start().advance(2);
     for (int i = 0; i < MACHINES; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 5);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 5);
     }
     cluster.advance(8);
     for (int i = 0; i < 6; i++) {
       assertEquals(
-          201, cluster.submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, 100, 1)).status());
+          201,
+          cluster.users.submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, 100, 1)).status());
     }
     cluster.advance(3);
-    assertEquals(600, cluster.runningCount());
+    assertEquals(600, cluster.machines.runningCount());
     for (int i = 0; i < 3; i++) {
       cluster.nodes.get("node-" + i).pause(SimulatedCluster.LEASE_S / 2);
     }
     cluster.advance(SimulatedCluster.LEASE_S / 2 + 3);
-    assertEquals(600, cluster.runningCount(), "a lease expired");
+    assertEquals(600, cluster.machines.runningCount(), "a lease expired");
     cluster.nodes.values().forEach(SimulatedCluster.Node::crash);
     cluster.advance(3);
     cluster.nodes.values().forEach(SimulatedCluster.Node::start);
     cluster.advance(SimulatedCluster.LEASE_S);
-    assertEquals(600, cluster.runningCount(), "a lease expired");
-    for (FakeWorker m : cluster.workers.values()) {
+    assertEquals(600, cluster.machines.runningCount(), "a lease expired");
+    for (FakeWorker m : cluster.machines.workers.values()) {
       assertEquals(m.running().size(), m.starts().size(), "a task was started again");
     }
     awaitJobsDoneS(cluster, 6, 20);
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   /**
@@ -171,19 +176,20 @@
         new SimulatedCluster(List.of("a", "a", "a", "b", "b"), TEAM_WITH_LIMIT_TOML);
     cluster.start().advance(2);
     for (int i = 0; i < MACHINES; i++) {
-      cluster.addMachine("host-" + i, "small", i % 5 < 3 ? "a" : "b", "node-" + i % 5);
+      cluster.machines.addMachine("host-" + i, "small", i % 5 < 3 ? "a" : "b", "node-" + i % 5);
     }
     cluster.advance(8);
     for (int i = 0; i < 10; i++) {
       assertEquals(
-          201, cluster.submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, 120, 1)).status());
+          201,
+          cluster.users.submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, 120, 1)).status());
     }
     cluster.advance(5);
-    assertEquals(1200, cluster.runningCount());
+    assertEquals(1200, cluster.machines.runningCount());
     int holdWritesBefore = cluster.stateService.writes("w/h/");
     int blockedMachines = 0;
     for (int i = 0; i < MACHINES; i += 5) {
-      cluster.inboundBlockedHosts.add("host-" + i);
+      cluster.machines.inboundBlockedHosts.add("host-" + i);
       blockedMachines++;
     }
     cluster.advance(4);
@@ -198,9 +204,9 @@
     assertTrue(
         written <= 2 * blockedMachines,
         written + " holds written for " + blockedMachines + " machines that receive nothing");
-    cluster.inboundBlockedHosts.clear();
+    cluster.machines.inboundBlockedHosts.clear();
     cluster.advance(2 * SimulatedCluster.LEASE_S);
-    assertEquals(1200, cluster.runningCount(), "lost tasks do not run again");
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(1200, cluster.machines.runningCount(), "lost tasks do not run again");
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/InvalidAndRepeatedRequestsTest.java
+++ b/src/test/java/dev/dunefront/story/InvalidAndRepeatedRequestsTest.java
@@ -49,13 +49,13 @@
   }
 
   private static int submitStatus(SimulatedCluster cluster, Document job) {
-    return cluster.request("node-1", "POST", "/v1/jobs", job.encode()).status();
+    return cluster.users.request("node-1", "POST", "/v1/jobs", job.encode()).status();
   }
 
   @Example
   void missingOrInvalidFieldsAreRejected() {
     SimulatedCluster cluster = SimulatedCluster.withSmallMachines(1);
-    assertEquals(201, cluster.submit("node-0", jobWithAllFields("wk-1")).status());
+    assertEquals(201, cluster.users.submit("node-0", jobWithAllFields("wk-1")).status());
     for (var field : invalidFieldValues().entrySet()) {
       String name = field.getKey();
       Document invalid = jobWithAllFields("wk-2").put(name, field.getValue());
@@ -69,14 +69,14 @@
         0,
         cluster.stateService.keys("w/j/wk-2").size()
             + cluster.stateService.keys("w/j/wk-3").size());
-    assertEquals(404, cluster.poll("node-0", "wk-2").status());
+    assertEquals(404, cluster.users.poll("node-0", "wk-2").status());
     for (String name : OPTIONAL_FIELDS) {
       String id = "wk-4" + OPTIONAL_FIELDS.indexOf(name);
       assertEquals(
-          201, cluster.submit("node-2", jobWithAllFields(id).put(name, null)).status(), name);
+          201, cluster.users.submit("node-2", jobWithAllFields(id).put(name, null)).status(), name);
     }
-    assertEquals(4, cluster.acceptedJobs.size());
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(4, cluster.users.acceptedJobs.size());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   /**
@@ -87,44 +87,54 @@
   void repeatedRequestsAreIdempotentAndFinalStatesStay() {
     SimulatedCluster cluster = SimulatedCluster.withSmallMachines(2);
     for (String id : List.of("wk-1", "wk-2", "wk-3")) {
-      assertEquals(201, cluster.submit("node-0", SimulatedCluster.job(id, 1, 1)).status());
+      assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job(id, 1, 1)).status());
     }
     cluster.advance(2);
-    cluster.workers.values().forEach(m -> m.exit("wk-1/0", "done"));
-    assertEquals("cancelled", cluster.cancel("node-1", "wk-2").jobStatus());
+    cluster.machines.workers.values().forEach(m -> m.exit("wk-1/0", "done"));
+    assertEquals("cancelled", cluster.users.cancel("node-1", "wk-2").jobStatus());
     cluster.advance(3);
     Map<String, String> finalStates = Map.of("wk-1", "done", "wk-2", "cancelled");
     for (String node : cluster.nodes.keySet()) {
       finalStates.forEach(
           (id, state) -> {
-            assertEquals(200, cluster.submit(node, SimulatedCluster.job(id, 1, 1)).status());
-            assertEquals(state, cluster.submit(node, SimulatedCluster.job(id, 1, 1)).jobStatus());
-            assertEquals(state, cluster.poll(node, id).jobStatus());
-            cluster.cancelRequestedJobs.add("wk-2");
-            SimulatedCluster.ApiResponse response =
-                cluster.request(node, "POST", "/v1/jobs/" + id + "/abort", new byte[0]);
+            assertEquals(200, cluster.users.submit(node, SimulatedCluster.job(id, 1, 1)).status());
+            assertEquals(
+                state, cluster.users.submit(node, SimulatedCluster.job(id, 1, 1)).jobStatus());
+            assertEquals(state, cluster.users.poll(node, id).jobStatus());
+            cluster.users.cancelRequestedJobs.add("wk-2");
+            SimulatedUsers.ApiResponse response =
+                cluster.users.request(node, "POST", "/v1/jobs/" + id + "/abort", new byte[0]);
             assertEquals(200, response.status());
             assertEquals(state, response.jobStatus());
           });
-      SimulatedCluster.ApiResponse repeated =
-          cluster.submit(node, SimulatedCluster.job("wk-3", 1, 1));
+      SimulatedUsers.ApiResponse repeated =
+          cluster.users.submit(node, SimulatedCluster.job("wk-3", 1, 1));
       assertEquals(200, repeated.status());
-      assertEquals("running", cluster.poll(node, "wk-3").jobStatus());
+      assertEquals("running", cluster.users.poll(node, "wk-3").jobStatus());
       // A submission that repeats a known id is never refused, whatever its other fields contain.
-      assertEquals(200, cluster.submit(node, SimulatedCluster.job("wk-3", 1, 99)).status());
+      assertEquals(200, cluster.users.submit(node, SimulatedCluster.job("wk-3", 1, 99)).status());
       assertEquals(
-          200, cluster.submit(node, SimulatedCluster.job("wk-1", 1, 1).put("owner", "x")).status());
-      assertEquals(404, cluster.poll(node, "wk-77").status());
+          200,
+          cluster
+              .users
+              .submit(node, SimulatedCluster.job("wk-1", 1, 1).put("owner", "x"))
+              .status());
+      assertEquals(404, cluster.users.poll(node, "wk-77").status());
       assertEquals(
-          404, cluster.request(node, "POST", "/v1/jobs/wk-77/abort", new byte[0]).status());
-      assertEquals(422, cluster.submit(node, SimulatedCluster.job("wk-5", 1, 99)).status());
+          404, cluster.users.request(node, "POST", "/v1/jobs/wk-77/abort", new byte[0]).status());
+      assertEquals(422, cluster.users.submit(node, SimulatedCluster.job("wk-5", 1, 99)).status());
       assertEquals(
-          422, cluster.submit(node, SimulatedCluster.job("wk-5", 1, 1).put("owner", "x")).status());
+          422,
+          cluster
+              .users
+              .submit(node, SimulatedCluster.job("wk-5", 1, 1).put("owner", "x"))
+              .status());
       Document unknownFlavor = SimulatedCluster.job("wk-5", 1, 1).put("flavors", List.of("huge"));
-      assertEquals(422, cluster.submit(node, unknownFlavor).status());
+      assertEquals(422, cluster.users.submit(node, unknownFlavor).status());
       assertEquals(
-          422, cluster.submit(node, SimulatedCluster.job("wk-5", 1, 1).put("site", "z")).status());
+          422,
+          cluster.users.submit(node, SimulatedCluster.job("wk-5", 1, 1).put("site", "z")).status());
     }
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/IsolatedControllerTest.java
+++ b/src/test/java/dev/dunefront/story/IsolatedControllerTest.java
@@ -21,7 +21,8 @@
     SimulatedCluster w = new SimulatedCluster(zones, SimulatedCluster.ONE_TEAM);
     w.start().advance(2);
     for (int i = 0; i < 12; i++) {
-      w.addMachine("host-" + i, "small", zones.get(i % zones.size()), "node-" + i % zones.size());
+      w.machines.addMachine(
+          "host-" + i, "small", zones.get(i % zones.size()), "node-" + i % zones.size());
     }
     w.advance(6);
     return w;
@@ -32,14 +33,16 @@
    * silent.
    */
   private static void isolate(SimulatedCluster w, String node) {
-    w.dropDelivery = SimulatedCluster.isolatedFromPeersAndState(node);
+    w.network.dropDelivery = SimulatedNetwork.isolatedFromPeersAndState(node);
     // The response to an open watch is lost as well.
-    w.dropResponse = (from, to) -> from.equals(node) && to.equals(STATE_SERVICE);
-    w.clock.after(5, () -> w.timeOutLinks(node));
+    w.network.dropResponse = (from, to) -> from.equals(node) && to.equals(STATE_SERVICE);
+    w.clock.after(5, () -> w.network.timeOutLinks(node));
   }
 
   private static long countMachinesHeldBy(SimulatedCluster w, String node) {
-    return w.workers.values().stream().filter(m -> w.holderOf(m.host()).equals(node)).count();
+    return w.machines.workers.values().stream()
+        .filter(m -> w.machines.holderOf(m.host()).equals(node))
+        .count();
   }
 
   /**
@@ -51,38 +54,39 @@
   void workersMoveToOtherControllersWithoutLosingTasks() {
     SimulatedCluster w = world(List.of("a", "a", "a"));
     for (int i = 0; i < 3; i++) {
-      assertEquals(201, w.submit("node-" + i, SimulatedCluster.job("wk-" + i, 10, 1)).status());
+      assertEquals(
+          201, w.users.submit("node-" + i, SimulatedCluster.job("wk-" + i, 10, 1)).status());
     }
     w.advance(3);
-    assertEquals(30, w.runningCount());
+    assertEquals(30, w.machines.runningCount());
     assertTrue(countMachinesHeldBy(w, "node-0") > 0);
     isolate(w, "node-0");
     w.advance(6);
     assertEquals(
         503,
-        w.request("node-0", "GET", "/up", new byte[0]).status(),
+        w.users.request("node-0", "GET", "/up", new byte[0]).status(),
         "the health check sends users to other controllers");
     assertEquals(
         503,
-        w.submit("node-0", SimulatedCluster.job("wk-9", 1, 1)).status(),
+        w.users.submit("node-0", SimulatedCluster.job("wk-9", 1, 1)).status(),
         "submissions are refused at once");
     w.advance(30);
     assertEquals(0, countMachinesHeldBy(w, "node-0"));
-    assertEquals(30, w.runningCount(), "no lease expired");
-    w.completeAllTasks();
+    assertEquals(30, w.machines.runningCount(), "no lease expired");
+    w.machines.completeAllTasks();
     w.advance(6);
     for (int i = 0; i < 3; i++) {
       assertEquals(
-          "done", w.poll("node-1", "wk-" + i).jobStatus(), "the ends of tasks are recorded");
+          "done", w.users.poll("node-1", "wk-" + i).jobStatus(), "the ends of tasks are recorded");
     }
-    int starts = w.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    int starts = w.machines.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
     assertEquals(30, starts, "no task ran again");
-    w.dropDelivery = (from, to) -> false;
-    w.dropResponse = (from, to) -> false;
-    w.reconnectLinks("node-0");
+    w.network.dropDelivery = (from, to) -> false;
+    w.network.dropResponse = (from, to) -> false;
+    w.network.reconnectLinks("node-0");
     w.advance(8);
-    assertEquals(200, w.request("node-0", "GET", "/up", new byte[0]).status());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(200, w.users.request("node-0", "GET", "/up", new byte[0]).status());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -92,26 +96,26 @@
   @Test
   void workersBehindZonePartitionReturnAndStay() {
     SimulatedCluster w = world(List.of("a", "b", "b"));
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 40, 1)).status());
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 40, 1)).status());
     w.advance(3);
     int before =
-        w.workers.values().stream()
-            .filter(m -> w.zoneOf(m).equals("a"))
+        w.machines.workers.values().stream()
+            .filter(m -> w.machines.zoneOf(m).equals("a"))
             .mapToInt(m -> m.running().size())
             .sum();
     assertTrue(before > 0);
-    w.partitionZone("a");
+    w.network.partitionZone("a");
     w.advance(6 * SimulatedCluster.LEASE_S);
     int after =
-        w.workers.values().stream()
-            .filter(m -> w.zoneOf(m).equals("a"))
+        w.machines.workers.values().stream()
+            .filter(m -> w.machines.zoneOf(m).equals("a"))
             .mapToInt(m -> m.running().size())
             .sum();
     assertTrue(
         before - after <= 4, "only the tasks of the machine that was released first are lost");
-    w.healPartition();
+    w.network.healPartition();
     w.advance(4);
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -125,42 +129,45 @@
   void machineThatReturnsToItsOldHolderKeepsItsTasks() {
     SimulatedCluster w = new SimulatedCluster(List.of("a", "a", "a"), SimulatedCluster.ONE_TEAM);
     w.start().advance(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.advance(6);
-    String oldHolder = w.holderOf("host-1");
+    String oldHolder = w.machines.holderOf("host-1");
     String other = oldHolder.equals("node-1") ? "node-2" : "node-1";
-    assertEquals(201, w.submit(other, SimulatedCluster.job("wk-1", 2, 1)).status());
-    assertEquals(201, w.submit(other, SimulatedCluster.job("wk-2", 2, 1)).status());
+    assertEquals(201, w.users.submit(other, SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit(other, SimulatedCluster.job("wk-2", 2, 1)).status());
     w.advance(2);
     assertEquals(4, m.running().size());
     // An idle machine is released first, so this one stays for a while.
     for (int i = 3;
-        w.workers.values().stream().filter(x -> oldHolder.equals(w.holderOf(x.host()))).count() < 2;
+        w.machines.workers.values().stream()
+                .filter(x -> oldHolder.equals(w.machines.holderOf(x.host())))
+                .count()
+            < 2;
         i++) {
-      w.addMachine("host-" + i, "small", "a", oldHolder);
+      w.machines.addMachine("host-" + i, "small", "a", oldHolder);
       w.advance(2);
     }
     isolate(w, oldHolder);
     for (int i = 0; i < 60 && !other.equals(recordedHolder(w)); i++) {
       w.advance(0.25);
-      w.deliverReport(other, m.report());
+      w.machines.deliverReport(other, m.report());
     }
     assertEquals(other, recordedHolder(w), "the machine reported once and was taken");
-    w.addMachine("host-2", "small", "a", other);
+    w.machines.addMachine("host-2", "small", "a", other);
     w.advance(1.1 * SimulatedCluster.LEASE_S);
-    assertEquals(oldHolder, w.holderOf("host-1"));
-    w.cancel(other, "wk-2");
+    assertEquals(oldHolder, w.machines.holderOf("host-1"));
+    w.users.cancel(other, "wk-2");
     w.advance(1);
-    assertEquals(2, SimulatedCluster.runningCount(m, "wk-1"), "the job keeps running");
+    assertEquals(2, SimulatedMachines.runningCount(m, "wk-1"), "the job keeps running");
     w.advance(SimulatedCluster.LEASE_S);
     assertEquals(
-        2, SimulatedCluster.runningCount(m, "wk-1"), "the job is not lost after another lease");
-    assertEquals(List.of(), w.overlappingRuns);
-    w.dropDelivery = (from, to) -> false;
-    w.dropResponse = (from, to) -> false;
-    w.reconnectLinks(oldHolder);
+        2, SimulatedMachines.runningCount(m, "wk-1"), "the job is not lost after another lease");
+    assertEquals(List.of(), w.users.overlappingRuns);
+    w.network.dropDelivery = (from, to) -> false;
+    w.network.dropResponse = (from, to) -> false;
+    w.network.reconnectLinks(oldHolder);
     w.advance(4);
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   private static String recordedHolder(SimulatedCluster w) {
@@ -182,21 +189,21 @@
   @Test
   void workersMoveWhenStateServiceRefusesTheirController() {
     SimulatedCluster w = world(List.of("a", "a", "a"));
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-0", 14, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-0", 14, 1)).status());
     w.advance(3);
-    w.refusedByStateService.add("node-0");
-    w.dropDelivery = SimulatedCluster.isolatedFromPeers("node-0");
-    w.clock.after(5, () -> w.timeOutLinks("node-0"));
+    w.network.refusedByStateService.add("node-0");
+    w.network.dropDelivery = SimulatedNetwork.isolatedFromPeers("node-0");
+    w.clock.after(5, () -> w.network.timeOutLinks("node-0"));
     w.advance(36);
     assertEquals(0, countMachinesHeldBy(w, "node-0"));
-    assertEquals(12, w.workers.size(), "no machine was returned as silent");
-    int starts = w.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    assertEquals(12, w.machines.workers.size(), "no machine was returned as silent");
+    int starts = w.machines.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
     assertEquals(14, starts, "no task ran again");
-    w.dropDelivery = (from, to) -> false;
-    w.refusedByStateService.clear();
-    w.reconnectLinks("node-0");
+    w.network.dropDelivery = (from, to) -> false;
+    w.network.refusedByStateService.clear();
+    w.network.reconnectLinks("node-0");
     w.advance(4);
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /** The controller reconnects when some, none or all of its machines have moved. */
@@ -204,17 +211,17 @@
   void isolatedControllerReconnectsAfterAnyDuration() {
     for (double cutS : new double[] {2, 5, 8, 14, 18, 22, 60, 120}) {
       SimulatedCluster w = world(List.of("a", "a", "a"));
-      assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-0", 14, 1)).status());
-      assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 14, 1)).status());
+      assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-0", 14, 1)).status());
+      assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 14, 1)).status());
       w.advance(3);
       isolate(w, "node-0");
       w.advance(cutS);
-      w.dropDelivery = (from, to) -> false;
-      w.dropResponse = (from, to) -> false;
-      w.reconnectLinks("node-0");
+      w.network.dropDelivery = (from, to) -> false;
+      w.network.dropResponse = (from, to) -> false;
+      w.network.reconnectLinks("node-0");
       w.advance(1);
-      assertNotEquals(0, w.runningCount());
-      assertEquals(List.of(), w.drainAndCheck(), "cut for " + cutS + " s");
+      assertNotEquals(0, w.machines.runningCount());
+      assertEquals(List.of(), w.users.drainAndCheck(), "cut for " + cutS + " s");
     }
   }
 
@@ -225,12 +232,12 @@
   void workersStayDuringGeneralStateServiceOutage() {
     SimulatedCluster w = world(List.of("a", "a", "a"));
     long held = countMachinesHeldBy(w, "node-0");
-    w.dropDelivery = (from, to) -> to.equals(STATE_SERVICE);
+    w.network.dropDelivery = (from, to) -> to.equals(STATE_SERVICE);
     w.advance(8 * SimulatedCluster.LEASE_S);
     assertEquals(held, countMachinesHeldBy(w, "node-0"));
-    w.dropDelivery = (from, to) -> false;
+    w.network.dropDelivery = (from, to) -> false;
     w.advance(5);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-0", 14, 1)).status());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-0", 14, 1)).status());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/JobDurabilityTest.java
+++ b/src/test/java/dev/dunefront/story/JobDurabilityTest.java
@@ -27,19 +27,19 @@
   @Example
   void finalCheckReportsForgottenAndUnfinishedJobs() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(2);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
     w.advance(2);
     w.removeState("w/j/wk-1");
-    List<String> violations = w.drainAndCheck();
+    List<String> violations = w.users.drainAndCheck();
     assertTrue(
         violations.stream().anyMatch(s -> s.contains("forgotten by node-2")),
         violations.toString());
 
     SimulatedCluster v = SimulatedCluster.withSmallMachines(1);
-    assertEquals(201, v.submit("node-0", SimulatedCluster.job("wk-1", 6, 1)).status());
+    assertEquals(201, v.users.submit("node-0", SimulatedCluster.job("wk-1", 6, 1)).status());
     v.advance(2);
-    v.isolatedHosts.add("host-0");
-    violations = v.drainAndCheck();
+    v.machines.isolatedHosts.add("host-0");
+    violations = v.users.drainAndCheck();
     assertEquals(List.of("wk-1 never ran whole"), violations);
   }
 
@@ -47,29 +47,29 @@
   @Example
   void statusIsAnsweredForJobsInEveryState() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(6);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 4, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 4, 1)).status());
     w.advance(2);
-    w.completeAllTasks();
+    w.machines.completeAllTasks();
     w.advance(4);
-    assertEquals("done", w.poll("node-1", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-1", "wk-1").jobStatus());
     // The submission is accepted, its response is lost, and the claiming controller crashes.
-    w.dropResponse = (from, to) -> from.equals("node-0") && to.equals("10.2.0.1:1");
-    w.submit("node-0", SimulatedCluster.job("wk-2", 3, 1));
-    w.dropResponse = (from, to) -> false;
-    w.acceptedJobs.put("wk-2", 3);
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-3", 3, 1)).status());
-    assertEquals(201, w.submit("node-2", SimulatedCluster.job("wk-4", 5, 1)).status());
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-5", 600, 0.04)).status());
+    w.network.dropResponse = (from, to) -> from.equals("node-0") && to.equals("10.2.0.1:1");
+    w.users.submit("node-0", SimulatedCluster.job("wk-2", 3, 1));
+    w.network.dropResponse = (from, to) -> false;
+    w.users.acceptedJobs.put("wk-2", 3);
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-3", 3, 1)).status());
+    assertEquals(201, w.users.submit("node-2", SimulatedCluster.job("wk-4", 5, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-5", 600, 0.04)).status());
     w.advance(0.5);
-    w.cancel("node-2", "wk-3");
+    w.users.cancel("node-2", "wk-3");
     w.nodes.get("node-0").crash();
     w.advance(SimulatedCluster.LEASE_S);
     // The restarted controller has no final states in memory and reads them on request.
     w.nodes.get("node-0").start();
-    assertEquals(List.of(), w.drainAndCheck());
-    assertEquals("done", w.poll("node-0", "wk-1").jobStatus());
-    assertEquals("cancelled", w.poll("node-0", "wk-3").jobStatus());
-    assertEquals(404, w.poll("node-0", "wk-77").status());
+    assertEquals(List.of(), w.users.drainAndCheck());
+    assertEquals("done", w.users.poll("node-0", "wk-1").jobStatus());
+    assertEquals("cancelled", w.users.poll("node-0", "wk-3").jobStatus());
+    assertEquals(404, w.users.poll("node-0", "wk-77").status());
   }
 
   /**
@@ -80,12 +80,13 @@
   void failingJobsStayQueryableAndDoNotBlockOthers() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(4);
     for (int i = 0; i < 5; i++) {
-      assertEquals(201, w.submit("node-" + i % 3, SimulatedCluster.job("wk-9" + i, 8, 1)).status());
+      assertEquals(
+          201, w.users.submit("node-" + i % 3, SimulatedCluster.job("wk-9" + i, 8, 1)).status());
     }
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 20, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 20, 1)).status());
     for (int second = 0; second < 90; second++) {
       w.advance(1);
-      for (FakeWorker m : w.workers.values()) {
+      for (FakeWorker m : w.machines.workers.values()) {
         for (String task : m.running()) {
           if (task.startsWith("wk-9")) {
             m.exit(task, "error");
@@ -95,19 +96,20 @@
         }
       }
     }
-    assertEquals("done", w.poll("node-1", "wk-1").jobStatus());
-    int starts = w.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    assertEquals("done", w.users.poll("node-1", "wk-1").jobStatus());
+    int starts = w.machines.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
     assertTrue(starts < 20 + 5 * 30, starts + " starts");
     for (int i = 0; i < 5; i++) {
-      String state = w.poll("node-" + i % 3, "wk-9" + i).jobStatus();
+      String state = w.users.poll("node-" + i % 3, "wk-9" + i).jobStatus();
       assertTrue(state.equals("queued") || state.equals("running"), state);
-      assertEquals(200, w.cancel("node-" + i % 3, "wk-9" + i).status());
-      assertEquals("cancelled", w.poll("node-0", "wk-9" + i).jobStatus());
+      assertEquals(200, w.users.cancel("node-" + i % 3, "wk-9" + i).status());
+      assertEquals("cancelled", w.users.poll("node-0", "wk-9" + i).jobStatus());
     }
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-2", 16, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-2", 16, 1)).status());
     w.advance(2);
-    assertEquals(16, w.runningCount(), "no machine is quarantined because of the failing jobs");
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(
+        16, w.machines.runningCount(), "no machine is quarantined because of the failing jobs");
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -117,20 +119,21 @@
   @Example
   void failuresOnTwoMachinesDoNotDelayAJobThatSucceedsElsewhere() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(5);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 40, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 40, 1)).status());
     w.advance(2);
     for (int i = 0; i < 2; i++) {
-      FakeWorker m = w.workers.get("host-" + i + ":9");
+      FakeWorker m = w.machines.workers.get("host-" + i + ":9");
       m.running().forEach(t -> m.exit(t, "error"));
     }
     w.advance(2);
     for (int i = 2; i < 5; i++) {
-      FakeWorker m = w.workers.get("host-" + i + ":9");
+      FakeWorker m = w.machines.workers.get("host-" + i + ":9");
       m.running().forEach(t -> m.exit(t, "done"));
     }
     w.advance(5);
     assertTrue(
-        w.runningCount() >= 12, w.runningCount() + " tasks run although there is room for all");
+        w.machines.runningCount() >= 12,
+        w.machines.runningCount() + " tasks run although there is room for all");
   }
 
   /**
@@ -141,7 +144,8 @@
   void controllerRestartsRepeatedlyWithinItsLease() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(9);
     for (int i = 0; i < 6; i++) {
-      assertEquals(201, w.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 5, 1)).status());
+      assertEquals(
+          201, w.users.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 5, 1)).status());
     }
     w.advance(1);
     int holdWrites = w.stateService.writes("w/h/");
@@ -152,18 +156,19 @@
       w.advance(1.8);
     }
     w.advance(SimulatedCluster.LEASE_S);
-    assertEquals(30, w.runningCount(), "no task is lost");
+    assertEquals(30, w.machines.runningCount(), "no task is lost");
     assertTrue(
         w.stateService.writes("w/h/") - holdWrites <= 3,
         "the holds are kept without a write for each restart");
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   @Example
   void allControllersRestartRepeatedlyDuringElections() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(9).withRentingDelays(5, 4);
     for (int i = 0; i < 6; i++) {
-      assertEquals(201, w.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 5, 1)).status());
+      assertEquals(
+          201, w.users.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 5, 1)).status());
     }
     w.advance(1);
     for (int round = 0; round < 5; round++) {
@@ -174,8 +179,8 @@
       w.advance(after);
     }
     w.advance(3);
-    assertEquals(30, w.runningCount());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(30, w.machines.runningCount());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /** After any sequence of faults, single or overlapping, the final check holds. */
@@ -184,42 +189,44 @@
       @ForAll @Size(min = 1, max = 6) List<@IntRange(max = 8_999) Integer> faults) {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(9);
     for (int i = 0; i < 6; i++) {
-      w.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 3 + i, 1 + i % 2));
+      w.users.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 3 + i, 1 + i % 2));
     }
     int submitted = 0;
     for (int fault : faults) {
       injectFault(w, fault % 9, "node-" + fault / 9 % 3, "host-" + fault / 27 % 9, fault / 243);
       w.advance(0.1 + fault % 50 * 0.2);
-      w.submit("node-" + submitted % 3, SimulatedCluster.job("wk-1" + submitted++, 4, 1));
+      w.users.submit("node-" + submitted % 3, SimulatedCluster.job("wk-1" + submitted++, 4, 1));
       if (fault % 2 == 0) {
-        w.completeAllTasks();
+        w.machines.completeAllTasks();
       }
     }
-    w.dropDelivery = (from, to) -> false;
-    w.isolatedHosts.clear();
-    w.inboundBlockedHosts.clear();
-    w.duplicateReportDelaysS = List.of();
-    w.refusedByStateService.clear();
+    w.network.dropDelivery = (from, to) -> false;
+    w.machines.isolatedHosts.clear();
+    w.machines.inboundBlockedHosts.clear();
+    w.machines.duplicateReportDelaysS = List.of();
+    w.network.refusedByStateService.clear();
     w.stateService.outage(false);
     for (SimulatedCluster.Node n : w.nodes.values()) {
       if (!n.up()) {
         n.start();
       }
-      w.reconnectLinks(n.name);
+      w.network.reconnectLinks(n.name);
     }
     w.advance(3);
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   private static void injectFault(
       SimulatedCluster w, int kind, String node, String host, int extra) {
     SimulatedCluster.Node n = w.nodes.get(node);
     switch (kind) {
-      case 0 -> w.inboundBlockedHosts.add(host);
-      case 1 -> w.duplicateReportDelaysS = List.of(0.5 + extra % 30, SimulatedCluster.LEASE_S * 2);
+      case 0 -> w.machines.inboundBlockedHosts.add(host);
+      case 1 ->
+          w.machines.duplicateReportDelaysS =
+              List.of(0.5 + extra % 30, SimulatedCluster.LEASE_S * 2);
       case 2 -> {
-        w.dropDelivery = SimulatedCluster.isolatedFromPeersAndState(node);
-        w.clock.after(5, () -> w.timeOutLinks(node));
+        w.network.dropDelivery = SimulatedNetwork.isolatedFromPeersAndState(node);
+        w.clock.after(5, () -> w.network.timeOutLinks(node));
       }
       case 3 -> {
         if (n.up()) {
@@ -232,10 +239,10 @@
           n.pause(2 + extra);
         }
       }
-      case 5 -> w.workers.get(host + ":9").restart();
-      case 6 -> w.refusedByStateService.add(node);
-      case 7 -> w.isolatedHosts.add(host);
-      default -> w.inboundBlockedHosts.remove(host);
+      case 5 -> w.machines.workers.get(host + ":9").restart();
+      case 6 -> w.network.refusedByStateService.add(node);
+      case 7 -> w.machines.isolatedHosts.add(host);
+      default -> w.machines.inboundBlockedHosts.remove(host);
     }
   }
 
@@ -248,11 +255,11 @@
     SimulatedCluster w = SimulatedCluster.withSmallMachines(4);
     for (int i = 0; i < 20; i++) {
       assertEquals(
-          201, w.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 1, 0.5)).status());
+          201, w.users.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 1, 0.5)).status());
     }
     w.advance(2);
     int[] reads = new int[1];
-    w.requestListener =
+    w.network.requestListener =
         (from, path, body) ->
             reads[0] += path.startsWith("/keys/w/") || path.contains("prefix=w/j") ? 1 : 0;
     int[] answered = new int[1];
@@ -266,7 +273,7 @@
     w.advance(1);
     assertEquals(1000, answered[0]);
     assertTrue(reads[0] < 100, reads[0] + " reads for 1,000 status requests");
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-50", 1, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-50", 1, 1)).status());
   }
 
   /**
@@ -280,22 +287,22 @@
       throws MalformedMessageException {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(3);
     int[] n = new int[1];
-    w.deliveryPolicy =
+    w.network.deliveryPolicy =
         (from, path, body) ->
             from.equals("node-1") && path.startsWith("/watch") && n[0] < fates.size()
-                ? SimulatedCluster.Delivery.values()[fates.get(n[0]++)]
-                : SimulatedCluster.Delivery.ON_TIME;
+                ? SimulatedNetwork.Delivery.values()[fates.get(n[0]++)]
+                : SimulatedNetwork.Delivery.ON_TIME;
     w.advance(pause * 0.05);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
-    SimulatedCluster.ApiResponse response = w.poll("node-1", "wk-1");
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 1)).status());
+    SimulatedUsers.ApiResponse response = w.users.poll("node-1", "wk-1");
     assertTrue(response.status() == 200 || response.status() == 503, "status " + response.status());
     w.advance(1);
-    w.completeAllTasks();
+    w.machines.completeAllTasks();
     boolean done = false;
     for (int i = 0; i < 40; i++) {
       w.advance(0.2);
-      done |= w.poll("node-0", "wk-1").jobStatus().equals("done");
-      response = w.poll("node-1", "wk-1");
+      done |= w.users.poll("node-0", "wk-1").jobStatus().equals("done");
+      response = w.users.poll("node-1", "wk-1");
       if (done && response.status() == 200) {
         assertEquals("done", response.jobStatus());
       }
@@ -303,7 +310,7 @@
     }
     assertTrue(done);
     Document spec = SimulatedCluster.job("wk-1", 2, 1);
-    assertEquals(200, w.submit("node-1", spec).status());
+    assertEquals(200, w.users.submit("node-1", spec).status());
   }
 
   /** A job of 100,000 tasks is accepted, polled, started and cancelled like any other job. */
@@ -311,21 +318,24 @@
   void largestJobIsHandledLikeAnyOther() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(9);
     int before = w.stateService.writes("");
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 100_000, 0.25)).status());
+    assertEquals(
+        201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 100_000, 0.25)).status());
     assertEquals(1, w.stateService.writes("") - before, "the job is accepted with one write");
-    assertEquals("queued", w.poll("node-1", "wk-1").jobStatus());
+    assertEquals("queued", w.users.poll("node-1", "wk-1").jobStatus());
     assertEquals(
         201,
-        w.submit("node-1", SimulatedCluster.job("wk-2", 4, 1).put("urgency", "high")).status());
+        w.users
+            .submit("node-1", SimulatedCluster.job("wk-2", 4, 1).put("urgency", "high"))
+            .status());
     before = w.stateService.writes("");
     for (int second = 0; second < 30; second++) {
       w.advance(1);
-      w.completeAllTasks();
+      w.machines.completeAllTasks();
     }
-    int starts = w.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    int starts = w.machines.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
     double writesPerStart = (double) (w.stateService.writes("") - before) / starts;
     assertTrue(writesPerStart < 0.3, writesPerStart + " writes for each of " + starts + " starts");
-    assertEquals("done", w.poll("node-2", "wk-2").jobStatus());
+    assertEquals("done", w.users.poll("node-2", "wk-2").jobStatus());
     // The next claimant reads the records of started tasks, not one record for each task.
     w.nodes.get("node-0").crash();
     w.nodes.get("node-1").crash();
@@ -333,15 +343,15 @@
     w.nodes.get("node-0").start();
     w.nodes.get("node-1").start();
     w.advance(5);
-    assertTrue(w.runningCount() > 0);
-    SimulatedCluster.ApiResponse response = w.cancel("node-2", "wk-1");
+    assertTrue(w.machines.runningCount() > 0);
+    SimulatedUsers.ApiResponse response = w.users.cancel("node-2", "wk-1");
     for (int i = 0; i < 20 && response.status() != 200; i++) {
       w.advance(1);
-      response = w.cancel("node-2", "wk-1");
+      response = w.users.cancel("node-2", "wk-1");
     }
     assertEquals("cancelled", response.jobStatus());
-    assertEquals(0, w.runningCount());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(0, w.machines.runningCount());
+    assertEquals(List.of(), w.users.drainAndCheck());
     assertEquals(List.of(), w.stateService.keys("t/"));
   }
 }
--- a/src/test/java/dev/dunefront/story/JobStatusConsistencyTest.java
+++ b/src/test/java/dev/dunefront/story/JobStatusConsistencyTest.java
@@ -36,60 +36,60 @@
       case NONE -> {}
       case SLOW_STATE_SERVICE -> {
         double[] delaysS = {0, 0.05, 0.4, 0.9, 0.02};
-        cluster.stateServiceDelayS = () -> delaysS[requestCount[0]++ % delaysS.length];
+        cluster.network.stateServiceDelayS = () -> delaysS[requestCount[0]++ % delaysS.length];
       }
       case CONTROLLER_REFUSED_BY_STATE_SERVICE -> {
-        cluster.refusedByStateService.add("node-1");
-        cluster.clock.after(2.5, () -> cluster.refusedByStateService.clear());
+        cluster.network.refusedByStateService.add("node-1");
+        cluster.clock.after(2.5, () -> cluster.network.refusedByStateService.clear());
       }
       case CONTROLLER_RESTARTS -> {
         cluster.nodes.get("node-1").crash();
         cluster.clock.after(0.3, () -> cluster.nodes.get("node-1").start());
       }
       case WATCH_RESPONSES_DROPPED ->
-          cluster.deliveryPolicy =
+          cluster.network.deliveryPolicy =
               (from, path, body) ->
                   path.startsWith("/watch") && requestCount[0]++ % 2 == 0
-                      ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                      : SimulatedCluster.Delivery.ON_TIME;
+                      ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                      : SimulatedNetwork.Delivery.ON_TIME;
       case WATCHES_DUPLICATED_LATE -> {
-        cluster.deliveryDelayS = 1.5;
-        cluster.deliveryPolicy =
+        cluster.network.deliveryDelayS = 1.5;
+        cluster.network.deliveryPolicy =
             (from, path, body) ->
                 path.startsWith("/watch") && requestCount[0]++ % 3 != 0
-                    ? SimulatedCluster.Delivery.DUPLICATED
-                    : SimulatedCluster.Delivery.ON_TIME;
+                    ? SimulatedNetwork.Delivery.DUPLICATED
+                    : SimulatedNetwork.Delivery.ON_TIME;
       }
       case TRANSACTION_RESPONSES_DROPPED ->
-          cluster.deliveryPolicy =
+          cluster.network.deliveryPolicy =
               (from, path, body) ->
                   path.equals("/txn") && requestCount[0]++ % 4 == 1
-                      ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                      : SimulatedCluster.Delivery.ON_TIME;
+                      ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                      : SimulatedNetwork.Delivery.ON_TIME;
       case JOB_ENDED_MESSAGES_HELD ->
-          cluster.holdPeerMessage = message -> message instanceof Message.JobEnded;
+          cluster.network.holdPeerMessage = message -> message instanceof Message.JobEnded;
       case STATE_RESPONSES_LATE -> {
         double[] delaysS = {0, 0.003, 0.25, 0, 0.45, 0.02, 0.1};
-        cluster.responseDelay = (from, path) -> delaysS[requestCount[0]++ % delaysS.length];
+        cluster.network.responseDelay = (from, path) -> delaysS[requestCount[0]++ % delaysS.length];
       }
     }
   }
 
   private static void clearFaults(SimulatedCluster cluster) {
-    cluster.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
-    cluster.stateServiceDelayS = () -> 0;
-    cluster.holdPeerMessage = message -> false;
-    cluster.responseDelay = (from, path) -> 0;
-    cluster.refusedByStateService.clear();
+    cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    cluster.network.stateServiceDelayS = () -> 0;
+    cluster.network.holdPeerMessage = message -> false;
+    cluster.network.responseDelay = (from, path) -> 0;
+    cluster.network.refusedByStateService.clear();
     cluster.advance(4);
   }
 
   private static void assertStateAtAllNodes(SimulatedCluster cluster, String id, String state) {
     for (String node : cluster.nodes.keySet()) {
-      assertEquals(state, cluster.poll(node, id).jobStatus(), id + " at " + node);
+      assertEquals(state, cluster.users.poll(node, id).jobStatus(), id + " at " + node);
       assertEquals(
           state,
-          cluster.submit(node, SimulatedCluster.job(id, 2, 1)).jobStatus(),
+          cluster.users.submit(node, SimulatedCluster.job(id, 2, 1)).jobStatus(),
           id + " at " + node);
     }
   }
@@ -106,7 +106,7 @@
     inject(cluster, fault);
     users.submit(SimulatedCluster.job("wk-1", 2, 1), 0);
     users.submit(SimulatedCluster.job("wk-2", 2, 1).put("shape", "daemon"), 2);
-    for (int i = 0; i < 3000 && cluster.acceptedJobs.size() < 2; i++) {
+    for (int i = 0; i < 3000 && cluster.users.acceptedJobs.size() < 2; i++) {
       cluster.advance(0.002);
     }
     cluster.advance(new double[] {0, 0.003, 0.01, 0.05, 0.4, 1.1}[delayStep]);
@@ -116,7 +116,7 @@
     clearFaults(cluster);
     assertStateAtAllNodes(cluster, "wk-1", "cancelled");
     assertStateAtAllNodes(cluster, "wk-2", "cancelled");
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   /**
@@ -131,7 +131,7 @@
     SimulatedCluster cluster = SimulatedCluster.withSmallMachines(3);
     cluster.stateService.setWatchesReportEveryChange(watchesReportEveryChange);
     for (int i = 0; i < 6; i++) {
-      cluster.submit("node-" + i % 3, SimulatedCluster.job("wk-1" + i, 60, 1));
+      cluster.users.submit("node-" + i % 3, SimulatedCluster.job("wk-1" + i, 60, 1));
     }
     cluster.advance(2);
     inject(cluster, fault);
@@ -145,15 +145,15 @@
       users.cancel(id, i + 1);
       for (int k = 0; k < 12; k++) {
         cluster.advance(0.05);
-        cluster.requestWithRetries("POST", "/v1/jobs", job, id, i + k, 1);
+        cluster.users.requestWithRetries("POST", "/v1/jobs", job, id, i + k, 1);
       }
     }
     cluster.advance(20);
     clearFaults(cluster);
     for (int i = 0; i < 5; i++) {
-      assertEquals("cancelled", cluster.poll("node-" + i % 3, "wk-2" + i).jobStatus());
+      assertEquals("cancelled", cluster.users.poll("node-" + i % 3, "wk-2" + i).jobStatus());
     }
-    assertEquals(List.of(), cluster.operationHistory.violations);
+    assertEquals(List.of(), cluster.users.operationHistory.violations);
   }
 
   /**
@@ -167,7 +167,7 @@
     RedundantClients users = new RedundantClients(cluster);
     users.submit(SimulatedCluster.job("wk-1", 2, 1), 0);
     cluster.advance(1.5);
-    cluster.workers.values().forEach(m -> m.exit("wk-1/0", "done"));
+    cluster.machines.workers.values().forEach(m -> m.exit("wk-1/0", "done"));
     cluster.advance(3);
     inject(cluster, fault);
     cluster.advance(0.4);
@@ -181,16 +181,16 @@
       cluster.advance(gapS);
       users.cancel("wk-1", 1);
     }
-    cluster.requestWithRetries(
+    cluster.users.requestWithRetries(
         "POST", "/v1/jobs", SimulatedCluster.job("wk-1", 2, 1), "wk-1", 2, 40);
     cluster.advance(16);
     clearFaults(cluster);
-    assertStateAtAllNodes(cluster, "wk-1", cluster.poll("node-0", "wk-1").jobStatus());
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertStateAtAllNodes(cluster, "wk-1", cluster.users.poll("node-0", "wk-1").jobStatus());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   private static void completeTask(SimulatedCluster cluster, String task) {
-    for (FakeWorker m : cluster.workers.values()) {
+    for (FakeWorker m : cluster.machines.workers.values()) {
       m.exit(task, "done");
     }
   }
@@ -211,6 +211,6 @@
     cluster.advance(9);
     clearFaults(cluster);
     assertStateAtAllNodes(cluster, "wk-1", "done");
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 }
