--- a/src/test/java/dev/dunefront/story/LostResponseTest.java
+++ b/src/test/java/dev/dunefront/story/LostResponseTest.java
@@ -25,15 +25,15 @@
    * Runs the scenario: jobs are submitted, finish and are cancelled; a machine and a controller are
    * lost; further machines boot.
    */
-  private static SimulatedCluster runScenario(SimulatedCluster.DeliveryPolicy fates) {
+  private static SimulatedCluster runScenario(SimulatedNetwork.DeliveryPolicy fates) {
     SimulatedCluster w = SimulatedCluster.withTeamLimit(3, 10).withRentingDelays(2, 3);
     w.cloud.capacity(2);
     w.start().advance(2);
     for (int i = 0; i < 3; i++) {
-      w.addMachine("host-" + i, "small", "a", "node-" + i);
+      w.machines.addMachine("host-" + i, "small", "a", "node-" + i);
     }
     w.advance(4);
-    w.deliveryPolicy = fates;
+    w.network.deliveryPolicy = fates;
     RedundantClients users = new RedundantClients(w);
     users.submit(SimulatedCluster.job("wk-1", 3, 1), 0);
     users.submit(SimulatedCluster.job("wk-2", 4, 2), 1);
@@ -41,32 +41,32 @@
     users.submit(SimulatedCluster.job("wk-3", 2, 1).put("shape", "daemon"), 2);
     w.advance(0.8);
     users.cancel("wk-2", 0);
-    w.workers.values().forEach(m -> m.exit("wk-1/0", "done"));
+    w.machines.workers.values().forEach(m -> m.exit("wk-1/0", "done"));
     w.advance(1.6);
     w.nodes.get("node-1").crash();
     users.submit(SimulatedCluster.job("wk-4", 3, 2), 0);
     w.advance(1.1);
     users.cancel("wk-3", 2);
     w.nodes.get("node-1").start();
-    w.isolatedHosts.add("host-2");
-    w.workers.values().forEach(m -> m.exit("wk-1/1", "done"));
+    w.machines.isolatedHosts.add("host-2");
+    w.machines.workers.values().forEach(m -> m.exit("wk-1/1", "done"));
     w.advance(2.4);
     users.cancel("wk-4", 1);
     w.advance(6);
-    w.isolatedHosts.clear();
-    w.completeAllTasks();
+    w.machines.isolatedHosts.clear();
+    w.machines.completeAllTasks();
     w.advance(20);
     return w;
   }
 
   private static void checkFinalState(SimulatedCluster w) {
-    w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
-    for (String id : w.cancelRequestedJobs) {
+    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    for (String id : w.users.cancelRequestedJobs) {
       for (String node : w.nodes.keySet()) {
-        assertEquals("cancelled", w.poll(node, id).jobStatus(), id + " at " + node);
+        assertEquals("cancelled", w.users.poll(node, id).jobStatus(), id + " at " + node);
       }
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -81,12 +81,12 @@
         runScenario(
             (from, path, body) -> {
               if (!path.equals("/txn")) {
-                return SimulatedCluster.Delivery.ON_TIME;
+                return SimulatedNetwork.Delivery.ON_TIME;
               }
               int i = n[0]++;
               return i == first || i == first + gap
-                  ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                  : SimulatedCluster.Delivery.ON_TIME;
+                  ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                  : SimulatedNetwork.Delivery.ON_TIME;
             });
     assertTrue(n[0] > TRANSACTIONS, "the scenario has only " + n[0] + " transactions");
     checkFinalState(w);
@@ -101,8 +101,8 @@
         runScenario(
             (from, path, body) ->
                 path.equals("/txn") && from.equals("node-" + node) && n[0]++ % 3 == offset
-                    ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                    : SimulatedCluster.Delivery.ON_TIME);
+                    ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                    : SimulatedNetwork.Delivery.ON_TIME);
     checkFinalState(w);
   }
 
@@ -118,37 +118,37 @@
       throws Exception {
     SimulatedCluster w = new SimulatedCluster(3);
     w.start().advance(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.advance(5);
-    String holder = w.holderOf("host-1");
+    String holder = w.machines.holderOf("host-1");
     List<String> others = w.nodes.keySet().stream().filter(n -> !n.equals(holder)).toList();
-    assertEquals(201, w.submit(holder, SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit(holder, SimulatedCluster.job("wk-1", 2, 1)).status());
     w.advance(2);
     assertEquals(2, m.running().size());
     assertTrue(
         w.stateService.value("w/j/wk-1").text("claim").startsWith(holder),
         "the holder also has the claim");
-    w.refusedByStateService.add(holder);
-    w.deliveryPolicy =
+    w.network.refusedByStateService.add(holder);
+    w.network.deliveryPolicy =
         (from, path, body) ->
             body.contains("CANCELLED")
-                ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
-    assertEquals(503, w.cancel(others.get(0), "wk-1").status());
+                ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
+    assertEquals(503, w.users.cancel(others.get(0), "wk-1").status());
     assertEquals("CANCELLED", w.stateService.value("w/j/wk-1").text("status"));
-    w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
+    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
     if (repeated) {
       w.nodes.get(others.get(0)).crash();
-      assertEquals(503, w.cancel(others.get(1), "wk-1").status());
+      assertEquals(503, w.users.cancel(others.get(1), "wk-1").status());
     }
     w.stateService.outage(true);
     w.advance(6);
     assertEquals(List.of(), m.running());
     w.stateService.outage(false);
-    w.refusedByStateService.clear();
+    w.network.refusedByStateService.clear();
     w.advance(5);
-    assertEquals("cancelled", w.poll(others.get(1), "wk-1").jobStatus());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals("cancelled", w.users.poll(others.get(1), "wk-1").jobStatus());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -158,27 +158,30 @@
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void submissionIsAnsweredThoughItsWriteResponseIsLost(@ForAll boolean cancelled) {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(2);
-    w.deliveryPolicy =
+    w.network.deliveryPolicy =
         (from, path, body) ->
             path.equals("/txn") && body.contains("put=w/j/wk-1")
-                ? SimulatedCluster.Delivery.RESPONSE_DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
+                ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
     double since = w.clock.now();
-    SimulatedCluster.ApiResponse response = w.submit("node-0", SimulatedCluster.job("wk-1", 2, 1));
+    SimulatedUsers.ApiResponse response =
+        w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 1));
     assertEquals(201, response.status());
     assertTrue(w.clock.now() - since < 0.5, "answered after " + (w.clock.now() - since));
-    w.deliveryPolicy = (from, path, body) -> SimulatedCluster.Delivery.ON_TIME;
+    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
     if (cancelled) {
-      w.cancel("node-1", "wk-1");
+      w.users.cancel("node-1", "wk-1");
       w.advance(3);
-      assertEquals("cancelled", w.poll("node-0", "wk-1").jobStatus());
-      assertEquals(0, w.runningCount());
+      assertEquals("cancelled", w.users.poll("node-0", "wk-1").jobStatus());
+      assertEquals(0, w.machines.runningCount());
     } else {
       w.advance(0.6);
       assertEquals(
-          2, w.runningCount(), "the job starts without waiting for its claim to be discovered");
+          2,
+          w.machines.runningCount(),
+          "the job starts without waiting for its claim to be discovered");
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /** The hold write whose response is late. */
@@ -196,13 +199,13 @@
   void machineTakenDuringUnacknowledgedHoldWriteChangesHolder(@ForAll HoldWrite write) {
     SimulatedCluster w = new SimulatedCluster(3);
     w.start().advance(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.advance(6);
-    String former = w.holderOf("host-1");
+    String former = w.machines.holderOf("host-1");
     BooleanSupplier intercepted =
-        w.faultFirstTransaction(
+        w.network.faultFirstTransaction(
             "put=w/h/host-1",
-            SimulatedCluster.Delivery.RESPONSE_DELAYED,
+            SimulatedNetwork.Delivery.RESPONSE_DELAYED,
             from -> {
               String next =
                   w.nodes.keySet().stream().filter(n -> !n.equals(from)).findFirst().get();
@@ -212,13 +215,13 @@
                       .put("baton", 50);
               w.clock.after(0.2, () -> w.writeState("w/h/host-1", hold));
             });
-    SimulatedCluster.DeliveryPolicy holdWrites = w.deliveryPolicy;
-    w.deliveryPolicy =
+    SimulatedNetwork.DeliveryPolicy holdWrites = w.network.deliveryPolicy;
+    w.network.deliveryPolicy =
         (from, path, body) ->
             write == HoldWrite.TOKEN_RAISED
                     && body.contains("verb=run")
                     && !intercepted.getAsBoolean()
-                ? SimulatedCluster.Delivery.RESPONSE_DROPPED
+                ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
                 : holdWrites.choose(from, path, body);
     if (write == HoldWrite.MACHINE_TAKEN) {
       // The holder crashes and another controller takes the machine.
@@ -226,11 +229,11 @@
       w.clock.after(12, () -> w.nodes.get(former).start());
     }
     String user = w.nodes.keySet().stream().filter(n -> !n.equals(former)).findFirst().get();
-    assertEquals(201, w.submit(user, SimulatedCluster.job("wk-1", 2, 1)).status());
+    assertEquals(201, w.users.submit(user, SimulatedCluster.job("wk-1", 2, 1)).status());
     w.advance(4 * SimulatedCluster.LEASE_S);
     assertTrue(intercepted.getAsBoolean(), "the hold was written");
     assertTrue(m.token() >= 50, "the worker must have its holder's token, but has " + m.token());
     assertEquals(2, m.running().size());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/MachineReturnTest.java
+++ b/src/test/java/dev/dunefront/story/MachineReturnTest.java
@@ -24,21 +24,21 @@
 
   /** Advances time until a deletion is sent, and holds the request. */
   private static void awaitAndHoldDeletion(SimulatedCluster cluster) {
-    cluster.heldPath = "/machines/delete";
-    for (int i = 0; i < 100 && cluster.heldCount() == 0; i++) {
+    cluster.network.heldPath = "/machines/delete";
+    for (int i = 0; i < 100 && cluster.network.heldCount() == 0; i++) {
       cluster.advance(0.25);
     }
-    assertTrue(cluster.heldCount() > 0, "no deletion was sent");
+    assertTrue(cluster.network.heldCount() > 0, "no deletion was sent");
   }
 
   @Test
   void onlyIdleMachinesAreReturned() {
     SimulatedCluster cluster = newCluster();
-    FakeWorker first = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker first = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.start().advance(2);
-    cluster.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     cluster.advance(1);
-    FakeWorker second = cluster.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker second = cluster.machines.addMachine("host-2", "small", "a", "node-1");
     cluster.advance(8);
     assertFalse(
         cluster.cloud.deleted("host-2"),
@@ -50,27 +50,27 @@
     first.exit("wk-1/0", "done");
     cluster.advance(20);
     assertTrue(cluster.cloud.deleted("host-1"));
-    assertEquals("done", cluster.poll("node-1", "wk-1").jobStatus());
+    assertEquals("done", cluster.users.poll("node-1", "wk-1").jobStatus());
   }
 
   /** A deletion may take long; the machine accepts no task from before the request is sent. */
   @Test
   void noTaskIsPlacedOnMachineBeingReturned() {
     SimulatedCluster cluster = newCluster();
-    FakeWorker first = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker first = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.start().advance(2);
     awaitAndHoldDeletion(cluster);
-    cluster.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     cluster.advance(3);
     assertEquals(
         List.of(), first.starts(), "the machine was still open when the deletion was sent");
-    cluster.heldPath = null;
-    cluster.deliverHeld();
+    cluster.network.heldPath = null;
+    cluster.network.deliverHeld();
     assertTrue(cluster.cloud.deleted("host-1"));
-    cluster.addMachine("host-2", "small", "a", "node-1");
+    cluster.machines.addMachine("host-2", "small", "a", "node-1");
     cluster.advance(10);
-    assertEquals("running", cluster.poll("node-0", "wk-1").jobStatus());
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals("running", cluster.users.poll("node-0", "wk-1").jobStatus());
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   /**
@@ -81,36 +81,36 @@
   @Test
   void pendingReturnSurvivesRestartOfAllControllers() {
     SimulatedCluster cluster = newCluster();
-    FakeWorker first = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker first = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.start().advance(2);
     awaitAndHoldDeletion(cluster);
     cluster.nodes.values().forEach(SimulatedCluster.Node::crash);
     cluster.advance(1);
     cluster.nodes.values().forEach(SimulatedCluster.Node::start);
     cluster.advance(6);
-    cluster.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     cluster.advance(3);
     assertEquals(List.of(), first.starts(), "the machine was reopened after the restart");
-    cluster.heldPath = null;
-    cluster.deliverHeld();
-    assertEquals(List.of(), cluster.deletedWhileInUse);
-    FakeWorker second = cluster.addMachine("host-2", "small", "a", "node-1");
+    cluster.network.heldPath = null;
+    cluster.network.deliverHeld();
+    assertEquals(List.of(), cluster.machines.deletedWhileInUse);
+    FakeWorker second = cluster.machines.addMachine("host-2", "small", "a", "node-1");
     cluster.advance(8);
     assertEquals(List.of("wk-1/0"), second.running());
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   @Test
   void machineReopensWhenDeletionIsGivenUp() {
     SimulatedCluster cluster = newCluster();
-    FakeWorker first = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker first = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.start().advance(2);
-    cluster.dropDelivery = (from, to) -> to.equals("10.2.0.2:1");
+    cluster.network.dropDelivery = (from, to) -> to.equals("10.2.0.2:1");
     cluster.advance(14);
-    cluster.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
     cluster.advance(12);
     assertEquals(List.of("wk-1/0"), first.running());
-    cluster.dropDelivery = (from, to) -> false;
+    cluster.network.dropDelivery = (from, to) -> false;
     cluster.advance(20);
     assertFalse(cluster.cloud.deleted("host-1"));
   }
--- a/src/test/java/dev/dunefront/story/OperationHistory.java
+++ b/src/test/java/dev/dunefront/story/OperationHistory.java
@@ -69,7 +69,7 @@
    * @param response null if the request timed out
    * @param sentAt when the request was sent
    */
-  void recordResponse(String id, SimulatedCluster.ApiResponse response, double sentAt, double now) {
+  void recordResponse(String id, SimulatedUsers.ApiResponse response, double sentAt, double now) {
     if (response == null) {
       return;
     }
--- a/src/test/java/dev/dunefront/story/ProcessPauseTest.java
+++ b/src/test/java/dev/dunefront/story/ProcessPauseTest.java
@@ -23,25 +23,25 @@
   @Test
   void startRecordedForOneSessionIsNotExecutedInTheNext() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(3);
-    assertEquals("node-0", w.holderOf("host-1"));
-    assertEquals(201, w.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
+    assertEquals("node-0", w.machines.holderOf("host-1"));
+    assertEquals(201, w.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
     // The state service accepts the placement, but the response to the claimant is lost.
-    w.dropResponse = (from, to) -> from.equals("node-1") && to.equals("10.2.0.1:1");
+    w.network.dropResponse = (from, to) -> from.equals("node-1") && to.equals("10.2.0.1:1");
     w.advance(1);
-    w.isolatedHosts.add("host-1");
+    w.machines.isolatedHosts.add("host-1");
     w.advance(SimulatedCluster.LEASE_S + 2);
-    w.isolatedHosts.clear();
+    w.machines.isolatedHosts.clear();
     w.advance(3);
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-0");
     w.advance(2);
     assertEquals(List.of(), a.starts(), "the start must still be pending here");
-    w.dropResponse = (from, to) -> false;
+    w.network.dropResponse = (from, to) -> false;
     w.advance(10);
     assertEquals(1, a.running().size() + b.running().size());
     assertEquals(1, a.starts().size() + b.starts().size(), "the recorded attempt never started");
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -50,21 +50,21 @@
   @Test
   void controllerWithoutLeaseWritesNoHold() {
     SimulatedCluster w = new SimulatedCluster(1);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(3);
-    w.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
-    w.dropResponse = (from, to) -> to.endsWith(":9");
-    w.refusedByStateService.add("node-0");
+    w.users.submit("node-0", SimulatedCluster.job("wk-1", 1, 1));
+    w.network.dropResponse = (from, to) -> to.endsWith(":9");
+    w.network.refusedByStateService.add("node-0");
     w.advance(6);
-    w.refusedByStateService.clear();
+    w.network.refusedByStateService.clear();
     // The lease has ended, and the request for a new one is delayed.
-    w.heldPath = "/leases";
+    w.network.heldPath = "/leases";
     w.advance(8);
     assertNull(w.stateService.value("w/h/host-1"));
-    w.heldPath = null;
-    w.dropResponse = (from, to) -> false;
+    w.network.heldPath = null;
+    w.network.dropResponse = (from, to) -> false;
     w.advance(8);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-2", 1, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 1)).status());
     w.advance(3);
     assertTrue(m.running().contains("wk-2/0"));
   }
@@ -76,17 +76,17 @@
   @Test
   void malformedHoldAffectsOneMachineAndIsRepaired() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker a = w.addMachine("host-1", "small", "a", "node-0");
-    FakeWorker b = w.addMachine("host-2", "small", "a", "node-1");
+    FakeWorker a = w.machines.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker b = w.machines.addMachine("host-2", "small", "a", "node-1");
     w.start().advance(3);
     w.writeState("w/h/host-1", Document.create().put("baton", 7));
     w.writeState("w/h/host-2", Document.create().put("holder", 3).put("baton", "no number"));
     w.advance(SimulatedCluster.LEASE_S * 2);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 8, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 8, 1)).status());
     w.advance(5);
     assertEquals(4, a.running().size());
     assertEquals(4, b.running().size());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 
   /**
@@ -100,11 +100,11 @@
       SimulatedCluster w = new SimulatedCluster(5);
       w.start().advance(2);
       for (int i = 0; i < 20; i++) {
-        w.addMachine("host-" + i, "small", "a", "node-" + i % 5);
+        w.machines.addMachine("host-" + i, "small", "a", "node-" + i % 5);
       }
       w.advance(5);
       for (int i = 0; i < 6; i++) {
-        w.submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, 10, 1));
+        w.users.submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, 10, 1));
       }
       w.advance(0.05);
       for (int i = 0; i < 3; i++) {
@@ -113,13 +113,13 @@
       for (int second = 0; second < 90; second++) {
         w.advance(1);
         if (second % 5 == 0) {
-          w.completeAllTasks();
+          w.machines.completeAllTasks();
         }
       }
-      assertEquals(List.of(), w.overlappingRuns, "after " + pauseS + " s");
+      assertEquals(List.of(), w.users.overlappingRuns, "after " + pauseS + " s");
       for (int i = 0; i < 6; i++) {
         assertEquals(
-            "done", w.poll("node-" + i % 5, "wk-" + i).jobStatus(), "after " + pauseS + " s");
+            "done", w.users.poll("node-" + i % 5, "wk-" + i).jobStatus(), "after " + pauseS + " s");
       }
     }
   }
@@ -131,10 +131,10 @@
   @Test
   void resumedControllerTakesNoActionBeforeItIsCurrent() {
     SimulatedCluster w = new SimulatedCluster(2);
-    FakeWorker m = w.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = w.machines.addMachine("host-1", "small", "a", "node-0");
     w.start().advance(3);
-    assertEquals("node-0", w.holderOf("host-1"));
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 8, 1)).status());
+    assertEquals("node-0", w.machines.holderOf("host-1"));
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 8, 1)).status());
     w.advance(1);
     double pauseS = SimulatedCluster.LEASE_S * 0.7;
     w.nodes.get("node-0").pause(pauseS);
@@ -142,22 +142,22 @@
     // room at once.
     m.running().forEach(t -> m.exit(t, "done"));
     w.advance(pauseS - 0.01);
-    w.holdRequest = (from, to) -> from.equals("node-0");
+    w.network.holdRequest = (from, to) -> from.equals("node-0");
     w.advance(0.9);
     assertTrue(
-        w.heldRequests.stream().anyMatch(c -> c.startsWith("/watch")),
+        w.network.heldRequests.stream().anyMatch(c -> c.startsWith("/watch")),
         "the controller requests the changes");
     assertEquals(
         List.of(),
-        w.heldRequests.stream().filter(c -> c.contains("wk-1")).toList(),
+        w.network.heldRequests.stream().filter(c -> c.contains("wk-1")).toList(),
         "the controller records nothing and sends no command");
-    w.holdRequest = (from, to) -> false;
-    w.deliverHeld();
+    w.network.holdRequest = (from, to) -> false;
+    w.network.deliverHeld();
     w.advance(20);
     m.running().forEach(t -> m.exit(t, "done"));
     w.advance(5);
-    assertEquals("done", w.poll("node-0", "wk-1").jobStatus());
+    assertEquals("done", w.users.poll("node-0", "wk-1").jobStatus());
     assertEquals(8, m.starts().size());
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
   }
 }
--- a/src/test/java/dev/dunefront/story/RedundantClients.java
+++ b/src/test/java/dev/dunefront/story/RedundantClients.java
@@ -23,9 +23,9 @@
   void submit(Document job, int node) {
     try {
       String id = job.text("id");
-      world.requestWithRetries("POST", "/v1/jobs", job, id, node, TRIES);
+      world.users.requestWithRetries("POST", "/v1/jobs", job, id, node, TRIES);
       world.clock.after(
-          0.4, () -> world.requestWithRetries("POST", "/v1/jobs", job, id, node + 1, TRIES));
+          0.4, () -> world.users.requestWithRetries("POST", "/v1/jobs", job, id, node + 1, TRIES));
       pollFor(id, POLL_DURATION_S);
     } catch (MalformedMessageException e) {
       throw new AssertionError(e);
@@ -34,10 +34,11 @@
 
   /** Cancels a job at one controller and 0.3 s later at the next, and polls it for 10 s. */
   void cancel(String id, int node) {
-    world.cancelRequestedJobs.add(id);
+    world.users.cancelRequestedJobs.add(id);
     String path = "/v1/jobs/" + id + "/abort";
-    world.requestWithRetries("POST", path, null, id, node, TRIES);
-    world.clock.after(0.3, () -> world.requestWithRetries("POST", path, null, id, node + 1, TRIES));
+    world.users.requestWithRetries("POST", path, null, id, node, TRIES);
+    world.clock.after(
+        0.3, () -> world.users.requestWithRetries("POST", path, null, id, node + 1, TRIES));
     pollFor(id, POLL_DURATION_S / 2);
   }
 
@@ -48,7 +49,7 @@
 
   private void pollFor(String id, int node, double until) {
     if (world.clock.now() < until) {
-      world.requestWithRetries("GET", "/v1/jobs/" + id, null, id, node, 1);
+      world.users.requestWithRetries("GET", "/v1/jobs/" + id, null, id, node, 1);
       world.clock.after(POLL_INTERVAL_S, () -> pollFor(id, node + 1, until));
     }
   }
--- a/src/test/java/dev/dunefront/story/RemovedRecordTest.java
+++ b/src/test/java/dev/dunefront/story/RemovedRecordTest.java
@@ -20,24 +20,25 @@
     SimulatedCluster cluster = SimulatedCluster.withSmallMachines(3);
     for (int i = 0; i < 12; i++) {
       String id = "wk-1" + (i + 10);
-      assertEquals(201, cluster.submit("node-" + i % 3, SimulatedCluster.job(id, 40, 1)).status());
+      assertEquals(
+          201, cluster.users.submit("node-" + i % 3, SimulatedCluster.job(id, 40, 1)).status());
     }
     cluster.advance(3);
     Document job = SimulatedCluster.job("wk-1", 40, 1);
-    assertEquals(201, cluster.submit("node-0", job).status());
+    assertEquals(201, cluster.users.submit("node-0", job).status());
     assertEquals(0, cluster.stateService.value("w/j/wk-1").count("term"), "it is unclaimed");
     cluster.advance(0.3);
-    cluster.responseDelay =
+    cluster.network.responseDelay =
         (from, path) -> from.equals("node-2") && path.equals("/keys/w/j/wk-1") ? 1.0 : 0;
-    cluster.requestWithRetries("POST", "/v1/jobs", job, "wk-1", 2, 1);
+    cluster.users.requestWithRetries("POST", "/v1/jobs", job, "wk-1", 2, 1);
     cluster.advance(0.1);
-    assertEquals("cancelled", cluster.cancel("node-1", "wk-1").jobStatus());
+    assertEquals("cancelled", cluster.users.cancel("node-1", "wk-1").jobStatus());
     for (int i = 0; i < REMOVED_KEYS; i++) {
       cluster.writeState("w/x/" + i, Document.create().put("n", i));
       cluster.removeState("w/x/" + i);
     }
     cluster.advance(1.5);
-    assertEquals("cancelled", cluster.poll("node-2", "wk-1").jobStatus());
-    assertEquals(List.of(), cluster.operationHistory.violations);
+    assertEquals("cancelled", cluster.users.poll("node-2", "wk-1").jobStatus());
+    assertEquals(List.of(), cluster.users.operationHistory.violations);
   }
 }
--- a/src/test/java/dev/dunefront/story/ReportDeliveryTest.java
+++ b/src/test/java/dev/dunefront/story/ReportDeliveryTest.java
@@ -23,36 +23,37 @@
   void oneThirdOfMachinesCannotReceive() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(30);
     for (int i = 0; i < 6; i++) {
-      assertEquals(201, w.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 15, 1)).status());
+      assertEquals(
+          201, w.users.submit("node-" + i % 3, SimulatedCluster.job("wk-" + i, 15, 1)).status());
     }
     w.advance(3);
-    assertEquals(90, w.runningCount());
+    assertEquals(90, w.machines.runningCount());
     int holds = w.stateService.writes("w/h/");
     for (int i = 0; i < 10; i++) {
-      w.inboundBlockedHosts.add("host-" + i);
+      w.machines.inboundBlockedHosts.add("host-" + i);
     }
     w.advance(2 * SimulatedCluster.LEASE_S);
     // The tasks on those machines ended with their leases and are placed again elsewhere.
     int[] starts = new int[10];
     for (int i = 0; i < 10; i++) {
-      starts[i] = w.workers.get("host-" + i + ":9").starts().size();
-      assertEquals(List.of(), w.workers.get("host-" + i + ":9").running());
+      starts[i] = w.machines.workers.get("host-" + i + ":9").starts().size();
+      assertEquals(List.of(), w.machines.workers.get("host-" + i + ":9").running());
     }
     w.advance(SimulatedCluster.LEASE_S);
-    assertEquals(80, w.runningCount(), "all room of the other machines is in use");
+    assertEquals(80, w.machines.runningCount(), "all room of the other machines is in use");
     int holdWrites = w.stateService.writes("w/h/") - holds;
     assertTrue(
         holdWrites <= 10, holdWrites + " hold writes for ten machines that change controllers");
-    w.inboundBlockedHosts.clear();
+    w.machines.inboundBlockedHosts.clear();
     w.advance(3 * SimulatedCluster.LEASE_S);
-    assertEquals(90, w.runningCount());
-    assertEquals(30, w.workers.size(), "no machine was returned");
+    assertEquals(90, w.machines.runningCount());
+    assertEquals(30, w.machines.workers.size(), "no machine was returned");
     for (int i = 0; i < 10; i++) {
       assertTrue(
-          w.workers.get("host-" + i + ":9").starts().size() >= starts[i],
+          w.machines.workers.get("host-" + i + ":9").starts().size() >= starts[i],
           "the machine is used again");
     }
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -64,34 +65,35 @@
   @Test
   void sessionLearnedFromCommandResponseHasAFullLease() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(1);
-    FakeWorker m = w.workers.get("host-0:9");
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 4, 1)).status());
+    FakeWorker m = w.machines.workers.get("host-0:9");
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 4, 1)).status());
     w.advance(2);
     assertEquals(4, m.running().size());
     // Messages from the machine are lost, while commands to it and their responses arrive.
-    w.dropDelivery = (from, to) -> from.equals("host-0:9");
+    w.network.dropDelivery = (from, to) -> from.equals("host-0:9");
     for (int i = 0; i < 200 && !m.running().isEmpty(); i++) {
       w.advance(0.05);
     }
     // The machine's lease has expired and its holder, which does not know that yet, sends a stop.
-    w.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 0, 20);
-    w.cancelRequestedJobs.add("wk-1");
-    w.requestWithRetries("POST", "/v1/jobs", SimulatedCluster.job("wk-2", 4, 1), "wk-2", 1, 20);
+    w.users.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 0, 20);
+    w.users.cancelRequestedJobs.add("wk-1");
+    w.users.requestWithRetries(
+        "POST", "/v1/jobs", SimulatedCluster.job("wk-2", 4, 1), "wk-2", 1, 20);
     for (int i = 0; i < 20 && m.running().isEmpty(); i++) {
       w.advance(0.02);
     }
     assertEquals(4, m.running().size(), "the holder knows the new session and places tasks in it");
-    w.addMachine("host-1", "small", "a", "node-1");
+    w.machines.addMachine("host-1", "small", "a", "node-1");
     w.advance(SimulatedCluster.LEASE_S - 1);
-    assertEquals(List.of(), w.overlappingRuns);
-    w.dropDelivery = (from, to) -> false;
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.overlappingRuns);
+    w.network.dropDelivery = (from, to) -> false;
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   @Test
   void machineThatNeverReceivesAgainIsReturned() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(6);
-    w.inboundBlockedHosts.add("host-1");
+    w.machines.inboundBlockedHosts.add("host-1");
     w.advance(200);
     assertTrue(w.cloud.deleted("host-1"));
     for (int i : new int[] {0, 2, 3, 4, 5}) {
@@ -113,20 +115,23 @@
   /** Seconds from the loss of a machine until its tasks run elsewhere. */
   private static double replacementTimeS(List<Double> copiesAfterS) {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(3);
-    w.duplicateReportDelaysS = copiesAfterS;
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 8, 1)).status());
+    w.machines.duplicateReportDelaysS = copiesAfterS;
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 8, 1)).status());
     w.advance(4 * SimulatedCluster.LEASE_S);
-    assertEquals(8, w.runningCount());
+    assertEquals(8, w.machines.runningCount());
     int holds = w.stateService.writes("w/h/");
     FakeWorker dead =
-        w.workers.values().stream().filter(m -> !m.running().isEmpty()).findFirst().orElseThrow();
+        w.machines.workers.values().stream()
+            .filter(m -> !m.running().isEmpty())
+            .findFirst()
+            .orElseThrow();
     Set<String> lost = new HashSet<>(dead.running());
-    w.isolatedHosts.add(dead.host());
+    w.machines.isolatedHosts.add(dead.host());
     double since = w.clock.now();
     while (w.clock.now() - since < 10 * SimulatedCluster.LEASE_S) {
       w.advance(0.5);
       Set<String> elsewhere = new HashSet<>();
-      w.workers.values().stream()
+      w.machines.workers.values().stream()
           .filter(m -> m != dead)
           .forEach(m -> elsewhere.addAll(m.running()));
       if (elsewhere.containsAll(lost)) {
@@ -140,9 +145,9 @@
         w.stateService.writes("w/h/"),
         "no hold is taken and no token raised because of a copy");
     // The machine hung, and its own lease has expired by now.
-    w.isolatedHosts.clear();
-    assertEquals(List.of(), w.drainAndCheck());
-    assertEquals(copiesAfterS.isEmpty(), w.duplicateReportCount == 0);
+    w.machines.isolatedHosts.clear();
+    assertEquals(List.of(), w.users.drainAndCheck());
+    assertEquals(copiesAfterS.isEmpty(), w.machines.duplicateReportCount == 0);
     return elapsedS;
   }
 
@@ -153,11 +158,12 @@
   @Test
   void delayedReportCopiesAfterControllerRestartChangeNothing() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(6);
-    w.duplicateReportDelaysS = List.of(1.0, SimulatedCluster.LEASE_S, SimulatedCluster.LEASE_S * 2);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 20, 1)).status());
+    w.machines.duplicateReportDelaysS =
+        List.of(1.0, SimulatedCluster.LEASE_S, SimulatedCluster.LEASE_S * 2);
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 20, 1)).status());
     w.advance(4);
     w.nodes.values().forEach(SimulatedCluster.Node::crash);
-    w.isolatedHosts.add("host-1");
+    w.machines.isolatedHosts.add("host-1");
     w.advance(1);
     w.nodes.values().forEach(SimulatedCluster.Node::start);
     w.advance(SimulatedCluster.LEASE_S * 2);
@@ -165,9 +171,10 @@
     w.advance(0.2);
     w.nodes.get("node-1").start();
     w.advance(SimulatedCluster.LEASE_S * 2);
-    assertEquals(20, w.runningCount() - w.workers.get("host-1:9").running().size());
-    w.isolatedHosts.clear();
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(
+        20, w.machines.runningCount() - w.machines.workers.get("host-1:9").running().size());
+    w.machines.isolatedHosts.clear();
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -177,18 +184,18 @@
   @Test
   void restartedWorkerIsAcceptedAfterStatusCheck() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(3);
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
     w.advance(30);
-    assertEquals(12, w.runningCount());
-    FakeWorker m = w.workers.get("host-1:9");
+    assertEquals(12, w.machines.runningCount());
+    FakeWorker m = w.machines.workers.get("host-1:9");
     m.restart();
-    assertEquals(8, w.runningCount());
+    assertEquals(8, w.machines.runningCount());
     w.advance(2 * SimulatedCluster.LEASE_S);
-    assertEquals(12, w.runningCount());
+    assertEquals(12, w.machines.runningCount());
     m.restart();
-    w.duplicateReportDelaysS = List.of(2.0);
+    w.machines.duplicateReportDelaysS = List.of(2.0);
     w.advance(2 * SimulatedCluster.LEASE_S);
-    assertEquals(12, w.runningCount());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(12, w.machines.runningCount());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 }
--- a/src/test/java/dev/dunefront/story/ScaleTest.java
+++ b/src/test/java/dev/dunefront/story/ScaleTest.java
@@ -23,7 +23,7 @@
     SimulatedCluster cluster = new SimulatedCluster(5, TEAM_WITH_LIMIT_TOML);
     cluster.start().advance(2);
     for (int i = 0; i < MACHINES; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 5);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 5);
     }
     cluster.advance(10);
     return cluster;
@@ -32,26 +32,30 @@
   @Test
   void taskCostsFractionOfWriteAndFewMessages() {
     SimulatedCluster cluster = startCluster();
-    int reports = cluster.workerReportCount;
-    int messages = cluster.peerMessageCount;
+    int reports = cluster.machines.workerReportCount;
+    int messages = cluster.network.peerMessageCount;
     cluster.advance(10);
-    int idle = cluster.peerMessageCount - messages;
+    int idle = cluster.network.peerMessageCount - messages;
     assertTrue(
-        idle < (cluster.workerReportCount - reports) / 2,
+        idle < (cluster.machines.workerReportCount - reports) / 2,
         idle + " messages while the cluster is idle");
-    messages = cluster.peerMessageCount;
+    messages = cluster.network.peerMessageCount;
     int writes = cluster.stateService.writes("");
     int jobs = 12;
     int tasks = 60;
     for (int i = 0; i < jobs; i++) {
       assertEquals(
-          201, cluster.submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, tasks, 1)).status());
+          201,
+          cluster
+              .users
+              .submit("node-" + i % 5, SimulatedCluster.job("wk-" + i, tasks, 1))
+              .status());
     }
     int started = 0;
     for (int round = 0; round < 20; round++) {
       cluster.advance(1);
       started = 0;
-      for (FakeWorker m : cluster.workers.values()) {
+      for (FakeWorker m : cluster.machines.workers.values()) {
         started += m.starts().size();
         m.running().forEach(t -> m.exit(t, "done"));
       }
@@ -59,21 +63,23 @@
     cluster.advance(3);
     assertEquals(jobs * tasks, started);
     for (int i = 0; i < jobs; i++) {
-      assertEquals("done", cluster.poll("node-" + (i + 1) % 5, "wk-" + i).jobStatus());
+      assertEquals("done", cluster.users.poll("node-" + (i + 1) % 5, "wk-" + i).jobStatus());
     }
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(List.of(), cluster.users.overlappingRuns);
     double writesPerTask = (double) (cluster.stateService.writes("") - writes) / started;
     assertTrue(writesPerTask < 0.4, writesPerTask + " writes per task");
-    double messagesPerTask = (double) (cluster.peerMessageCount - messages - idle) / started;
+    double messagesPerTask =
+        (double) (cluster.network.peerMessageCount - messages - idle) / started;
     assertTrue(messagesPerTask < 16, messagesPerTask + " messages per task");
   }
 
   @Test
   void restartedControllersKeepMachinesWithoutWrites() {
     SimulatedCluster cluster = startCluster();
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 300, 1)).status());
+    assertEquals(
+        201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 300, 1)).status());
     cluster.advance(2);
-    int running = cluster.runningCount();
+    int running = cluster.machines.runningCount();
     assertEquals(300, running);
     int holdWritesBefore = cluster.stateService.writes("w/h/");
     assertTrue(
@@ -83,13 +89,13 @@
     cluster.advance(3);
     cluster.nodes.values().forEach(SimulatedCluster.Node::start);
     cluster.advance(SimulatedCluster.LEASE_S);
-    assertEquals(300, cluster.runningCount(), "a lease expired");
+    assertEquals(300, cluster.machines.runningCount(), "a lease expired");
     int rewrittenHolds = cluster.stateService.writes("w/h/") - holdWritesBefore;
     assertTrue(rewrittenHolds < MACHINES / 20, rewrittenHolds + " holds were written again");
-    cluster.completeAllTasks();
+    cluster.machines.completeAllTasks();
     cluster.advance(5);
-    assertEquals("done", cluster.poll("node-3", "wk-1").jobStatus());
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals("done", cluster.users.poll("node-3", "wk-1").jobStatus());
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 
   @Test
@@ -99,17 +105,19 @@
     cluster.start().advance(2);
     String name = "a-machine-with-a-name-that-goes-on-and-on-and-on-for-ever-and-a-day-";
     for (int i = 0; i < 250; i++) {
-      cluster.addMachine(name + i, "small", "a", "node-" + i % 2);
+      cluster.machines.addMachine(name + i, "small", "a", "node-" + i % 2);
     }
     cluster.advance(5);
     String longestClass = "c".repeat(120);
     assertEquals(
         201,
         cluster
+            .users
             .submit("node-0", SimulatedCluster.job("wk-1", 250, 3).put("batchclass", longestClass))
             .status());
     cluster.advance(12);
-    assertTrue(cluster.runningCount() > 80, cluster.runningCount() + " tasks run");
+    assertTrue(
+        cluster.machines.runningCount() > 80, cluster.machines.runningCount() + " tasks run");
     for (String key : cluster.stateService.keys("")) {
       byte[] value = cluster.stateService.value(key).encode();
       // The size limits of values apply to their JSON form.
@@ -128,17 +136,18 @@
     cluster.start().advance(2);
     int machines = 4 * FakeStateService.MAX_TXN_OPS + 40;
     for (int i = 0; i < machines; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 2);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 2);
     }
     cluster.advance(5);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", machines, 3)).status());
+    assertEquals(
+        201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", machines, 3)).status());
     cluster.advance(6);
-    assertEquals(machines, cluster.runningCount());
-    cluster.workers.values().forEach(m -> cluster.isolatedHosts.add(m.host()));
+    assertEquals(machines, cluster.machines.runningCount());
+    cluster.machines.workers.values().forEach(m -> cluster.machines.isolatedHosts.add(m.host()));
     cluster.advance(SimulatedCluster.LEASE_S + 3);
-    cluster.isolatedHosts.clear();
+    cluster.machines.isolatedHosts.clear();
     cluster.advance(20);
-    assertEquals(machines, cluster.runningCount());
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(machines, cluster.machines.runningCount());
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 }
--- a/src/test/java/dev/dunefront/story/SmallJobStreamTest.java
+++ b/src/test/java/dev/dunefront/story/SmallJobStreamTest.java
@@ -24,7 +24,7 @@
     cluster.rps = 250;
     cluster.start().advance(2);
     for (int i = 0; i < 12; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
     }
     cluster.advance(5);
     int writesBefore = cluster.stateService.writes("");
@@ -33,22 +33,22 @@
     for (int second = 0; second < LOAD_DURATION_S; second++) {
       for (int i = 0; i < 4; i++) {
         String id = "wk-" + jobCount;
-        cluster.requestWithRetries(
+        cluster.users.requestWithRetries(
             "POST", "/v1/jobs", SimulatedCluster.job(id, 1, 1), id, jobCount, 40);
         if (jobCount % 4 == 3) {
           String cancelled = "wk-" + (jobCount - 2);
-          cluster.cancelRequestedJobs.add(cancelled);
-          cluster.requestWithRetries(
+          cluster.users.cancelRequestedJobs.add(cancelled);
+          cluster.users.requestWithRetries(
               "POST", "/v1/jobs/" + cancelled + "/abort", null, cancelled, jobCount + 1, 40);
         }
         jobCount++;
         cluster.advance(0.25);
-        cluster.requestWithRetries("GET", "/v1/jobs/" + id, null, id, jobCount, 1);
+        cluster.users.requestWithRetries("GET", "/v1/jobs/" + id, null, id, jobCount, 1);
       }
       if (second % 20 == 10) {
         String urgent = "wk-9" + second;
         int submittedS = second;
-        cluster.requestWithRetries(
+        cluster.users.requestWithRetries(
             "POST",
             "/v1/jobs",
             SimulatedCluster.job(urgent, 2, 1).put("urgency", "high"),
@@ -62,7 +62,7 @@
                     hasStarted(cluster, urgent + "/"),
                     urgent + " has not started; submitted at second " + submittedS));
       }
-      for (FakeWorker m : cluster.workers.values()) {
+      for (FakeWorker m : cluster.machines.workers.values()) {
         m.running().forEach(t -> completeAfterTaskDuration(cluster, m, t));
       }
       backlog.add(unstartedJobs(cluster));
@@ -74,9 +74,9 @@
         backlog.subList(LOAD_DURATION_S - 20, LOAD_DURATION_S).stream().mapToInt(i -> i).sum();
     assertTrue(lateBacklog <= 2 * earlyBacklog + 80, "the queue grows: " + backlog);
     cluster.advance(10);
-    assertEquals(jobCount + LOAD_DURATION_S / 20, cluster.acceptedJobs.size());
+    assertEquals(jobCount + LOAD_DURATION_S / 20, cluster.users.acceptedJobs.size());
     assertEquals(0, unstartedJobs(cluster), "not all jobs have started");
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   private static void completeAfterTaskDuration(
@@ -85,19 +85,20 @@
   }
 
   private static boolean hasStarted(SimulatedCluster cluster, String prefix) {
-    return cluster.workers.values().stream()
+    return cluster.machines.workers.values().stream()
         .anyMatch(m -> m.starts().stream().anyMatch(s -> s.startsWith(prefix)));
   }
 
   /** Returns the number of accepted jobs that are not cancelled and have not started. */
   private static int unstartedJobs(SimulatedCluster cluster) {
     List<String> startedJobs = new ArrayList<>();
-    for (FakeWorker m : cluster.workers.values()) {
+    for (FakeWorker m : cluster.machines.workers.values()) {
       m.starts().forEach(s -> startedJobs.add(s.substring(0, s.indexOf('/'))));
     }
     return (int)
-        cluster.acceptedJobs.keySet().stream()
-            .filter(id -> !cluster.cancelRequestedJobs.contains(id) && !startedJobs.contains(id))
+        cluster.users.acceptedJobs.keySet().stream()
+            .filter(
+                id -> !cluster.users.cancelRequestedJobs.contains(id) && !startedJobs.contains(id))
             .count();
   }
 }
--- a/src/test/java/dev/dunefront/story/StaleProofTest.java
+++ b/src/test/java/dev/dunefront/story/StaleProofTest.java
@@ -32,38 +32,38 @@
   @Test
   void expiredLeaseOfEarlierSessionDoesNotEndNewAttempt() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(1);
-    FakeWorker machine = w.workers.get("host-0:9");
+    FakeWorker machine = w.machines.workers.get("host-0:9");
     String holder = fillMachine(w, machine);
 
     boolean[] leaseExpired = {false};
-    w.holdPeerMessage =
+    w.network.holdPeerMessage =
         m -> {
           leaseExpired[0] |= m instanceof Message.MachineView v && v.leaseExpired();
           return m instanceof Message.MachineView v
               && v.host().equals("host-0")
               && v.session() == 2;
         };
-    w.hungHosts.add("host-0");
+    w.machines.hungHosts.add("host-0");
     while (!leaseExpired[0]) {
       w.advance(0.01);
     }
     w.advance(0.05);
-    w.hungHosts.remove("host-0");
+    w.machines.hungHosts.remove("host-0");
     w.advance(0.5);
     assertEquals(
         List.of("wk-2/0"), machine.running(), "the task is placed in the machine's next session");
-    FakeWorker other = w.addMachine("host-1", "small", "a", holder);
+    FakeWorker other = w.machines.addMachine("host-1", "small", "a", holder);
     w.advance(4);
-    w.holdPeerMessage = m -> false;
-    w.deliverHeld();
+    w.network.holdPeerMessage = m -> false;
+    w.network.deliverHeld();
     w.advance(4);
 
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
     assertEquals(
         List.of("wk-1/0#2"),
         other.starts(),
         "the displaced task keeps running where it was placed");
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -74,12 +74,12 @@
   @Test
   void laterSessionBeforeRestartDoesNotEndNewAttempt() {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(1);
-    FakeWorker machine = w.workers.get("host-0:9");
-    w.hang("host-0", SimulatedCluster.LEASE_S + 2);
+    FakeWorker machine = w.machines.workers.get("host-0:9");
+    w.machines.hang("host-0", SimulatedCluster.LEASE_S + 2);
     w.advance(SimulatedCluster.LEASE_S + 5);
     String holder = fillMachine(w, machine);
 
-    w.holdPeerMessage =
+    w.network.holdPeerMessage =
         m -> m instanceof Message.MachineView v && v.host().equals("host-0") && v.session() < 2;
     machine.restart();
     w.advance(4);
@@ -87,15 +87,15 @@
         List.of("wk-2/0"),
         machine.running(),
         "the task is placed in the first session after the restart");
-    w.addMachine("host-1", "small", "a", holder);
+    w.machines.addMachine("host-1", "small", "a", holder);
     w.advance(4);
-    w.holdPeerMessage = m -> false;
-    w.deliverHeld();
+    w.network.holdPeerMessage = m -> false;
+    w.network.deliverHeld();
     w.advance(4);
 
-    assertEquals(List.of(), w.overlappingRuns);
+    assertEquals(List.of(), w.users.overlappingRuns);
     assertEquals(List.of("wk-2/0"), machine.running());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -122,26 +122,29 @@
     for (int i = 0; i < machines; i++) {
       // Each worker reports at its own offset from the controllers' ticks.
       w.advance(random.nextDouble());
-      w.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+      w.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
     }
     w.advance(5);
     assertEquals(
-        201, w.submit("node-0", SimulatedCluster.job("wk-1", machines, CPUS_PER_MACHINE)).status());
+        201,
+        w.users
+            .submit("node-0", SimulatedCluster.job("wk-1", machines, CPUS_PER_MACHINE))
+            .status());
     w.advance(3);
-    assertEquals(machines, w.runningCount());
+    assertEquals(machines, w.machines.runningCount());
     for (int i = 0; i < 3; i++) {
       assertEquals(
-          201, w.submit("node-" + i, SimulatedCluster.job("wk-2" + i, machines, 2)).status());
+          201, w.users.submit("node-" + i, SimulatedCluster.job("wk-2" + i, machines, 2)).status());
     }
     w.advance(3 + random.nextDouble());
     for (int i = 0; i < machines; i++) {
-      w.hang("host-" + i, SimulatedCluster.LEASE_S - 0.5 + 1.5 * random.nextDouble());
+      w.machines.hang("host-" + i, SimulatedCluster.LEASE_S - 0.5 + 1.5 * random.nextDouble());
     }
     w.advance(SimulatedCluster.LEASE_S - 0.5);
-    w.workers.values().forEach(m -> m.starts().clear());
+    w.machines.workers.values().forEach(m -> m.starts().clear());
     w.advance(8);
-    List<String> violations = new ArrayList<>(w.overlappingRuns);
-    for (FakeWorker m : w.workers.values()) {
+    List<String> violations = new ArrayList<>(w.users.overlappingRuns);
+    for (FakeWorker m : w.machines.workers.values()) {
       List<String> running = m.running();
       for (String start : m.starts()) {
         if (!running.contains(start.substring(0, start.indexOf('#')))) {
@@ -159,29 +162,29 @@
   @Test
   void unrecordedAttemptReportedDuringWriteIsStopped() throws MalformedMessageException {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(1);
-    FakeWorker recorded = w.workers.get("host-0:9");
-    assertEquals(201, w.submit("node-0", SimulatedCluster.job("wk-1", 3, 1)).status());
+    FakeWorker recorded = w.machines.workers.get("host-0:9");
+    assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 3, 1)).status());
     w.advance(2);
     assertEquals(3, recorded.running().size());
-    FakeWorker stray = w.addMachine("host-1", "small", "a", "node-1");
+    FakeWorker stray = w.machines.addMachine("host-1", "small", "a", "node-1");
     w.advance(4);
 
     boolean[] writing = {false};
-    w.requestListener =
+    w.network.requestListener =
         (from, path, body) -> writing[0] |= path.equals("/txn") && body.contains("t/wk-1/0");
-    w.stateServiceDelayS = () -> SLOW_WRITE_S;
+    w.network.stateServiceDelayS = () -> SLOW_WRITE_S;
     recorded.exit("wk-1/1", "done");
     while (!writing[0]) {
       w.advance(0.01);
     }
     startUnrecorded(stray, "wk-1/1");
     w.advance(SLOW_WRITE_S);
-    w.stateServiceDelayS = () -> 0;
+    w.network.stateServiceDelayS = () -> 0;
     w.advance(STOP_TIMEOUT_S);
 
     assertEquals(List.of(), stray.running());
     assertEquals(2, recorded.running().size());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   /**
@@ -191,25 +194,25 @@
   @Test
   void unrecordedAttemptReportedDuringTakeoverIsStopped() throws MalformedMessageException {
     SimulatedCluster w = SimulatedCluster.withSmallMachines(1);
-    FakeWorker recorded = w.workers.get("host-0:9");
-    String holder = w.holderOf("host-0");
+    FakeWorker recorded = w.machines.workers.get("host-0:9");
+    String holder = w.machines.holderOf("host-0");
     String claimant = otherController(holder);
-    assertEquals(201, w.submit(claimant, SimulatedCluster.job("wk-1", 3, 1)).status());
+    assertEquals(201, w.users.submit(claimant, SimulatedCluster.job("wk-1", 3, 1)).status());
     w.advance(2);
     recorded.exit("wk-1/1", "done");
     w.advance(4);
-    FakeWorker stray = w.addMachine("host-1", "small", "a", holder);
+    FakeWorker stray = w.machines.addMachine("host-1", "small", "a", holder);
     w.advance(4);
-    assertEquals(2, w.runningCount());
+    assertEquals(2, w.machines.runningCount());
 
     w.nodes.get(claimant).crash();
     startUnrecorded(stray, "wk-1/1");
     int[] reads = {0};
-    w.deliveryPolicy =
+    w.network.deliveryPolicy =
         (from, path, body) ->
             path.startsWith("/keys?") && path.contains("t/wk-1") && reads[0]++ == 0
-                ? SimulatedCluster.Delivery.DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
+                ? SimulatedNetwork.Delivery.DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
     while (reads[0] < 2) {
       // The first read of the records by the new claimant is lost, so it has to retry.
       w.advance(0.01);
@@ -217,7 +220,7 @@
     w.advance(0.5);
     assertEquals(List.of(), stray.running());
     assertEquals(2, recorded.running().size());
-    assertEquals(List.of(), w.drainAndCheck());
+    assertEquals(List.of(), w.users.drainAndCheck());
   }
 
   private static String otherController(String node) {
@@ -241,12 +244,13 @@
    * the holder.
    */
   private static String fillMachine(SimulatedCluster w, FakeWorker machine) {
-    String holder = w.holderOf(machine.host());
+    String holder = w.machines.holderOf(machine.host());
     String claimant = otherController(holder);
-    assertEquals(201, w.submit(holder, SimulatedCluster.job("wk-1", 1, CPUS_PER_MACHINE)).status());
+    assertEquals(
+        201, w.users.submit(holder, SimulatedCluster.job("wk-1", 1, CPUS_PER_MACHINE)).status());
     w.advance(2);
     assertEquals(
-        201, w.submit(claimant, SimulatedCluster.job("wk-2", 1, CPUS_PER_MACHINE)).status());
+        201, w.users.submit(claimant, SimulatedCluster.job("wk-2", 1, CPUS_PER_MACHINE)).status());
     w.advance(2);
     assertEquals(
         List.of("wk-1/0"), machine.running(), "the other task waits in the machine's book");
--- a/src/test/java/dev/dunefront/story/StaleSubmissionAnswerTest.java
+++ b/src/test/java/dev/dunefront/story/StaleSubmissionAnswerTest.java
@@ -29,7 +29,8 @@
     SimulatedCluster cluster = SimulatedCluster.withSmallMachines(3);
     for (int i = 0; i < WAITING_JOBS; i++) {
       String id = "wk-1" + (i + 10);
-      assertEquals(201, cluster.submit("node-" + i % 3, SimulatedCluster.job(id, 40, 1)).status());
+      assertEquals(
+          201, cluster.users.submit("node-" + i % 3, SimulatedCluster.job(id, 40, 1)).status());
     }
     cluster.advance(3);
     return cluster;
@@ -41,25 +42,25 @@
 
   private static void submitAndCancelUnclaimed(SimulatedCluster cluster)
       throws MalformedMessageException {
-    assertEquals(201, cluster.submit("node-0", job()).status());
+    assertEquals(201, cluster.users.submit("node-0", job()).status());
     assertEquals(0, cluster.stateService.value("w/j/" + JOB).count("term"), "it is unclaimed");
-    SimulatedCluster.ApiResponse cancelled = cluster.cancel("node-1", JOB);
+    SimulatedUsers.ApiResponse cancelled = cluster.users.cancel("node-1", JOB);
     assertEquals(200, cancelled.status());
     assertEquals("cancelled", cancelled.jobStatus());
   }
 
   private static void assertRepeatedSubmissionIsCancelled(SimulatedCluster cluster) {
-    SimulatedCluster.ApiResponse repeated = cluster.submit(LAGGING_NODE, job());
+    SimulatedUsers.ApiResponse repeated = cluster.users.submit(LAGGING_NODE, job());
     assertEquals(200, repeated.status());
     assertEquals("cancelled", repeated.jobStatus());
-    assertEquals(List.of(), cluster.operationHistory.violations);
+    assertEquals(List.of(), cluster.users.operationHistory.violations);
   }
 
   @Example
   void watchResponseFromBeforeTheCancellationArrivesDuringTheRepeatedSubmission()
       throws MalformedMessageException {
     SimulatedCluster cluster = clusterWithUnclaimedJob();
-    cluster.responseDelay =
+    cluster.network.responseDelay =
         (from, path) -> {
           if (!from.equals(LAGGING_NODE)) {
             return 0;
@@ -75,15 +76,15 @@
       throws MalformedMessageException {
     SimulatedCluster cluster = clusterWithUnclaimedJob();
     cluster.stateService.setWatchesReportEveryChange(true);
-    cluster.holdRequest = (from, to) -> from.equals(LAGGING_NODE);
+    cluster.network.holdRequest = (from, to) -> from.equals(LAGGING_NODE);
     // Ends the open watch; the next one is held.
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-2", 40, 1)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-2", 40, 1)).status());
     cluster.advance(0.3);
     submitAndCancelUnclaimed(cluster);
-    cluster.holdRequest = (from, to) -> false;
-    cluster.responseDelay =
+    cluster.network.holdRequest = (from, to) -> false;
+    cluster.network.responseDelay =
         (from, path) -> from.equals(LAGGING_NODE) && path.equals("/txn") ? 0.3 : 0;
-    cluster.clock.after(0.05, cluster::deliverHeld);
+    cluster.clock.after(0.05, cluster.network::deliverHeld);
     assertRepeatedSubmissionIsCancelled(cluster);
   }
 
@@ -93,19 +94,20 @@
       throws MalformedMessageException {
     SimulatedCluster cluster = clusterWithUnclaimedJob();
     Random random = new Random(seed);
-    cluster.responseDelay = (from, path) -> random.nextInt(4) == 0 ? 0.5 * random.nextDouble() : 0;
+    cluster.network.responseDelay =
+        (from, path) -> random.nextInt(4) == 0 ? 0.5 * random.nextDouble() : 0;
     cluster.stateService.setWatchesReportEveryChange(random.nextBoolean());
     for (int i = 0; i < 20; i++) {
       String id = "wk-2" + (i + 10);
       Document job = SimulatedCluster.job(id, 40, 1);
-      cluster.submit("node-" + random.nextInt(3), job);
-      cluster.cancel("node-" + random.nextInt(3), id);
+      cluster.users.submit("node-" + random.nextInt(3), job);
+      cluster.users.cancel("node-" + random.nextInt(3), id);
       for (int k = 0; k < 3; k++) {
-        cluster.submit("node-" + (i + k) % 3, job);
-        cluster.poll("node-" + random.nextInt(3), id);
+        cluster.users.submit("node-" + (i + k) % 3, job);
+        cluster.users.poll("node-" + random.nextInt(3), id);
       }
     }
-    assertTrue(cluster.cancelRequestedJobs.size() == 20);
-    assertEquals(List.of(), cluster.operationHistory.violations);
+    assertTrue(cluster.users.cancelRequestedJobs.size() == 20);
+    assertEquals(List.of(), cluster.users.operationHistory.violations);
   }
 }
--- a/src/test/java/dev/dunefront/story/TeamLimitTest.java
+++ b/src/test/java/dev/dunefront/story/TeamLimitTest.java
@@ -22,7 +22,7 @@
     SimulatedCluster cluster = SimulatedCluster.withTeamLimit(3, limit);
     cluster.start().advance(2);
     for (int i = 0; i < machines; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
     }
     cluster.advance(5);
     return cluster;
@@ -35,11 +35,12 @@
   @Example
   void jobReturnsQuotaThatItCannotUse() {
     SimulatedCluster cluster = startCluster(32, 8);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
     cluster.advance(3);
-    assertEquals(12, cluster.runningCount("wk-1"));
+    assertEquals(12, cluster.machines.runningCount("wk-1"));
     int[] endedTasks = {0};
     cluster
+        .machines
         .workers
         .values()
         .forEach(
@@ -48,13 +49,15 @@
                     .filter(t -> endedTasks[0]++ < 5)
                     .forEach(t -> m.exit(t, "done")));
     cluster.advance(5);
-    assertEquals(201, cluster.submit("node-1", SimulatedCluster.job("wk-2", 30, 1)).status());
+    assertEquals(201, cluster.users.submit("node-1", SimulatedCluster.job("wk-2", 30, 1)).status());
     cluster.advance(10);
-    assertEquals(7, cluster.runningCount("wk-1"));
+    assertEquals(7, cluster.machines.runningCount("wk-1"));
     assertEquals(
-        25, cluster.runningCount("wk-2"), "the second job does not use all that the first leaves");
-    cluster.checkStarvationWhileTasksRun();
-    assertEquals(List.of(), cluster.drainAndCheck());
+        25,
+        cluster.machines.runningCount("wk-2"),
+        "the second job does not use all that the first leaves");
+    cluster.users.checkStarvationWhileTasksRun();
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   /** The faults of the machines on which cancelled jobs run. */
@@ -101,17 +104,17 @@
   private static void inject(SimulatedCluster cluster, WorkerFault fault, String host) {
     switch (fault) {
       case PARTITIONED -> {
-        cluster.isolatedHosts.add(host);
-        cluster.clock.after(14, () -> cluster.isolatedHosts.remove(host));
+        cluster.machines.isolatedHosts.add(host);
+        cluster.clock.after(14, () -> cluster.machines.isolatedHosts.remove(host));
       }
-      case HUNG_WITHIN_LEASE -> cluster.hang(host, SimulatedCluster.LEASE_S - 1.5);
-      case HUNG_BEYOND_LEASE -> cluster.hang(host, SimulatedCluster.LEASE_S + 3);
+      case HUNG_WITHIN_LEASE -> cluster.machines.hang(host, SimulatedCluster.LEASE_S - 1.5);
+      case HUNG_BEYOND_LEASE -> cluster.machines.hang(host, SimulatedCluster.LEASE_S + 3);
       case INBOUND_BLOCKED -> {
-        cluster.inboundBlockedHosts.add(host);
-        cluster.clock.after(14, () -> cluster.inboundBlockedHosts.remove(host));
+        cluster.machines.inboundBlockedHosts.add(host);
+        cluster.clock.after(14, () -> cluster.machines.inboundBlockedHosts.remove(host));
       }
       case RECLAIMED -> {
-        cluster.isolatedHosts.add(host);
+        cluster.machines.isolatedHosts.add(host);
         cluster.clock.after(10, () -> cluster.cloud.reclaim(host));
       }
     }
@@ -135,16 +138,16 @@
       users.submit(SimulatedCluster.job("wk-" + i, 3, 2), i % 3);
     }
     cluster.advance(3);
-    assertEquals(12, cluster.runningCount(), "the team is not at its limit");
+    assertEquals(12, cluster.machines.runningCount(), "the team is not at its limit");
     List<String> running =
-        cluster.acceptedJobs.keySet().stream()
-            .filter(id -> cluster.runningCount(id) == 3)
+        cluster.users.acceptedJobs.keySet().stream()
+            .filter(id -> cluster.machines.runningCount(id) == 3)
             .sorted()
             .toList();
     for (String id : running.subList(0, 2)) {
       List<FakeWorker> workersOfJob =
-          cluster.workers.values().stream()
-              .filter(m -> SimulatedCluster.runningCount(m, id) > 0)
+          cluster.machines.workers.values().stream()
+              .filter(m -> SimulatedMachines.runningCount(m, id) > 0)
               .toList();
       assertTrue(workersOfJob.size() > 1, id + " runs on a single machine");
       inject(cluster, workerFault, workersOfJob.get(0).host());
@@ -164,13 +167,14 @@
       inject(cluster, controllerFault);
     }
     cluster.advance(3 * SimulatedCluster.LEASE_S);
-    for (int second = 0; second < 60 && cluster.runningCount() < 12; second++) {
+    for (int second = 0; second < 60 && cluster.machines.runningCount() < 12; second++) {
       cluster.advance(1);
     }
-    assertEquals(12, cluster.runningCount(), "the returned share of the limit is not used again");
-    cluster.checkStarvationWhileTasksRun();
-    assertEquals(recordedCpusInUse(cluster), 2 * cluster.runningCount());
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(
+        12, cluster.machines.runningCount(), "the returned share of the limit is not used again");
+    cluster.users.checkStarvationWhileTasksRun();
+    assertEquals(recordedCpusInUse(cluster), 2 * cluster.machines.runningCount());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
     cluster.advance(5);
     assertEquals(0, recordedCpusInUse(cluster));
   }
@@ -189,18 +193,20 @@
   void starvationCheckDetectsJobWaitingBesideFreeRoom() {
     SimulatedCluster cluster = startCluster(12, 2);
     for (int i = 0; i < 2; i++) {
-      assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-" + i, 4, 1)).status());
+      assertEquals(
+          201, cluster.users.submit("node-0", SimulatedCluster.job("wk-" + i, 4, 1)).status());
     }
     cluster.advance(3);
-    assertEquals(8, cluster.runningCount());
-    cluster.deliveryPolicy =
+    assertEquals(8, cluster.machines.runningCount());
+    cluster.network.deliveryPolicy =
         (from, path, body) ->
             path.equals("/orders") && body.contains("verb=run")
-                ? SimulatedCluster.Delivery.DROPPED
-                : SimulatedCluster.Delivery.ON_TIME;
-    cluster.completeAllTasks();
-    assertEquals(201, cluster.submit("node-1", SimulatedCluster.job("wk-2", 4, 1)).status());
-    cluster.checkStarvationWhileTasksRun();
-    assertTrue(cluster.starvationCheck.violations.contains("wk-2 has waited for 90 s beside room"));
+                ? SimulatedNetwork.Delivery.DROPPED
+                : SimulatedNetwork.Delivery.ON_TIME;
+    cluster.machines.completeAllTasks();
+    assertEquals(201, cluster.users.submit("node-1", SimulatedCluster.job("wk-2", 4, 1)).status());
+    cluster.users.checkStarvationWhileTasksRun();
+    assertTrue(
+        cluster.users.starvationCheck.violations.contains("wk-2 has waited for 90 s beside room"));
   }
 }
--- a/src/test/java/dev/dunefront/story/ViewSubscriptionTest.java
+++ b/src/test/java/dev/dunefront/story/ViewSubscriptionTest.java
@@ -31,7 +31,7 @@
     SimulatedCluster cluster = new SimulatedCluster(controllers);
     cluster.start().advance(2);
     for (int i = 0; i < MACHINES; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % controllers);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % controllers);
     }
     cluster.advance(8);
     return cluster;
@@ -43,21 +43,21 @@
    */
   private static double messagesPerTask(int controllers) {
     SimulatedCluster cluster = startCluster(controllers);
-    int idleBefore = cluster.peerMessageCount;
+    int idleBefore = cluster.network.peerMessageCount;
     cluster.advance(20);
-    int idle = cluster.peerMessageCount - idleBefore;
-    int before = cluster.peerMessageCount;
+    int idle = cluster.network.peerMessageCount - idleBefore;
+    int before = cluster.network.peerMessageCount;
     int jobs = 6;
     int tasks = 40;
     for (int i = 0; i < jobs; i++) {
-      cluster.submit("node-" + i % controllers, SimulatedCluster.job("wk-" + i, tasks, 1));
+      cluster.users.submit("node-" + i % controllers, SimulatedCluster.job("wk-" + i, tasks, 1));
       cluster.advance(2);
     }
-    cluster.completeAllTasks();
+    cluster.machines.completeAllTasks();
     cluster.advance(8);
-    int started = cluster.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
+    int started = cluster.machines.workers.values().stream().mapToInt(m -> m.starts().size()).sum();
     assertEquals(jobs * tasks, started);
-    return (double) (cluster.peerMessageCount - before - idle) / started;
+    return (double) (cluster.network.peerMessageCount - before - idle) / started;
   }
 
   /**
@@ -78,16 +78,17 @@
    */
   private static SimulatedCluster startFullCluster() {
     SimulatedCluster cluster = startCluster(2);
-    assertEquals(201, cluster.submit("node-1", SimulatedCluster.job("wk-1", MACHINES, 4)).status());
+    assertEquals(
+        201, cluster.users.submit("node-1", SimulatedCluster.job("wk-1", MACHINES, 4)).status());
     cluster.advance(3);
-    assertEquals(MACHINES, cluster.runningCount());
+    assertEquals(MACHINES, cluster.machines.runningCount());
     return cluster;
   }
 
   /** Frees a machine of the other controller for which the job has no want queued. */
   private static void freeMachineWithoutWant(SimulatedCluster cluster, List<String> wantedHosts) {
-    for (FakeWorker m : cluster.workers.values()) {
-      if (cluster.holderOf(m.host()).equals("node-1") && !wantedHosts.contains(m.host())) {
+    for (FakeWorker m : cluster.machines.workers.values()) {
+      if (cluster.machines.holderOf(m.host()).equals("node-1") && !wantedHosts.contains(m.host())) {
         m.running().forEach(t -> m.exit(t, "done"));
         return;
       }
@@ -96,8 +97,8 @@
 
   private static List<String> recordWantHosts(SimulatedCluster cluster) {
     List<String> hosts = new ArrayList<>();
-    Predicate<Message> previousFilter = cluster.holdPeerMessage;
-    cluster.holdPeerMessage =
+    Predicate<Message> previousFilter = cluster.network.holdPeerMessage;
+    cluster.network.holdPeerMessage =
         m -> {
           if (m instanceof Message.Want want && want.count() > 0) {
             hosts.add(want.host());
@@ -110,64 +111,70 @@
   @Test
   void lostSubscriptionIsResent() {
     SimulatedCluster cluster = startFullCluster();
-    cluster.holdPeerMessage =
+    cluster.network.holdPeerMessage =
         m ->
             m instanceof Message.ViewSubscription subscription
                 && subscription.detail() != ViewDetail.STATUS;
     List<String> wantedHosts = recordWantHosts(cluster);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-2", 1, 4)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 4)).status());
     cluster.advance(1);
-    assertTrue(cluster.heldCount() > 0, "no subscription was sent");
-    assertEquals(0, cluster.runningCount("wk-2"));
-    cluster.holdPeerMessage = m -> false;
+    assertTrue(cluster.network.heldCount() > 0, "no subscription was sent");
+    assertEquals(0, cluster.machines.runningCount("wk-2"));
+    cluster.network.holdPeerMessage = m -> false;
     freeMachineWithoutWant(cluster, wantedHosts);
     cluster.advance(RECOVERY_S);
-    assertEquals(1, cluster.runningCount("wk-2"));
+    assertEquals(1, cluster.machines.runningCount("wk-2"));
   }
 
   @Test
   void staleSubscriptionIsCorrected() {
     SimulatedCluster cluster = startFullCluster();
     List<String> wantedHosts = recordWantHosts(cluster);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-2", 1, 4)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-2", 1, 4)).status());
     cluster.advance(0.5);
-    cluster.deliverPeerMessage("node-0", "node-1", new Message.ViewSubscription(ViewDetail.STATUS));
+    cluster.network.deliverPeerMessage(
+        "node-0", "node-1", new Message.ViewSubscription(ViewDetail.STATUS));
     cluster.advance(0.1);
     freeMachineWithoutWant(cluster, wantedHosts);
     cluster.advance(RECOVERY_S);
-    assertEquals(1, cluster.runningCount("wk-2"));
+    assertEquals(1, cluster.machines.runningCount("wk-2"));
   }
 
   @Test
   void duplicateSubscriptionSendsNoViewsAgain() {
     SimulatedCluster cluster = startFullCluster();
-    cluster.deliverPeerMessage("node-0", "node-1", new Message.ViewSubscription(ViewDetail.STATUS));
+    cluster.network.deliverPeerMessage(
+        "node-0", "node-1", new Message.ViewSubscription(ViewDetail.STATUS));
     cluster.advance(0.01);
-    cluster.deliverPeerMessage("node-0", "node-1", new Message.ViewSubscription(ViewDetail.FULL));
+    cluster.network.deliverPeerMessage(
+        "node-0", "node-1", new Message.ViewSubscription(ViewDetail.FULL));
     cluster.advance(0.01);
     int[] views = {0};
-    cluster.holdPeerMessage =
+    cluster.network.holdPeerMessage =
         m -> {
           views[0] += m instanceof Message.MachineView ? 1 : 0;
           return false;
         };
-    cluster.deliverPeerMessage("node-0", "node-1", new Message.ViewSubscription(ViewDetail.FULL));
+    cluster.network.deliverPeerMessage(
+        "node-0", "node-1", new Message.ViewSubscription(ViewDetail.FULL));
     assertEquals(0, views[0]);
   }
 
   @Test
   void restartedControllerReceivesAllViewsDespiteOldSubscription() {
     SimulatedCluster cluster = startFullCluster();
-    cluster.completeAllTasks();
+    cluster.machines.completeAllTasks();
     cluster.advance(3);
     cluster.nodes.get("node-0").crash();
-    cluster.deliverPeerMessage("node-0", "node-1", new Message.ViewSubscription(ViewDetail.STATUS));
+    cluster.network.deliverPeerMessage(
+        "node-0", "node-1", new Message.ViewSubscription(ViewDetail.STATUS));
     cluster.advance(1);
     cluster.nodes.get("node-0").start();
     cluster.advance(4);
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-2", MACHINES, 4)).status());
+    assertEquals(
+        201, cluster.users.submit("node-0", SimulatedCluster.job("wk-2", MACHINES, 4)).status());
     cluster.advance(1);
-    assertEquals(MACHINES, cluster.runningCount("wk-2"));
+    assertEquals(MACHINES, cluster.machines.runningCount("wk-2"));
   }
 
   /**
@@ -177,7 +184,7 @@
   private static void sendFullViewsToAll(SimulatedCluster cluster) {
     for (String from : cluster.nodes.keySet()) {
       for (String to : cluster.nodes.keySet()) {
-        cluster.deliverPeerMessage(from, to, new Message.ViewSubscription(ViewDetail.FULL));
+        cluster.network.deliverPeerMessage(from, to, new Message.ViewSubscription(ViewDetail.FULL));
       }
     }
     cluster.advance(SUBSCRIPTION_EXPIRY_S);
@@ -193,22 +200,23 @@
     cluster.tunables = Tunables.withOverrides(Map.of("idle_boots", 1.0, "spare", 0.0));
     cluster.start().advance(2);
     for (int i = 0; i < 6; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % 3);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % 3);
     }
     cluster.advance(4);
     // A claimant receives updates on its tasks and thereby on their machines, so the job is
     // submitted to the holder of the rent duty.
     String rentHolder = cluster.recordedNode("w/u/rent");
-    assertEquals(201, cluster.submit(rentHolder, SimulatedCluster.job("wk-1", 24, 1)).status());
+    assertEquals(
+        201, cluster.users.submit(rentHolder, SimulatedCluster.job("wk-1", 24, 1)).status());
     cluster.advance(4);
-    assertEquals(24, cluster.runningCount());
+    assertEquals(24, cluster.machines.runningCount());
     sendFullViewsToAll(cluster);
-    cluster.completeAllTasks();
+    cluster.machines.completeAllTasks();
     cluster.advance(2);
     cluster.nodes.get(rentHolder).crash();
     cluster.advance(30);
-    assertEquals(0, cluster.workers.size(), "idle machines are not returned");
-    assertEquals(List.of(), cluster.deletedWhileInUse);
+    assertEquals(0, cluster.machines.workers.size(), "idle machines are not returned");
+    assertEquals(List.of(), cluster.machines.deletedWhileInUse);
   }
 
   /**
@@ -219,11 +227,12 @@
   void urgentTaskPreemptsOnMachinesThatStayFull() {
     SimulatedCluster cluster = new SimulatedCluster(2);
     cluster.start().advance(2);
-    FakeWorker m = cluster.addMachine("host-1", "small", "a", "node-0");
+    FakeWorker m = cluster.machines.addMachine("host-1", "small", "a", "node-0");
     cluster.advance(4);
     String rentHolder = cluster.recordedNode("w/u/rent");
     String otherNode = rentHolder.equals("node-0") ? "node-1" : "node-0";
-    assertEquals(201, cluster.submit(rentHolder, SimulatedCluster.job("wk-1", 8, 1)).status());
+    assertEquals(
+        201, cluster.users.submit(rentHolder, SimulatedCluster.job("wk-1", 8, 1)).status());
     cluster.advance(25);
     assertEquals(4, m.running().size());
     sendFullViewsToAll(cluster);
@@ -233,10 +242,11 @@
     assertEquals(
         201,
         cluster
+            .users
             .submit(otherNode, SimulatedCluster.job("wk-2", 1, 1).put("urgency", "high"))
             .status());
     cluster.advance(4);
-    assertEquals(1, cluster.runningCount("wk-2"));
-    assertEquals(List.of(), cluster.overlappingRuns);
+    assertEquals(1, cluster.machines.runningCount("wk-2"));
+    assertEquals(List.of(), cluster.users.overlappingRuns);
   }
 }
--- a/src/test/java/dev/dunefront/story/WriteRateLoanTest.java
+++ b/src/test/java/dev/dunefront/story/WriteRateLoanTest.java
@@ -20,10 +20,10 @@
     cluster.writeRps = 40;
     cluster.start().advance(2);
     for (int i = 0; i < TASKS / 4; i++) {
-      cluster.addMachine("host-" + i, "small", "a", "node-" + i % CONTROLLERS);
+      cluster.machines.addMachine("host-" + i, "small", "a", "node-" + i % CONTROLLERS);
     }
     cluster.advance(10);
-    cluster.holdPeerMessage = heldMessages;
+    cluster.network.holdPeerMessage = heldMessages;
     return cluster;
   }
 
@@ -35,12 +35,13 @@
     double startedAtS = cluster.clock.now();
     for (int i = 0; i < 4; i++) {
       assertEquals(
-          201, cluster.submit("node-3", SimulatedCluster.job("wk-" + i, TASKS / 4, 1)).status());
+          201,
+          cluster.users.submit("node-3", SimulatedCluster.job("wk-" + i, TASKS / 4, 1)).status());
     }
-    while (cluster.runningCount() < TASKS && cluster.clock.now() - startedAtS < 20) {
+    while (cluster.machines.runningCount() < TASKS && cluster.clock.now() - startedAtS < 20) {
       cluster.advance(0.01);
     }
-    assertEquals(TASKS, cluster.runningCount());
+    assertEquals(TASKS, cluster.machines.runningCount());
     return cluster.clock.now() - startedAtS;
   }
 
--- a/src/test/java/dev/dunefront/story/ZoneAndLinkFaultTest.java
+++ b/src/test/java/dev/dunefront/story/ZoneAndLinkFaultTest.java
@@ -25,7 +25,7 @@
         new SimulatedCluster(List.of("a", "a", "b"), SimulatedCluster.ONE_TEAM);
     cluster.start().advance(2);
     for (int i = 0; i < 8; i++) {
-      cluster.addMachine(
+      cluster.machines.addMachine(
           "host-" + i, "small", i % 2 == 0 ? "a" : "b", i % 2 == 0 ? "node-0" : "node-2");
     }
     cluster.advance(6);
@@ -33,9 +33,9 @@
   }
 
   private static long zoneCount(SimulatedCluster cluster, String job) {
-    return cluster.workers.values().stream()
-        .filter(m -> SimulatedCluster.runningCount(m, job) > 0)
-        .map(cluster::zoneOf)
+    return cluster.machines.workers.values().stream()
+        .filter(m -> SimulatedMachines.runningCount(m, job) > 0)
+        .map(cluster.machines::zoneOf)
         .distinct()
         .count();
   }
@@ -49,15 +49,15 @@
   void directCommandsDoNotRenewLeaseOfWorkerWhoseReportsAreLost(
       @ForAll boolean controllerCrashes, @ForAll boolean beyondLease) {
     SimulatedCluster cluster = startCluster();
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
-    assertEquals(201, cluster.submit("node-1", SimulatedCluster.job("wk-2", 4, 1)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
+    assertEquals(201, cluster.users.submit("node-1", SimulatedCluster.job("wk-2", 4, 1)).status());
     cluster.advance(3);
-    assertEquals(16, cluster.runningCount());
-    cluster.dropDelivery =
+    assertEquals(16, cluster.machines.runningCount());
+    cluster.network.dropDelivery =
         (from, to) -> from.startsWith("host-") && to.startsWith("node-") && reportsAreLost(from);
     cluster.clock.after(
         beyondLease ? 25 : SimulatedCluster.LEASE_S - 2,
-        () -> cluster.dropDelivery = (from, to) -> false);
+        () -> cluster.network.dropDelivery = (from, to) -> false);
     cluster.advance(1);
     RedundantClients users = new RedundantClients(cluster);
     users.cancel("wk-2", 1);
@@ -69,13 +69,16 @@
     cluster.advance(2);
     if (!controllerCrashes) {
       assertEquals(
-          0, cluster.runningCount("wk-2"), "the tasks are not stopped by a direct command");
+          0,
+          cluster.machines.runningCount("wk-2"),
+          "the tasks are not stopped by a direct command");
     }
     cluster.advance(2.5 * SimulatedCluster.LEASE_S);
-    assertEquals(12, cluster.runningCount("wk-1"), "the tasks do not run on the other machines");
-    assertEquals("cancelled", cluster.poll("node-2", "wk-2").jobStatus());
+    assertEquals(
+        12, cluster.machines.runningCount("wk-1"), "the tasks do not run on the other machines");
+    assertEquals("cancelled", cluster.users.poll("node-2", "wk-2").jobStatus());
     cluster.advance(10);
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   private static boolean reportsAreLost(String endpoint) {
@@ -116,21 +119,24 @@
       case SERVICE_IN_SAME_ZONE -> job.put("same_place", true).put("shape", "daemon");
       case SPREAD_OVER_ZONES -> job.put("apart", true);
     }
-    assertEquals(201, cluster.submit("node-0", job).status());
+    assertEquals(201, cluster.users.submit("node-0", job).status());
     cluster.advance(3);
-    assertEquals(6, cluster.runningCount("wk-1"));
+    assertEquals(6, cluster.machines.runningCount("wk-1"));
     List<FakeWorker> faultyWorkers =
-        cluster.workers.values().stream().filter(m -> !m.running().isEmpty()).limit(1).toList();
+        cluster.machines.workers.values().stream()
+            .filter(m -> !m.running().isEmpty())
+            .limit(1)
+            .toList();
     for (FakeWorker m : faultyWorkers) {
       switch (fault) {
-        case PARTITIONED_FOR_GOOD -> cluster.isolatedHosts.add(m.host());
+        case PARTITIONED_FOR_GOOD -> cluster.machines.isolatedHosts.add(m.host());
         case PARTITIONED_BEYOND_LEASE -> {
-          cluster.isolatedHosts.add(m.host());
+          cluster.machines.isolatedHosts.add(m.host());
           cluster.clock.after(
-              SimulatedCluster.LEASE_S + 3, () -> cluster.isolatedHosts.remove(m.host()));
+              SimulatedCluster.LEASE_S + 3, () -> cluster.machines.isolatedHosts.remove(m.host()));
         }
         case RESTARTED -> m.restart();
-        case HUNG_BEYOND_LEASE -> cluster.hang(m.host(), SimulatedCluster.LEASE_S + 3);
+        case HUNG_BEYOND_LEASE -> cluster.machines.hang(m.host(), SimulatedCluster.LEASE_S + 3);
       }
     }
     if (controllerCrashes) {
@@ -149,17 +155,17 @@
             "more than half of the tasks run in one zone");
       }
     }
-    assertEquals(6, cluster.runningCount("wk-1"));
+    assertEquals(6, cluster.machines.runningCount("wk-1"));
     if (constraint == PlacementConstraint.NAMED_ZONE) {
       assertEquals(6, runningInZone(cluster, "b"));
     }
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   private static int runningInZone(SimulatedCluster cluster, String zone) {
-    return cluster.workers.values().stream()
-        .filter(m -> cluster.zoneOf(m).equals(zone))
-        .mapToInt(m -> SimulatedCluster.runningCount(m, "wk-1"))
+    return cluster.machines.workers.values().stream()
+        .filter(m -> cluster.machines.zoneOf(m).equals(zone))
+        .mapToInt(m -> SimulatedMachines.runningCount(m, "wk-1"))
         .sum();
   }
 
@@ -168,32 +174,32 @@
   void zoneWithControllerIsPartitioned(
       @ForAll boolean cancelJob, @ForAll @IntRange(max = 2) int crashChoice) {
     SimulatedCluster cluster = startCluster();
-    assertEquals(201, cluster.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
-    assertEquals(201, cluster.submit("node-2", SimulatedCluster.job("wk-2", 12, 1)).status());
+    assertEquals(201, cluster.users.submit("node-0", SimulatedCluster.job("wk-1", 12, 1)).status());
+    assertEquals(201, cluster.users.submit("node-2", SimulatedCluster.job("wk-2", 12, 1)).status());
     cluster.advance(3);
-    assertEquals(24, cluster.runningCount());
-    cluster.partitionZone("b");
+    assertEquals(24, cluster.machines.runningCount());
+    cluster.network.partitionZone("b");
     cluster.advance(2);
     RedundantClients users = new RedundantClients(cluster);
     if (cancelJob) {
-      cluster.cancelRequestedJobs.add("wk-1");
-      cluster.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 0, 40);
-      cluster.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 40);
+      cluster.users.cancelRequestedJobs.add("wk-1");
+      cluster.users.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 0, 40);
+      cluster.users.requestWithRetries("POST", "/v1/jobs/wk-1/abort", null, "wk-1", 1, 40);
     }
     if (crashChoice > 0) {
       cluster.nodes.get("node-" + (crashChoice - 1)).crash();
       cluster.clock.after(3, () -> cluster.nodes.get("node-" + (crashChoice - 1)).start());
     }
     cluster.advance(2.5 * SimulatedCluster.LEASE_S);
-    cluster.healPartition();
+    cluster.network.healPartition();
     cluster.advance(12);
     users.pollFor("wk-1", 5);
     cluster.advance(8);
     if (cancelJob) {
-      assertEquals("cancelled", cluster.poll("node-2", "wk-1").jobStatus());
+      assertEquals("cancelled", cluster.users.poll("node-2", "wk-1").jobStatus());
     }
-    assertEquals(cancelJob ? 12 : 24, cluster.runningCount());
-    assertEquals(List.of(), cluster.drainAndCheck());
+    assertEquals(cancelJob ? 12 : 24, cluster.machines.runningCount());
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   /**
@@ -204,21 +210,22 @@
     SimulatedCluster cluster = startCluster();
     int[] requestCount = {0};
     double[] delaysS = {0.3, 0.05, 0.6, 0.1, 0.9};
-    cluster.stateServiceDelayS = () -> delaysS[requestCount[0]++ % delaysS.length];
+    cluster.network.stateServiceDelayS = () -> delaysS[requestCount[0]++ % delaysS.length];
     for (int i = 0; i < 10; i++) {
-      cluster.requestWithRetries(
+      cluster.users.requestWithRetries(
           "POST", "/v1/jobs", SimulatedCluster.job("wk-" + i, 12, 1), "wk-" + i, i, 40);
     }
     cluster.advance(20);
-    assertEquals(32, cluster.runningCount(), "not all room is used");
+    assertEquals(32, cluster.machines.runningCount(), "not all room is used");
     for (int i = 10; i < 14; i++) {
       Document job =
           SimulatedCluster.job("wk-" + i, 4, 1).put("urgency", i % 2 == 0 ? "high" : "critical");
-      cluster.requestWithRetries("POST", "/v1/jobs", job, "wk-" + i, i, 40);
+      cluster.users.requestWithRetries("POST", "/v1/jobs", job, "wk-" + i, i, 40);
     }
     cluster.advance(3);
     for (int i = 0; i < 6; i++) {
       cluster
+          .machines
           .workers
           .values()
           .forEach(m -> m.running().stream().limit(1).forEach(t -> m.exit(t, "done")));
@@ -227,12 +234,12 @@
     for (int i = 10; i < 14; i++) {
       String id = "wk-" + i + "/";
       assertTrue(
-          cluster.workers.values().stream()
+          cluster.machines.workers.values().stream()
               .anyMatch(m -> m.starts().stream().anyMatch(s -> s.startsWith(id))),
           id + " is urgent and has not started");
     }
-    cluster.stateServiceDelayS = () -> 0;
-    assertEquals(List.of(), cluster.drainAndCheck());
+    cluster.network.stateServiceDelayS = () -> 0;
+    assertEquals(List.of(), cluster.users.drainAndCheck());
   }
 
   /** Verifies that the placement check detects tasks that violate the constraints of their jobs. */
