--- a/src/main/java/dev/dunefront/cli/Controller.java
+++ b/src/main/java/dev/dunefront/cli/Controller.java
@@ -131,8 +131,6 @@
     catalog = new MachineCatalog(settings.cloud(), caller, store, timers, decisionLock);
     holds = new HoldTable(replica);
     jobs = new JobTable(store, replica, timers, safety);
-    safety.register(meters);
-    answers.register(meters);
     ControllerContext context =
         new ControllerContext(
             settings,
@@ -175,6 +173,30 @@
             timers,
             decisionLock,
             answers);
+    holds.setListener(
+        host -> {
+          heldMachines.holdChanged(host);
+          claims.holdChanged(host);
+        });
+    jobs.addListener(
+        (id, before, entry) -> {
+          if (entry != null) {
+            catalog.observe(entry.record().spec());
+          }
+        });
+    jobs.addListener(claims::jobChanged);
+    jobs.addListener(heldMachines::jobChanged);
+    membership.onNewIncarnation(
+        () -> {
+          claims.incarnationChanged();
+          heldMachines.incarnationChanged();
+        });
+    registerMeters(readBarrier);
+  }
+
+  private void registerMeters(ReadBarrier readBarrier) {
+    safety.register(meters);
+    answers.register(meters);
     meters.gauge("dunefront.replica.lag.ms", () -> (int) Math.round(replica.lagS() * 1000));
     meters.gauge("dunefront.polls.waiting", readBarrier::waiting);
     meters.gauge("dunefront.polls.oldest.ms", () -> (int) Math.round(readBarrier.oldestS() * 1000));
@@ -183,11 +205,6 @@
     meters.gauge("dunefront.machines.deafened", heldMachines::unresponsiveCount);
     meters.gauge("dunefront.machines.sent.away", heldMachines::sentAwayCount);
     meters.gauge("dunefront.alone", () -> heldMachines.isolated() ? 1 : 0);
-    holds.setListener(
-        host -> {
-          heldMachines.holdChanged(host);
-          claims.holdChanged(host);
-        });
     meters.gauge("dunefront.machines.held", heldMachines::machineCount);
     meters.gauge("dunefront.jobs.claimed", claims.statistics()::claimedJobs);
     meters.gauge("dunefront.tasks.unstarted", claims.statistics()::unstarted);
@@ -199,6 +216,9 @@
     meters.gauge("dunefront.decisions.failed", loopWatchdog::failures);
     meters.gauge("dunefront.peer.sent.records", () -> (int) peers.sentTraffic().records());
     meters.gauge("dunefront.peer.sent.kilobytes", () -> (int) (peers.sentTraffic().bytes() / 1024));
+    meters.gauge("dunefront.cleanup.removed", recordCleanup::removedCount);
+    meters.gauge("dunefront.rent.repeated", autoscaler::repeatedOperations);
+    meters.gauge("dunefront.rent.dropped", autoscaler::droppedOperations);
     for (Duty d : Duty.values()) {
       String name = "dunefront.duty." + d.label();
       meters.gauge(name + ".held", () -> duties.held(d));
@@ -207,22 +227,6 @@
       meters.gauge(name + ".refused", () -> duties.refusals(d));
       meters.gauge(name + ".longest.gap.ms", () -> duties.longestVacancyMs(d));
     }
-    meters.gauge("dunefront.cleanup.removed", recordCleanup::removedCount);
-    meters.gauge("dunefront.rent.repeated", autoscaler::repeatedOperations);
-    meters.gauge("dunefront.rent.dropped", autoscaler::droppedOperations);
-    jobs.addListener(
-        (id, before, entry) -> {
-          if (entry != null) {
-            catalog.observe(entry.record().spec());
-          }
-        });
-    jobs.addListener(claims::jobChanged);
-    jobs.addListener(heldMachines::jobChanged);
-    membership.onNewIncarnation(
-        () -> {
-          claims.incarnationChanged();
-          heldMachines.incarnationChanged();
-        });
   }
 
   /** Age in seconds of the oldest open job without a placed task, by class and team. */
