--- a/src/test/java/dev/dunefront/story/CancellationDuringOutageTest.java
+++ b/src/test/java/dev/dunefront/story/CancellationDuringOutageTest.java
@@ -210,7 +210,7 @@
     w.advance(20);
     w.stateService.outage(false);
     w.network.refusedByStateService.clear();
-    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    w.network.deliverOnTime();
     if (!w.nodes.get(others.get(0)).up()) {
       w.nodes.get(others.get(0)).start();
     }
--- a/src/test/java/dev/dunefront/story/CleanupTest.java
+++ b/src/test/java/dev/dunefront/story/CleanupTest.java
@@ -93,7 +93,7 @@
     cluster.advance(8);
     assertTrue(removalAttempts[0] > 0, "the replaced holder made no attempt to remove the record");
     assertTrue(cluster.stateService.value("w/h/host-1") != null, "the removal was not refused");
-    cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    cluster.network.deliverOnTime();
     cluster.network.refusedByStateService.clear();
     cluster.advance(20);
     assertNull(
--- a/src/test/java/dev/dunefront/story/CombinedFaultsTest.java
+++ b/src/test/java/dev/dunefront/story/CombinedFaultsTest.java
@@ -75,10 +75,7 @@
                 path.equals("/txn") && random.nextInt(8) == 0
                     ? SimulatedNetwork.Delivery.RESPONSE_DROPPED
                     : before.choose(from, path, body);
-        w.clock.after(
-            forS,
-            () ->
-                w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME);
+        w.clock.after(forS, w.network::deliverOnTime);
       }
       case OLD_REPORTS_AFTER_RESTART -> {
         w.machines.replayReportsAtNextStart = to -> random.nextInt(3) == 0;
@@ -99,10 +96,7 @@
                 path.equals("/txn") && random.nextInt(12) == 0
                     ? SimulatedNetwork.Delivery.DELAYED
                     : before.choose(from, path, body);
-        w.clock.after(
-            forS,
-            () ->
-                w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME);
+        w.clock.after(forS, w.network::deliverOnTime);
       }
       case REFUSED_THEN_OUTAGE -> {
         w.network.refusedByStateService.add(node);
@@ -188,10 +182,7 @@
                 path.equals("/orders") && random.nextInt(3) == 0
                     ? SimulatedNetwork.Delivery.values()[1 + random.nextInt(3)]
                     : before.choose(from, path, body);
-        w.clock.after(
-            forS,
-            () ->
-                w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME);
+        w.clock.after(forS, w.network::deliverOnTime);
       }
     }
   }
--- a/src/test/java/dev/dunefront/story/ControllerMembershipTest.java
+++ b/src/test/java/dev/dunefront/story/ControllerMembershipTest.java
@@ -197,7 +197,7 @@
                   ? SimulatedNetwork.Delivery.DROPPED
                   : SimulatedNetwork.Delivery.ON_TIME;
       runWorkload(cluster, 40);
-      cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+      cluster.network.deliverOnTime();
       runWorkload(cluster, 20);
       assertEquals(4, rosterNodes(cluster).size(), delayedNode + " receives the roster late");
       assertEquals(
--- a/src/test/java/dev/dunefront/story/ControllerOutageTest.java
+++ b/src/test/java/dev/dunefront/story/ControllerOutageTest.java
@@ -81,7 +81,7 @@
           };
       cluster.users.submit("node-0", SimulatedCluster.job("wk-20", 30, 1));
       advanceUnderLoad(cluster, 24);
-      cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+      cluster.network.deliverOnTime();
       assertEquals(List.of(), cluster.users.drainAndCheck(), "during a request with " + step);
     }
   }
--- a/src/test/java/dev/dunefront/story/ControllerRestartTest.java
+++ b/src/test/java/dev/dunefront/story/ControllerRestartTest.java
@@ -132,7 +132,7 @@
                 : SimulatedNetwork.Delivery.ON_TIME;
     assertEquals(201, w.users.submit("node-0", SimulatedCluster.job("wk-1", 24, 1)).status());
     w.advance(2);
-    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    w.network.deliverOnTime();
     w.advance(4);
     assertEquals(24, w.machines.runningCount());
     w.machines.isolatedHosts.add("host-1");
@@ -189,7 +189,7 @@
     }
     w.advance(14);
     w.network.stateServiceDelayS = () -> 0;
-    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    w.network.deliverOnTime();
     w.advance(20);
     // Six machines suffice. One or two extra machines are known to be rented occasionally; renting
     // twice would give twelve.
--- a/src/test/java/dev/dunefront/story/JobStatusConsistencyTest.java
+++ b/src/test/java/dev/dunefront/story/JobStatusConsistencyTest.java
@@ -76,7 +76,7 @@
   }
 
   private static void clearFaults(SimulatedCluster cluster) {
-    cluster.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    cluster.network.deliverOnTime();
     cluster.network.stateServiceDelayS = () -> 0;
     cluster.network.holdPeerMessage = message -> false;
     cluster.network.responseDelay = (from, path) -> 0;
--- a/src/test/java/dev/dunefront/story/LostResponseTest.java
+++ b/src/test/java/dev/dunefront/story/LostResponseTest.java
@@ -60,7 +60,7 @@
   }
 
   private static void checkFinalState(SimulatedCluster w) {
-    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    w.network.deliverOnTime();
     for (String id : w.users.cancelRequestedJobs) {
       for (String node : w.nodes.keySet()) {
         assertEquals("cancelled", w.users.poll(node, id).jobStatus(), id + " at " + node);
@@ -136,7 +136,7 @@
                 : SimulatedNetwork.Delivery.ON_TIME;
     assertEquals(503, w.users.cancel(others.get(0), "wk-1").status());
     assertEquals("CANCELLED", w.stateService.value("w/j/wk-1").text("status"));
-    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    w.network.deliverOnTime();
     if (repeated) {
       w.nodes.get(others.get(0)).crash();
       assertEquals(503, w.users.cancel(others.get(1), "wk-1").status());
@@ -168,7 +168,7 @@
         w.users.submit("node-0", SimulatedCluster.job("wk-1", 2, 1));
     assertEquals(201, response.status());
     assertTrue(w.clock.now() - since < 0.5, "answered after " + (w.clock.now() - since));
-    w.network.deliveryPolicy = (from, path, body) -> SimulatedNetwork.Delivery.ON_TIME;
+    w.network.deliverOnTime();
     if (cancelled) {
       w.users.cancel("node-1", "wk-1");
       w.advance(3);
--- a/src/test/java/dev/dunefront/story/SimulatedNetwork.java
+++ b/src/test/java/dev/dunefront/story/SimulatedNetwork.java
@@ -85,6 +85,11 @@
 
   DeliveryPolicy deliveryPolicy = (from, path, body) -> Delivery.ON_TIME;
 
+  /** Delivers all requests on time from now on. */
+  void deliverOnTime() {
+    deliveryPolicy = (from, path, body) -> Delivery.ON_TIME;
+  }
+
   /** Chooses by how many seconds a response is late, from the sender and path of its request. */
   interface ResponseDelay {
     double chooseS(String from, String path);
