--- a/src/test/java/dev/dunefront/story/SimulatedMachines.java
+++ b/src/test/java/dev/dunefront/story/SimulatedMachines.java
@@ -76,6 +76,12 @@
   /** Rented machines whose boot has been scheduled or has completed. */
   private final Set<String> bootScheduled = new HashSet<>();
 
+  /** Restarts a worker, which loses its state and begins with a full lease. */
+  void restart(FakeWorker worker) {
+    worker.restart();
+    leaseRenewedAt.put(worker.host(), cluster.clock.now());
+  }
+
   /** Makes a machine hang for the given time, in seconds. */
   void hang(String host, double durationS) {
     hungHosts.add(host);
--- a/src/test/java/dev/dunefront/story/StaleSubmissionAnswerTest.java
+++ b/src/test/java/dev/dunefront/story/StaleSubmissionAnswerTest.java
@@ -1,8 +1,11 @@
 package dev.dunefront.story;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dev.dunefront.net.HttpServer;
+import dev.dunefront.peer.Message;
 import dev.dunefront.wire.Document;
 import dev.dunefront.wire.MalformedMessageException;
 import java.util.List;
@@ -88,6 +91,34 @@
     assertRepeatedSubmissionIsCancelled(cluster);
   }
 
+  @Example
+  void lateResponseToTheAcceptingWriteDoesNotHideAFinalStatusAnnouncedMeanwhile()
+      throws MalformedMessageException {
+    SimulatedCluster cluster = clusterWithUnclaimedJob();
+    cluster.network.responseDelay = (from, path) -> from.equals(LAGGING_NODE) ? 1.0 : 0;
+    String[] answered = {null};
+    cluster
+        .nodes
+        .get(LAGGING_NODE)
+        .handle(
+            new HttpServer.Request("POST", "/v1/jobs", "", job().encode()),
+            (status, body, retryAfterS) -> answered[0] = statusOf(body));
+    cluster.advance(0.05);
+    assertEquals("cancelled", cluster.users.cancel("node-1", JOB).jobStatus());
+    cluster.network.deliverPeerMessage("node-1", LAGGING_NODE, new Message.JobEnded(JOB, false));
+    assertNull(answered[0], "the response to the accepting write is still late");
+    cluster.advance(1.2);
+    assertEquals("cancelled", answered[0]);
+  }
+
+  private static String statusOf(byte[] body) {
+    try {
+      return Document.decode(body).text("status");
+    } catch (MalformedMessageException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   /** All responses of the state service are late at random, by up to 0.5 s. */
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void noAnswerIsOlderThanAnEarlierOneWhenResponsesAreLate(@ForAll @IntRange(max = 39) int seed)
