--- a/src/test/java/dev/dunefront/story/SimulatedCluster.java
+++ b/src/test/java/dev/dunefront/story/SimulatedCluster.java
@@ -123,6 +123,22 @@
     return w;
   }
 
+  /**
+   * Creates three controllers and machines for which so many jobs wait that a job submitted next is
+   * not claimed.
+   */
+  static SimulatedCluster withWaitingJobs() {
+    SimulatedCluster cluster = withSmallMachines(3);
+    for (int i = 0; i < 12; i++) {
+      int status = cluster.users.submit("node-" + i % 3, job("wk-1" + (i + 10), 40, 1)).status();
+      if (status != 201) {
+        throw new AssertionError("a waiting job was answered " + status);
+      }
+    }
+    cluster.advance(3);
+    return cluster;
+  }
+
   SimulatedCluster start() {
     nodes.values().forEach(Node::start);
     return this;
