--- a/review/lib/Cluster.java
+++ b/review/lib/Cluster.java
@@ -13,6 +13,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 /**
@@ -31,7 +33,13 @@
     Process process;
   }
 
+  /** A case that takes longer ends with 2. */
+  private static final double LONGEST_S = 117;
+
   final Loop loop = new Loop();
+
+  /** CPUs of each task by job, as its user has uploaded it. */
+  final Map<String, Double> taskCpus = new ConcurrentHashMap<>();
   final Recorder record;
   final Path dir;
   final List<Node> controllers = new ArrayList<>();
@@ -51,6 +59,12 @@
     dir = Files.createTempDirectory("dunefront-review");
     cloud = new FakeCloud(zones, 25);
     Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
+    loop.after(
+        LONGEST_S,
+        () -> {
+          record.add("ended after %.0f s", LONGEST_S);
+          new Thread(() -> System.exit(2)).start();
+        });
   }
 
   /** A hook for copies of reports. */
@@ -259,6 +273,7 @@
 
   /** Submits a job, retrying at the next controller for up to 60 s; returns the last status. */
   int submit(Document job, int firstNode) throws Exception {
+    taskCpus.put(job.text("id"), job.amount("vcpus"));
     double until = loop.now() + 60;
     int node = firstNode;
     while (true) {
--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -1,6 +1,7 @@
 package review;
 
 import dev.dunefront.net.HttpCaller.Response;
+import dev.dunefront.standin.FakeCloud;
 import dev.dunefront.wire.Document;
 import dev.dunefront.wire.MalformedMessageException;
 import java.util.ArrayList;
@@ -119,7 +120,15 @@
       Task t = tasks.get(piece);
       switch (order.text("verb")) {
         case "run" -> {
-          if (t == null) {
+          String refusal = t == null ? refusal(piece) : null;
+          if (refusal != null) {
+            Task refused = new Task(attempt);
+            refused.state = "exited";
+            refused.exitReason = refusal;
+            tasks.put(piece, refused);
+            cluster.record.task("%s refuses %s attempt %d: %s", host, piece, attempt, refusal);
+            reportSoon();
+          } else if (t == null) {
             Task started = new Task(attempt);
             started.startedAt = cluster.loop.now();
             tasks.put(piece, started);
@@ -145,6 +154,24 @@
     }
   }
 
+  /** Why a start is refused, or null. */
+  private String refusal(String piece) {
+    Double cpus = cluster.taskCpus.get(jobOf(piece));
+    if (cpus == null) {
+      return "no_such";
+    }
+    double used = cpus;
+    for (Map.Entry<String, Task> e : tasks.entrySet()) {
+      used += e.getValue().exitReason == null ? cluster.taskCpus.get(jobOf(e.getKey())) : 0;
+    }
+    double all = flavor.equals("small") ? FakeCloud.SMALL_CPUS : FakeCloud.LARGE_CPUS;
+    return used > all + 1e-6 ? "no_room" : null;
+  }
+
+  private static String jobOf(String piece) {
+    return piece.substring(0, piece.lastIndexOf('/'));
+  }
+
   /** A task ends, by itself or by command. */
   void end(String piece, long attempt, String why) {
     Task t = tasks.get(piece);
