--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -1,94 +1,105 @@
 package review;
 
+import dev.dunefront.net.HttpCaller.Response;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
- * A user cancels a running job of many short tasks. All machines can be reached, and all tasks are
- * gone within seconds; the user repeats the request for 60 s.
+ * A machine restarts between two reports and then hangs for most of its new lease. A start that was
+ * sent to it meanwhile waits there and is carried out when it goes on.
  */
 public final class Case3 {
-  private static final int PIECES = 16_000;
-  private static final int DONE_WHEN_CANCELLED = 11_000;
-  private static final double RUNS_S = 2.5;
-  private static final String JOB = "wk-000412";
+  private static final double RUNS_S = 20;
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int[] transactions = new int[1];
     Cluster c =
         new Cluster(Path.of(args[0]), List.of("schwechat", "salzach")) {
           @Override
-          void stateRequest(
-              int node,
-              String method,
-              String path,
-              byte[] body,
-              java.util.function.Consumer<dev.dunefront.net.HttpCaller.Response> answer) {
-            transactions[0] += path.equals("/txn") ? 1 : 0;
-            super.stateRequest(node, method, path, body, answer);
+          void reportSent(Worker w, byte[] body) {
+            if (w.host.equals("host-000001")) {
+              record.add("%s reports to node %d: %s", w.host, w.controller, Cluster.text(body));
+            }
           }
         };
-    c.record.detail = false;
     c.startControllers(3);
-    if (!c.awaitUp(20)) {
+    if (!c.awaitUp(30)) {
       stop(c, 2, "the controllers do not come up");
     }
-    Counter counter = new Counter(c);
-    for (int i = 0; i < 16; i++) {
-      String host = String.format("host-%06d", i + 1);
-      c.addWorker(new Worker(c, host, "large", c.zones.get(i % 2), counter), i % 3);
+    Judge judge = new Judge(c);
+    HangingWorker m = new HangingWorker(c, "host-000001", "small", "schwechat", judge);
+    c.addWorker(m, 0);
+    c.addWorker(new Worker(c, "host-000002", "large", "salzach", judge), 1);
+    if (!await(c, 20, () -> m.lastStatus == 200 && m.baton > 0)) {
+      stop(c, 2, "the machine is not heard");
     }
-    Thread.sleep(5000);
-    int status =
-        c.submit(
-            Cluster.job(JOB, PIECES, 0.1).put("ram_gb", 0.1).put("expect_s", RUNS_S), 0);
-    if (status > 201) {
+    // Begins just after an answered report.
+    double answeredBefore = c.loop.call(() -> m.lastAnsweredAt);
+    double reportBefore = c.loop.call(() -> m.leaseFrom);
+    if (!await(c, 10, () -> m.lastAnsweredAt > answeredBefore && m.leaseFrom > reportBefore)) {
+      stop(c, 2, "the machine is not answered again");
+    }
+    if (trouble) {
+      Thread.sleep(2300);
+      c.loop.call(
+          () -> {
+            m.restart();
+            return null;
+          });
+      Thread.sleep(400);
+      c.loop.call(
+          () -> {
+            c.record.add("last answer to %s: %d", m.host, m.lastStatus);
+            m.hang(true);
+            return null;
+          });
+    }
+    double hungAt = c.loop.now();
+    int submitted =
+        c.submit(Cluster.job("wk-000412", 1, 2.0).put("flavors", List.of("small")), 0);
+    if (submitted > 201) {
       stop(c, 2, "the job is not accepted");
     }
-    double until = c.loop.now() + 60;
-    int target = trouble ? DONE_WHEN_CANCELLED : PIECES;
-    while (counter.done < target) {
-      if (c.loop.now() > until) {
-        stop(c, 2, "too slow: " + counter.done + " tasks done");
-      }
-      Thread.sleep(200);
-    }
-    c.record.add("%d tasks started, %d done", counter.started, counter.done);
-    if (!trouble) {
-      boolean done = false;
-      until = c.loop.now() + 30;
-      while (!done && c.loop.now() < until) {
-        Thread.sleep(3000);
-        done = Cluster.status(c.user(1, "GET", "/v1/jobs/" + JOB, null, 2)).equals("done");
-      }
-      stop(c, done ? 0 : 1, done ? "held: the job is done" : "BROKEN: never called done");
-    }
-    // Like a submission, the request is repeated for up to 60 s in total, at all controllers.
-    double from = c.loop.now();
-    double goneSince = Double.NaN;
-    for (int i = 0; c.loop.now() < from + 60; i++) {
-      String answer =
-          Cluster.status(c.user(i % 3, "POST", "/v1/jobs/" + JOB + "/abort", null, 5));
-      if (answer.equals("cancelled") || answer.equals("done")) {
-        stop(c, 0, "held: answered " + answer);
-      }
-      int running = c.loop.call(counter::running);
-      if (running == 0 && Double.isNaN(goneSince)) {
-        goneSince = c.loop.now();
-      }
-      c.record.add(
-          "tasks on machines: %d, transactions so far: %d", running, transactions[0]);
-      Thread.sleep(1000);
+    if (!await(c, 5, () -> !m.waiting.isEmpty() || judge.starts > 0)) {
+      stop(c, 2, "no start is sent to the machine");
+    }
+    // Another machine comes up meanwhile.
+    c.addWorker(new Worker(c, "host-000003", "small", "salzach", judge), 1);
+    if (trouble) {
+      // Goes on shortly before its own lease is over.
+      double goesOnAt = c.loop.call(() -> m.leaseFrom) + c.leaseS - 0.6;
+      Thread.sleep(Math.round((goesOnAt - c.loop.now()) * 1000));
+      c.record.add("hung for %.1f s of a lease of %.0f s", c.loop.now() - hungAt, c.leaseS);
+      c.loop.call(
+          () -> {
+            m.hang(false);
+            return null;
+          });
+    }
+    double until = c.loop.now() + 45;
+    boolean done = false;
+    while (!judge.broken && !done && c.loop.now() < until) {
+      Thread.sleep(3000);
+      done = Cluster.status(c.user(0, "GET", "/v1/jobs/wk-000412", null, 2)).equals("done");
     }
-    c.user(0, "GET", "/v1/jobs/" + JOB, null, 2);
     stop(
         c,
-        1,
-        String.format(
-            java.util.Locale.ROOT,
-            "BROKEN: no answer to the cancellation within 60 s; no task on any machine for %.0f s",
-            c.loop.now() - goneSince));
+        judge.broken ? 1 : done ? 0 : 2,
+        judge.broken ? "BROKEN: " + judge.what : done ? "held" : "not done in time");
+  }
+
+  private static boolean await(Cluster c, double seconds, java.util.function.BooleanSupplier s)
+      throws Exception {
+    double until = c.loop.now() + seconds;
+    while (c.loop.now() < until) {
+      if (c.loop.call(s::getAsBoolean)) {
+        return true;
+      }
+      Thread.sleep(20);
+    }
+    return false;
   }
 
   private static void stop(Cluster c, int code, String text) {
@@ -97,33 +108,81 @@
     System.exit(code);
   }
 
-  /** Ends tasks and counts them. */
-  private static final class Counter implements Worker.Observer {
-    private final Cluster c;
-    volatile int started;
-    volatile int done;
+  /** A worker whose machine can hang: what is sent to it waits, and it sends nothing. */
+  private static final class HangingWorker extends Worker {
+    final List<Runnable> waiting = new ArrayList<>();
+    private boolean hanging;
 
-    Counter(Cluster c) {
-      this.c = c;
+    HangingWorker(Cluster cluster, String host, String flavor, String zone, Observer observer)
+        throws Exception {
+      super(cluster, host, flavor, zone, observer);
+    }
+
+    void hang(boolean on) {
+      cluster.record.add("%s %s", host, on ? "HANGS" : "GOES ON");
+      hanging = on;
+      if (on) {
+        schedule(1e6);
+      } else {
+        expireLease();
+        List<Runnable> all = List.copyOf(waiting);
+        waiting.clear();
+        all.forEach(Runnable::run);
+        schedule(0.1);
+      }
     }
 
     @Override
-    public void started(Worker worker, String piece, long attempt) {
-      started++;
-      c.loop.after(RUNS_S * (0.5 + Math.random()), () -> worker.end(piece, attempt, "done"));
+    void handle(String method, String path, byte[] body, Consumer<Response> answer) {
+      if (hanging) {
+        cluster.record.add("a request to %s waits: %s %s", host, path, Cluster.text(body));
+        waiting.add(() -> super.handle(method, path, body, answer));
+      } else {
+        super.handle(method, path, body, answer);
+      }
     }
 
     @Override
-    public void ended(Worker worker, String piece, long attempt, String why) {
-      done += why.equals("done") ? 1 : 0;
+    void schedule(double seconds) {
+      if (!hanging || seconds > 1e5) {
+        super.schedule(seconds);
+      }
     }
 
-    int running() {
-      int running = 0;
-      for (Worker w : c.workers) {
-        running += (int) w.tasks.values().stream().filter(t -> t.exitReason == null).count();
+    @Override
+    void expireLease() {
+      // A hanging machine does nothing; its lease is looked at before anything else once it goes on.
+      if (!hanging) {
+        super.expireLease();
       }
-      return running;
     }
   }
+
+  /** Ends tasks, and checks that none starts on one machine while it is on another. */
+  private static final class Judge implements Worker.Observer {
+    private final Cluster c;
+    volatile int starts;
+    volatile boolean broken;
+    String what;
+
+    Judge(Cluster c) {
+      this.c = c;
+    }
+
+    @Override
+    public void started(Worker worker, String piece, long attempt) {
+      starts++;
+      for (Worker other : c.workers) {
+        if (other != worker && other.has(piece)) {
+          what = piece + " starts on " + worker.host + " while it is on " + other.host;
+          c.record.add("ran_twice: %s", what);
+          broken = true;
+        }
+      }
+      c.loop.after(RUNS_S, () -> worker.end(piece, attempt, "done"));
+    }
+
+    @Override
+    public void ended(Worker worker, String piece, long attempt, String why) {}
+  }
 }
