A report from an earlier boot of a worker proves nothing

Cause: a machine in session 2 restarted and went on in session 1; the process of its holder ended and was back; the first report that the new process received was a late copy from before the machine's restart. It was believed, published as session 2 under the present hold, and proved the running attempt of session 1 over. Session, serial and token all begin anew at a restart, and a holder's new process went on under its predecessor's token, so that two boots of a worker could share one.

Change: FencingTokens numbers tokens from revisions of the state service (hold record, roster, registration of the process), so every hold and every process has tokens of its own, without a write for each machine. WorkerBoot ties reports and commands to one boot: a report below the lowest token that only the present boot can have is answered and changes nothing. All paths go through it. A machine is published once its worker has confirmed its session; after a resumed hold it is asked to at once. Denials no longer need a raised token after a controller's restart.

Why it works: an earlier boot cannot have reported a token that was given out after it ended.

--- a/src/main/java/dev/dunefront/book/HeldMachines.java
+++ b/src/main/java/dev/dunefront/book/HeldMachines.java
@@ -2,7 +2,7 @@
 
 import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
-import dev.dunefront.evidence.ReportSequence;
+import dev.dunefront.evidence.ReportSequence.Classification;
 import dev.dunefront.job.JobRecord;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.DecisionLock;
@@ -15,7 +15,6 @@
 import dev.dunefront.store.PauseDetector;
 import dev.dunefront.wire.Report;
 import dev.dunefront.wire.TaskId;
-import dev.dunefront.wire.WorkerCommand;
 import java.lang.System.Logger.Level;
 import java.util.Collection;
 import java.util.HashMap;
@@ -54,11 +53,18 @@
   private final DecisionLock decisionLock;
   private final Map<String, Machine> machines = new HashMap<>();
 
+  /** Former holds of this process, by host. Removed once the machine is held under a new record. */
+  private final Map<String, ReleasedHold> releasedHolds = new HashMap<>();
+
   /**
-   * Attempts denied on machines that were released since, by host; see {@link #addMachine}. Removed
-   * once the machine is held under a new token.
+   * What has to be known of a released machine if it is held again under the same token.
+   *
+   * @param token the first token of the hold
+   * @param lastToken the highest token that was given to the worker
+   * @param deniedAttempts the attempts denied under it, whose start requests may still be in
+   *     transit to this controller
    */
-  private final Map<String, Map<TaskId, Long>> deniedAttemptsByHost = new HashMap<>();
+  private record ReleasedHold(long token, long lastToken, Map<TaskId, Long> deniedAttempts) {}
 
   private final ViewPublisher viewPublisher;
   private final Preemption preemption;
@@ -91,7 +97,7 @@
     this.reportApplier = new ReportApplier(context);
     this.statusChecks = new StatusChecks(context, caller, this, reportApplier);
     this.workerCommands = new WorkerCommands(context, caller, this, statusChecks);
-    this.startRequests = new StartRequests(context, this, workerCommands, viewPublisher);
+    this.startRequests = new StartRequests(context, this, viewPublisher);
     this.taskTermination = new TaskTermination(context);
     this.holdChanges = new HoldChanges(context, this);
     this.controllerLoads = new ControllerLoads(settings, membership);
@@ -143,16 +149,24 @@
     return machines.get(host);
   }
 
+  /**
+   * The highest token under which this process may have held the machine, given the first token
+   * under which it holds it now.
+   */
+  long lastTokenGiven(String host, long token) {
+    ReleasedHold released = releasedHolds.get(host);
+    return released == null ? token : Math.max(token, released.lastToken);
+  }
+
   /**
    * Starts to hold the machine. If it is held again under the token of an earlier hold here, the
-   * attempts denied then stay denied, because their start requests may still be in transit to this
-   * controller.
+   * attempts denied then stay denied.
    */
   void addMachine(Machine m) {
     machines.put(m.host, m);
-    Map<TaskId, Long> denied = deniedAttemptsByHost.remove(m.host);
-    if (denied != null && m.resumed) {
-      m.deniedAttempts.putAll(denied);
+    ReleasedHold released = releasedHolds.remove(m.host);
+    if (released != null && released.token == m.token) {
+      m.deniedAttempts.putAll(released.deniedAttempts);
     }
     LOG.log(
         Level.INFO,
@@ -166,14 +180,14 @@
 
   /** Processes a report of a machine that is held here. */
   void processReport(Machine m, Report r, Responder answer) {
-    if (r.token() > m.token) {
+    if (!m.boot.mayHaveGiven(r.token())) {
       // Another controller holds this machine under a higher token.
       release(m, "its worker has reported a higher token");
       answer.send(421, null);
       return;
     }
-    ReportSequence.Classification classification = m.reportSequence.classify(r);
-    if (classification == ReportSequence.Classification.STALE) {
+    Classification classification = m.boot.classify(r);
+    if (classification == Classification.STALE) {
       // The sender no longer waits for this answer, unless the worker has restarted.
       answer.send(503, null, 1);
       statusChecks.staleReportReceived(m);
@@ -185,10 +199,12 @@
       return;
     }
     m.lastContactAt = timers.now();
-    if (classification == ReportSequence.Classification.NEW) {
+    if (classification == Classification.NEW) {
       statusChecks.reportReceived(m, r);
     }
-    reportApplier.applyReport(m, r);
+    if (classification != Classification.UNCONFIRMED) {
+      reportApplier.applyReport(m, r);
+    }
     String redirectTarget = workerEvacuation.redirectTarget(m, machines.values());
     if (redirectTarget != null) {
       release(m, "this controller is isolated; redirecting it to " + redirectTarget);
@@ -218,16 +234,17 @@
       workerCommands.raiseToken(m);
     }
     m.lastAnsweredAt = timers.now();
-    answer.send(200, WorkerCommand.reportResponse(m.token, workerCommands.clearsForAnswer(m)));
+    answer.send(200, workerCommands.answerToReport(m));
+    if (classification == Classification.UNCONFIRMED) {
+      workerCommands.requestConfirmation(m, r);
+    }
     reconcile(m);
   }
 
   /** Stops holding the machine and notifies the other controllers. The reason is logged. */
   void release(Machine m, String reason) {
     if (machines.remove(m.host, m)) {
-      if (!m.deniedAttempts.isEmpty()) {
-        deniedAttemptsByHost.put(m.host, m.deniedAttempts);
-      }
+      releasedHolds.put(m.host, new ReleasedHold(m.token, m.boot.commandToken(), m.deniedAttempts));
       LOG.log(
           Level.INFO,
           "released {0}: {1}; token {2}, hold revision {3}, session {4}",
@@ -250,8 +267,8 @@
   public void holdChanged(String host) {
     holdChanges.holdChanged(host);
     if (!machines.containsKey(host)) {
-      // Any later hold of this machine has a higher token, so the denials are no longer needed.
-      deniedAttemptsByHost.remove(host);
+      // Any later hold of this machine has a higher token.
+      releasedHolds.remove(host);
     }
   }
 
--- a/src/main/java/dev/dunefront/book/HoldAcquisition.java
+++ b/src/main/java/dev/dunefront/book/HoldAcquisition.java
@@ -2,6 +2,7 @@
 
 import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
+import dev.dunefront.evidence.WorkerBoot;
 import dev.dunefront.fleet.MachineCatalog;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpServer.Responder;
@@ -168,7 +169,9 @@
     }
     HoldTable.Hold hold = holds.holdOf(r.host(), r.zone());
     boolean heldHere = holds.isHeldBy(settings.node(), hold);
-    if (heldHere && r.token() <= hold.token()) {
+    if (heldHere && !mayResumeHolds()) {
+      answer.send(503, null, 1);
+    } else if (heldHere && r.token() <= lastTokenGiven(hold)) {
       resumeHold(hold, r, answer);
     } else if (membership.ownIncarnation() == null || !catalog.isLoaded() || hold == null) {
       answer.send(503, null, 1);
@@ -181,6 +184,23 @@
     }
   }
 
+  /**
+   * Whether this process may hold machines without a write: it has registered, which sets its
+   * tokens apart from those of earlier processes, and it knows who acquired machines before that.
+   */
+  private boolean mayResumeHolds() {
+    long registrationRevision = membership.firstRegistrationRevision();
+    return registrationRevision > 0 && holds.appliedUpTo(registrationRevision);
+  }
+
+  private long firstToken(HoldTable.Hold hold) {
+    return HoldTable.tokenFor(hold, membership.firstRegistrationRevision());
+  }
+
+  private long lastTokenGiven(HoldTable.Hold hold) {
+    return heldMachines.lastTokenGiven(hold.host(), firstToken(hold));
+  }
+
   /** Another controller holds the machine, but the worker reports here. */
   private void reportOfMachineHeldElsewhere(HoldTable.Hold hold, Report r, Responder answer) {
     String holder = Membership.nodeOf(hold.holder());
@@ -226,11 +246,16 @@
    * Holds a machine without a write, because this controller is its default holder, or because an
    * earlier incarnation held it and no other controller has acquired it since. The arrival of many
    * machines or the restart of many controllers therefore costs no write for each machine, and no
-   * worker lease expires while writes wait for the rate budget. Commands that the earlier
-   * incarnation may have sent are in doubt only for tasks that the worker does not report.
+   * worker lease expires while writes wait for the rate budget. The tokens of this process are
+   * higher than those of earlier ones, so the worker refuses their commands once it has confirmed
+   * one of these.
    */
   private void resumeHold(HoldTable.Hold hold, Report r, Responder answer) {
-    Machine m = new Machine(r, hold.token(), hold.revision(), timers.now());
+    long token = firstToken(hold);
+    long lastGiven = lastTokenGiven(hold);
+    // A machine that was released may have restarted since, so it gets a token that it cannot have.
+    WorkerBoot boot = WorkerBoot.unknown(lastGiven == token ? token : lastGiven + 1);
+    Machine m = new Machine(r, boot, token, hold.revision(), timers.now());
     m.resumed = true;
     heldMachines.addMachine(m);
     if (timers.now() - incarnationStartedAt > settings.workers().leaseS()) {
@@ -370,9 +395,9 @@
       answer.send(503, null, 1);
       return;
     }
-    long token = Math.max(r.token(), hold.token()) + 1;
+    long lowestToken = Math.max(r.token(), hold.token()) + 1;
     String writeId = store.newWriteId();
-    Document value = HoldTable.write(self, token, writeId);
+    Document value = HoldTable.write(self, lowestToken, writeId);
     acquiring.put(r.host(), new ArrayList<>(List.of(new PendingReport(r, answer))));
     store.tryTxn(
         HoldTable.condition(new Txn(), r.host(), hold.revision())
@@ -391,8 +416,9 @@
           }
           holds.applyWrite(r.host(), value, result.revision());
           releases.remove(r.host());
-          Machine m = new Machine(r, token, result.revision(), timers.now());
-          heldMachines.addMachine(m);
+          long token = HoldTable.tokenOf(result.revision(), lowestToken);
+          WorkerBoot boot = WorkerBoot.unknown(token);
+          heldMachines.addMachine(new Machine(r, boot, token, result.revision(), timers.now()));
           // Another controller may have acquired the machine since, as the replica may have shown
           // before this response arrived.
           heldMachines.holdChanged(r.host());
--- a/src/main/java/dev/dunefront/book/HoldChanges.java
+++ b/src/main/java/dev/dunefront/book/HoldChanges.java
@@ -78,6 +78,7 @@
         heldMachines.release(m, "the new roster assigns it to another controller");
       } else {
         m.token = hold.token();
+        m.boot = m.boot.raisedTo(m.token);
         m.holdRevision = hold.revision();
         m.tokenAcknowledged = false;
         m.holdAcknowledged = false;
--- a/src/main/java/dev/dunefront/book/HoldTable.java
+++ b/src/main/java/dev/dunefront/book/HoldTable.java
@@ -1,6 +1,7 @@
 package dev.dunefront.book;
 
 import dev.dunefront.config.Settings;
+import dev.dunefront.evidence.FencingTokens;
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.Replica;
 import dev.dunefront.store.StateStore;
@@ -35,6 +36,7 @@
    * Which controller holds a machine, and under which fencing token.
    *
    * @param holder incarnation of the controller, empty if there is none
+   * @param token the lowest token of the hold; see {@link #tokenFor}
    * @param machineDeleted whether the cloud has confirmed the deletion of the machine
    * @param machineDeletedAtMs wall-clock time of that confirmation in milliseconds, 0 if none was
    *     recorded
@@ -105,7 +107,7 @@
       return new Hold(
           host,
           value.textOr("holder", ""),
-          value.countOr("baton", 0),
+          tokenOf(revision, value.countOr("baton", 0)),
           value.flagOr("dead", false),
           value.countOr("at", 0),
           revision);
@@ -217,7 +219,37 @@
     String holder = defaultHolders.computeIfAbsent(host, h -> current.defaultHolder(h, zone));
     return holder == null
         ? null
-        : new Hold(host, holder + "#0", current.defaultToken(), false, 0, -current.revision());
+        : new Hold(
+            host,
+            holder + "#0",
+            tokenOf(current.revision(), current.defaultToken()),
+            false,
+            0,
+            -current.revision());
+  }
+
+  /**
+   * The first token of the hold that a record of this revision describes.
+   *
+   * @param lowestToken a token that it must not be below, as the record says
+   */
+  static long tokenOf(long revision, long lowestToken) {
+    return Math.max(FencingTokens.firstOf(revision), lowestToken);
+  }
+
+  /**
+   * The first token under which a process of the holder holds the machine without a write. It is
+   * above all tokens of earlier processes of this node, which held it under the same record.
+   *
+   * @param registrationRevision revision at which the process has registered
+   */
+  static long tokenFor(Hold hold, long registrationRevision) {
+    return Math.max(hold.token(), FencingTokens.firstOf(registrationRevision));
+  }
+
+  /** Whether all holds that were recorded up to this revision are known. */
+  boolean appliedUpTo(long revision) {
+    return replica.appliedRevision() >= revision;
   }
 
   /**
@@ -234,16 +266,17 @@
   /**
    * Returns the value of a hold record.
    *
+   * @param lowestToken a token above all that the worker is known to have seen
    * @throws IllegalArgumentException if the holder has no node name, since no controller could
    *     resolve such a record
    */
-  static Document write(String holder, long token, String writeId) {
+  static Document write(String holder, long lowestToken, String writeId) {
     if (Membership.nodeOf(holder).isEmpty()) {
       throw new IllegalArgumentException("hold record without a holder");
     }
     return Document.create()
         .put("holder", holder)
-        .put("baton", token)
+        .put("baton", lowestToken)
         .put(StateStore.WRITE_ID_FIELD, writeId);
   }
 
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -1,8 +1,8 @@
 package dev.dunefront.book;
 
 import dev.dunefront.evidence.FailureScore;
-import dev.dunefront.evidence.ReportSequence;
 import dev.dunefront.evidence.Responsiveness;
+import dev.dunefront.evidence.WorkerBoot;
 import dev.dunefront.peer.Message.ExitReason;
 import dev.dunefront.peer.Message.MachineView;
 import dev.dunefront.peer.Message.TaskState;
@@ -75,9 +75,18 @@
   final String typeName;
   final String zone;
   final boolean spot;
+
+  /** The first token of the hold, by which controllers tell holds of the machine apart. */
   long token;
+
   long holdRevision;
+
+  /** The present boot of its worker: the tokens given to it and the reports received from it. */
+  WorkerBoot boot;
+
+  /** Number of the worker's session; 0 until the worker has confirmed it. */
   long session;
+
   double lastContactAt;
 
   /**
@@ -86,9 +95,6 @@
    */
   double sessionStartedAt;
 
-  /** The sequence of reports and responses received so far, which identifies stale reports. */
-  ReportSequence reportSequence = ReportSequence.NONE;
-
   /** Whether messages to it arrive. */
   Responsiveness responsiveness = Responsiveness.INITIAL;
 
@@ -107,7 +113,7 @@
   /** When it was last checked for pending work. */
   double lastCheckedAt;
 
-  /** The worker has reported under the current token. */
+  /** The worker has reported under a token of the current hold, in its present boot. */
   boolean tokenAcknowledged;
 
   /**
@@ -139,9 +145,7 @@
   /** The controller to which its next report is redirected, or null. */
   String redirectTo;
 
-  /**
-   * Commands of an earlier incarnation of this controller may still be in transit to the worker.
-   */
+  /** It is held without a write, as its record or the roster already named this controller. */
   boolean resumed;
 
   final Map<TaskId, Report.Task> tasks = new LinkedHashMap<>();
@@ -177,17 +181,23 @@
   /** The view that was last sent to each controller. */
   final Map<String, MachineView> lastViewByNode = new HashMap<>();
 
-  Machine(Report r, long token, long holdRevision, double now) {
+  Machine(Report r, WorkerBoot boot, long token, long holdRevision, double now) {
     this.host = r.host();
     this.endpoint = r.endpoint();
     this.typeName = r.type();
     this.zone = r.zone();
     this.spot = r.spot();
+    this.boot = boot;
     this.token = token;
     this.holdRevision = holdRevision;
     this.lastContactAt = now;
   }
 
+  /** Whether the worker, when it sent this, had a token of this hold that only its boot has. */
+  boolean isAcknowledgedBy(Report r) {
+    return r.token() >= Math.max(token, boot.firstToken());
+  }
+
   /** Whether tasks may be placed on it. */
   boolean schedulable() {
     return tokenAcknowledged
--- a/src/main/java/dev/dunefront/book/ReportApplier.java
+++ b/src/main/java/dev/dunefront/book/ReportApplier.java
@@ -2,7 +2,7 @@
 
 import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.evidence.FailureScore;
-import dev.dunefront.evidence.ReportSequence;
+import dev.dunefront.evidence.WorkerBoot;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.net.Timers;
 import dev.dunefront.wire.Report;
@@ -24,32 +24,36 @@
     this.timers = context.timers();
   }
 
-  /** Applies a report that the worker sent on its own initiative and that is not stale. */
+  /**
+   * Applies a report that the worker sent on its own initiative and that is neither stale nor
+   * unconfirmed.
+   */
   void applyReport(Machine m, Report r) {
-    applyIfNewer(m, r, m.reportSequence.afterReport(r));
+    applyIfNewer(m, r, m.boot.afterReport(r));
   }
 
   /** Applies a response to commands or to a status request. */
   void applyReply(Machine m, Report r) {
-    applyIfNewer(m, r, m.reportSequence.afterReply(r));
+    applyIfNewer(m, r, m.boot.afterReply(r));
   }
 
-  private void applyIfNewer(Machine m, Report r, ReportSequence next) {
-    boolean newer = r.newerThan(m.reportSequence.session(), m.reportSequence.highestSerial());
-    m.reportSequence = next;
+  private void applyIfNewer(Machine m, Report r, WorkerBoot next) {
+    boolean newer = r.newerThan(m.boot.reports().session(), m.boot.reports().highestSerial());
+    m.boot = next;
     if (newer) {
       apply(m, r);
     }
   }
 
   /**
-   * The worker has restarted, perhaps in a lower session. Its previous tasks have ended, and it may
-   * reuse the numbers of earlier sessions. The token is therefore raised before commands are sent
-   * to it or its attempts are declared ended.
+   * The worker has restarted, perhaps in a lower session. Its previous tasks have ended, and it
+   * reuses the numbers of earlier sessions. The token is therefore raised before commands are sent
+   * to it or its attempts are declared ended; and it is raised in the hold record, because other
+   * controllers may still have views from before the restart.
    */
   void workerRestarted(Machine m, Report r) {
     LOG.log(Level.INFO, "worker of {0} has restarted, in session {1}", m.host, r.session());
-    m.reportSequence = ReportSequence.NONE.afterReply(r);
+    m.boot = m.boot.restarted(r);
     m.session = 0;
     m.tokenAcknowledged = false;
     m.commandOutcomeUnknown = true;
@@ -62,7 +66,7 @@
    * have ended.
    */
   void sessionSeenElsewhere(Machine m, long session) {
-    m.reportSequence = new ReportSequence(session, -1, -1, m.reportSequence.highestToken());
+    m.boot = m.boot.afterSessionStart(session);
     m.session = session;
     resetForNewSession(m);
     m.tasks.clear();
@@ -98,7 +102,7 @@
     m.viewChanged |=
         r.session() != m.session
             || (r.reclaimNoticeS() == null) != (m.reclaimNoticeS == null)
-            || r.token() == m.token && !m.tokenAcknowledged
+            || m.isAcknowledgedBy(r) && !m.tokenAcknowledged
             || !m.pendingStarts.isEmpty()
             || !sameTasks(m, r);
     m.session = r.session();
@@ -129,7 +133,7 @@
         }
       }
     }
-    if (r.token() == m.token) {
+    if (m.isAcknowledgedBy(r)) {
       m.tokenAcknowledged = true;
       if (!m.holdAcknowledged) {
         // Until the worker received this token, a previous holder that does not know that it has
@@ -138,7 +142,7 @@
         m.sessionStartedAt = timers.now();
       }
       // Commands sent under an earlier token are refused by the worker from now on.
-      m.pendingStarts.values().removeIf(p -> p.sentUnderToken != 0 && p.sentUnderToken < m.token);
+      m.pendingStarts.values().removeIf(p -> p.sentUnderToken != 0 && p.sentUnderToken < r.token());
     }
     m.pendingStarts
         .entrySet()
--- a/src/main/java/dev/dunefront/book/StartRequests.java
+++ b/src/main/java/dev/dunefront/book/StartRequests.java
@@ -28,22 +28,16 @@
   private final Timers timers;
   private final PauseDetector pauseDetector;
   private final HeldMachines heldMachines;
-  private final WorkerCommands workerCommands;
   private final ViewPublisher viewPublisher;
   private final SafetyMonitor safety;
 
-  StartRequests(
-      ControllerContext context,
-      HeldMachines heldMachines,
-      WorkerCommands workerCommands,
-      ViewPublisher viewPublisher) {
+  StartRequests(ControllerContext context, HeldMachines heldMachines, ViewPublisher viewPublisher) {
     this.jobs = context.jobs();
     this.catalog = context.catalog();
     this.peers = context.peers();
     this.timers = context.timers();
     this.pauseDetector = context.pauseDetector();
     this.heldMachines = heldMachines;
-    this.workerCommands = workerCommands;
     this.viewPublisher = viewPublisher;
     this.safety = context.safety();
   }
@@ -172,12 +166,6 @@
         || task != null && task.attempt() == query.attempt()) {
       return;
     }
-    if (m.resumed) {
-      // An earlier incarnation may have sent its start; only a higher token makes the worker
-      // refuse it.
-      workerCommands.raiseToken(m);
-      return;
-    }
     // From now on this attempt is refused, in case its start request is still in transit to this
     // controller.
     m.deniedAttempts.merge(id, query.attempt(), Math::max);
--- a/src/main/java/dev/dunefront/book/StatusChecks.java
+++ b/src/main/java/dev/dunefront/book/StatusChecks.java
@@ -134,7 +134,7 @@
    * still receives its reports.
    */
   void reportedElsewhere(Machine m, Message.HoldQuery query) {
-    if (m.reportSequence.classify(query.session(), query.serial(), query.token())
+    if (m.boot.classify(query.session(), query.serial(), query.token())
         != ReportSequence.Classification.NEW) {
       return;
     }
@@ -154,8 +154,8 @@
   /** A report with new information has arrived. Requests the status if that is due. */
   void reportReceived(Machine m, Report r) {
     double now = timers.now();
-    boolean laterSession =
-        m.reportSequence.session() > 0 && r.session() > m.reportSequence.session();
+    long knownSession = m.boot.reports().session();
+    boolean laterSession = knownSession > 0 && r.session() > knownSession;
     if (laterSession && now - m.lastAnsweredAt < settings.workers().leaseS() * 0.9) {
       suspect(m, "its session ended although its reports were answered within the lease");
     } else if (m.responsiveness.checkDue(now)) {
@@ -177,7 +177,7 @@
       return;
     }
     m.statusCheckPending = true;
-    ReportSequence known = m.reportSequence;
+    ReportSequence known = m.boot.reports();
     m.responsiveness = m.responsiveness.checkSent(timers.now(), STATUS_TIMEOUT_S);
     requestStatus(
         m.endpoint,
@@ -220,7 +220,7 @@
     }
     m.viewChanged |= !m.responsiveness.trusted();
     m.responsiveness = m.responsiveness.answered(timers.now());
-    if (r.token() > m.token) {
+    if (!m.boot.mayHaveGiven(r.token())) {
       heldMachines.release(m, "its worker has reported a higher token");
       return false;
     }
--- a/src/main/java/dev/dunefront/book/ViewPublisher.java
+++ b/src/main/java/dev/dunefront/book/ViewPublisher.java
@@ -196,8 +196,13 @@
 
   /**
    * Sends the machine's view to each controller for which it has changed at its level of detail.
+   * Nothing is sent until the worker has confirmed its session: the report that started the hold
+   * may be a late duplicate from before a restart, or from a machine that no longer exists.
    */
   private void publish(Machine m, List<String> receivers) {
+    if (m.session == 0) {
+      return;
+    }
     Message.MachineView base = buildView(m);
     m.latestView = base;
     m.latestViewAt = timers.now();
--- a/src/main/java/dev/dunefront/book/WorkerCommands.java
+++ b/src/main/java/dev/dunefront/book/WorkerCommands.java
@@ -78,9 +78,9 @@
     }
     m.raisingToken = true;
     m.offers.clear();
-    long token = m.token + 1;
+    long lowestToken = m.boot.commandToken() + 1;
     String writeId = store.newWriteId();
-    Document value = HoldTable.write(self, token, writeId);
+    Document value = HoldTable.write(self, lowestToken, writeId);
     store.commit(
         HoldTable.condition(new Txn(), m.host, m.holdRevision).put(HoldTable.key(m.host), value),
         writeId,
@@ -93,7 +93,8 @@
             heldMachines.release(m, "another controller has acquired it");
             return;
           }
-          m.token = token;
+          m.token = HoldTable.tokenOf(result.revision(), lowestToken);
+          m.boot = m.boot.raisedTo(m.token);
           m.holdRevision = result.revision();
           m.tokenAcknowledged = false;
           m.commandOutcomeUnknown = false;
@@ -108,14 +109,25 @@
           if (heldMachines.get(m.host) != m) {
             return;
           }
-          LOG.log(Level.DEBUG, "raised the token of {0} to {1}", m.host, token);
-          announceToken(m);
+          LOG.log(Level.DEBUG, "raised the token of {0} to {1}", m.host, m.token);
+          announceToken(m, m.session);
         });
   }
 
-  /** Sends the new token to the worker at once, in a request without commands. */
-  private void announceToken(Machine m) {
-    send(m, List.of());
+  /** Sends the token to the worker at once, in a request without commands. */
+  private void announceToken(Machine m, long session) {
+    send(m, session, List.of());
+  }
+
+  /**
+   * Requests that the worker confirms the token, after a report that may be a late duplicate from
+   * an earlier boot. A machine that has just been acquired is not asked: its worker may still be
+   * reporting to its previous holder, whose answers it would ignore under the new token.
+   */
+  void requestConfirmation(Machine m, Report unconfirmed) {
+    if (m.resumed && !m.commandsInFlight && !m.raisingToken && !m.endpoint.isEmpty()) {
+      announceToken(m, unconfirmed.session());
+    }
   }
 
   /**
@@ -141,7 +153,7 @@
       if (allowed
           && e.getValue().sentUnderToken == 0
           && commands.size() < MAX_COMMANDS_PER_REQUEST) {
-        e.getValue().sentUnderToken = m.token;
+        e.getValue().sentUnderToken = m.boot.commandToken();
         commands.add(new WorkerCommand.Run(e.getKey(), e.getValue().attempt));
       }
     }
@@ -159,7 +171,7 @@
       commands.addAll(0, dueClears(m, now, MAX_COMMANDS_PER_REQUEST - commands.size()));
     }
     if (!commands.isEmpty()) {
-      send(m, commands);
+      send(m, m.session, commands);
     }
   }
 
@@ -168,14 +180,16 @@
   }
 
   /**
-   * The commands that are sent with the answer to a report. Clears are not urgent and there is one
-   * for each task that ends, so they are sent with an answer or with other commands instead of a
-   * request of their own.
+   * The answer to a report, with the commands that are sent with it. Clears are not urgent and
+   * there is one for each task that ends, so they are sent with an answer or with other commands
+   * instead of a request of their own.
    */
-  List<WorkerCommand> clearsForAnswer(Machine m) {
-    return startsAndClearsAllowed(m) && !m.commandsInFlight
-        ? dueClears(m, timers.now(), MAX_COMMANDS_PER_REQUEST)
-        : List.of();
+  byte[] answerToReport(Machine m) {
+    List<WorkerCommand> clears =
+        startsAndClearsAllowed(m) && !m.commandsInFlight
+            ? dueClears(m, timers.now(), MAX_COMMANDS_PER_REQUEST)
+            : List.of();
+    return WorkerCommand.reportResponse(m.boot.commandToken(), clears);
   }
 
   /** Clears that have not been sent, or not within the resend interval. */
@@ -206,9 +220,9 @@
     return false;
   }
 
-  private void send(Machine m, List<WorkerCommand> commands) {
+  private void send(Machine m, long session, List<WorkerCommand> commands) {
     m.commandsInFlight = true;
-    byte[] body = WorkerCommand.directRequest(m.token, m.session, commands);
+    byte[] body = WorkerCommand.directRequest(m.boot.commandToken(), session, commands);
     List<TaskId> runs = new ArrayList<>();
     for (WorkerCommand command : commands) {
       if (command instanceof WorkerCommand.Run r) {
@@ -216,7 +230,7 @@
       }
     }
     String endpoint = m.endpoint;
-    ReportSequence known = m.reportSequence;
+    ReportSequence known = m.boot.reports();
     decisionLock.defer(
         () ->
             caller.call(
--- a/src/main/java/dev/dunefront/evidence/EndProof.java
+++ b/src/main/java/dev/dunefront/evidence/EndProof.java
@@ -21,9 +21,9 @@
     EXITED(false),
     /**
      * The worker is in a later session than the one in which the attempt was placed. A restarted
-     * worker counts its sessions from 1 again, but its holder raises the token before it assigns
-     * work to it, so evidence from before the restart refers to an older revision of the hold
-     * record.
+     * worker counts its sessions from 1 again; a session of an earlier boot is never published
+     * after the restart, see {@link WorkerBoot}, and if the holder has noticed the restart, what it
+     * published before refers to an older revision of the hold record.
      */
     LATER_SESSION(true),
     /** The lease of the session in which the attempt was placed has expired. */
--- a/src/main/java/dev/dunefront/evidence/ReportSequence.java
+++ b/src/main/java/dev/dunefront/evidence/ReportSequence.java
@@ -13,8 +13,8 @@
  *     response
  * @param highestReportSerial the highest serial number received in that session in a report; -1
  *     before the first
- * @param highestToken the highest token that the worker has highestReportSerial; a worker keeps the
- *     highest token until it restarts
+ * @param highestToken the highest token that the worker has reported; a worker keeps it until it
+ *     restarts
  */
 public record ReportSequence(
     long session, long highestSerial, long highestReportSerial, long highestToken) {
@@ -23,6 +23,11 @@
 
   /** The classes of reports. */
   public enum Classification {
+    /**
+     * It may be from an earlier boot of the worker, see {@link WorkerBoot}. It carries no
+     * information, but its sender may be waiting for the answer, from which it learns the token.
+     */
+    UNCONFIRMED,
     /** It carries new information. */
     NEW,
     /**
@@ -78,9 +83,9 @@
 
   /**
    * Whether a response proves that the worker has restarted, given that this was the known state
-   * when the request was sent: its token or serial numbers have fallen behind those
-   * highestReportSerial earlier. A late duplicate cannot look like that, since it is not the
-   * response to a request sent now.
+   * when the request was sent: its token or serial numbers have fallen behind those reported
+   * earlier. A late duplicate cannot look like that, since it is not the response to a request sent
+   * now.
    */
   public boolean provesRestart(Report answer) {
     return session > 0
--- a/src/main/java/dev/dunefront/store/Membership.java
+++ b/src/main/java/dev/dunefront/store/Membership.java
@@ -43,6 +43,9 @@
   private long leaseId;
   private String ownIncarnation;
 
+  /** Revision of the first registration of this process; 0 before that. */
+  private long firstRegistrationRevision;
+
   public Membership(
       String node,
       String zone,
@@ -138,6 +141,14 @@
     return ownIncarnation;
   }
 
+  /**
+   * The revision at which this process first registered, 0 before that. It is higher than all that
+   * an earlier process of this node has seen or written.
+   */
+  public long firstRegistrationRevision() {
+    return firstRegistrationRevision;
+  }
+
   public long leaseId() {
     return leaseId;
   }
@@ -221,6 +232,9 @@
                 }
                 leaseId = newLeaseId;
                 ownIncarnation = name;
+                if (firstRegistrationRevision == 0) {
+                  firstRegistrationRevision = result.revision();
+                }
                 timers.after(leaseTtlS / 4, () -> renewPeriodically(newLeaseId));
                 replica.apply(PREFIX + node, value, result.revision());
                 LOG.log(Level.INFO, "serving as {0}", name);
