Clears are sent under a token above that of the starts before them

The same way a task of a cancelled or finished job starts again.

Cause: a copy of a start that was carried out and answered is a valid command again once its attempt is cleared, for the worker no longer knows the attempt and token and session still match.

Change: WorkerBoot knows whether a start was sent under the present command token; if so, the token is raised in memory before clears are sent, in the same request or answer. Recorded holds and their writes are as before, so it costs no change of the state service. A range of tokens that is used up is replaced by a recorded raise.

Why it works: what makes the worker forget an attempt makes it refuse the attempt's start as well.

--- a/src/main/java/dev/dunefront/book/WorkerCommands.java
+++ b/src/main/java/dev/dunefront/book/WorkerCommands.java
@@ -153,7 +153,6 @@
       if (allowed
           && e.getValue().sentUnderToken == 0
           && commands.size() < MAX_COMMANDS_PER_REQUEST) {
-        e.getValue().sentUnderToken = m.boot.commandToken();
         commands.add(new WorkerCommand.Run(e.getKey(), e.getValue().attempt));
       }
     }
@@ -192,15 +191,25 @@
     return WorkerCommand.reportResponse(m.boot.commandToken(), clears);
   }
 
-  /** Clears that have not been sent, or not within the resend interval. */
-  private static List<WorkerCommand> dueClears(Machine m, double now, int limit) {
+  /**
+   * Clears that have not been sent, or not within the resend interval. They have to be sent under
+   * the command token that is in effect after this call, which is higher than those of the starts.
+   */
+  private List<WorkerCommand> dueClears(Machine m, double now, int limit) {
     List<WorkerCommand> clears = new ArrayList<>();
+    if (m.boot.tokensExhausted()) {
+      raiseToken(m);
+      return clears;
+    }
     for (var e : m.pendingClears.entrySet()) {
       if (now - e.getValue().lastSentAt >= RESEND_INTERVAL_S && clears.size() < limit) {
         e.getValue().lastSentAt = now;
         clears.add(new WorkerCommand.Clear(e.getKey(), e.getValue().attempt));
       }
     }
+    if (!clears.isEmpty()) {
+      m.boot = m.boot.beforeClears();
+    }
     return clears;
   }
 
@@ -227,8 +236,12 @@
     for (WorkerCommand command : commands) {
       if (command instanceof WorkerCommand.Run r) {
         runs.add(r.task());
+        m.pendingStarts.get(r.task()).sentUnderToken = m.boot.commandToken();
       }
     }
+    if (!runs.isEmpty()) {
+      m.boot = m.boot.afterStarts();
+    }
     String endpoint = m.endpoint;
     ReportSequence known = m.boot.reports();
     decisionLock.defer(
--- a/src/main/java/dev/dunefront/evidence/WorkerBoot.java
+++ b/src/main/java/dev/dunefront/evidence/WorkerBoot.java
@@ -78,6 +78,15 @@
     return new WorkerBoot(firstToken, commandToken, true, reports);
   }
 
+  /**
+   * Returns the boot as it has to be before an ended attempt is cleared. A worker that no longer
+   * knows an attempt carries out a late duplicate of its start, unless it has seen a higher token
+   * than that of the start by then.
+   */
+  public WorkerBoot beforeClears() {
+    return startsSent ? raisedTo(commandToken + 1) : this;
+  }
+
   /** Returns the same boot under a higher command token. */
   public WorkerBoot raisedTo(long token) {
     return new WorkerBoot(firstToken, token, false, reports);
