A lease is counted from a start that may wait in a later boot of the worker

Cause: a machine restarted between two reports and hung; a start for the former boot's session waited there. The holder called the session over one lease after the former boot's last report, while the new boot, whose lease began later, carried the start out: session 1 follows session 1. The report of the new boot was taken for a copy and asked about only after a report interval.

Change: Machine.leaseOverAt counts from the end of a start request without a valid response, once for each number of the session. A stale report under a token from before the known boot has the worker's status requested at once; a worker that does not respond gets no work.

Why it works: a boot that carries out the start accepted its connection before the request ended, so its session of that number ends within that many leases.

--- a/src/main/java/dev/dunefront/book/HeldMachines.java
+++ b/src/main/java/dev/dunefront/book/HeldMachines.java
@@ -190,7 +190,7 @@
     if (classification == Classification.STALE) {
       // The sender no longer waits for this answer, unless the worker has restarted.
       answer.send(503, null, 1);
-      statusChecks.staleReportReceived(m);
+      statusChecks.staleReportReceived(m, r);
       return;
     }
     if (m.leaseExpired && r.session() <= m.session) {
@@ -433,7 +433,7 @@
     }
     statusChecks.tick(m, now);
     double leaseCertainlyOverS = leaseS * (1 + MAX_CLOCK_DRIFT) + 0.3;
-    if (!m.leaseExpired && m.holdAcknowledged && now - m.leaseRenewedAt() > leaseCertainlyOverS) {
+    if (!m.leaseExpired && m.holdAcknowledged && now > m.leaseOverAt(leaseCertainlyOverS)) {
       // No report of this session has been answered for longer than its lease lasts. A token
       // raised meanwhile does not change that, since the worker may never receive it: a machine
       // that ended just after the write would otherwise never count as lost, and its jobs would
--- a/src/main/java/dev/dunefront/book/Machine.java
+++ b/src/main/java/dev/dunefront/book/Machine.java
@@ -124,6 +124,12 @@
   /** The lease of its session has expired. */
   boolean leaseExpired;
 
+  /**
+   * Until when a start without a valid response may have reached the worker; negative infinity if
+   * there is none. The machine may have restarted unnoticed before that.
+   */
+  double unansweredStartUntil = Double.NEGATIVE_INFINITY;
+
   /** It is unknown whether a start that was sent has been or will be carried out. */
   boolean commandOutcomeUnknown;
 
@@ -218,6 +224,22 @@
     return Math.max(lastContactAt, sessionStartedAt);
   }
 
+  /**
+   * The time at which the lease of its session has certainly expired, in any boot that may carry
+   * out a start sent to it. If the machine restarted unnoticed after its last report, a start that
+   * got no response may wait in the boot that followed, which began later. It is carried out if
+   * that boot is in a session of the same number, which ends at the latest that many lease
+   * durations after the start could still reach it.
+   *
+   * @param leaseS an upper bound of the worker's lease duration on this controller's clock
+   */
+  double leaseOverAt(double leaseS) {
+    double ownLeaseOverAt = leaseRenewedAt() + leaseS;
+    return lastContactAt >= unansweredStartUntil
+        ? ownLeaseOverAt
+        : Math.max(ownLeaseOverAt, unansweredStartUntil + Math.max(1, session) * leaseS);
+  }
+
   /** Whether it is closed because it is to be returned to the provider. */
   boolean retiring(double now) {
     return now < retiringUntil;
--- a/src/main/java/dev/dunefront/book/StatusChecks.java
+++ b/src/main/java/dev/dunefront/book/StatusChecks.java
@@ -107,13 +107,17 @@
   }
 
   /**
-   * A stale report has arrived, which carries no information. If no newer one arrives for longer
-   * than the report interval, the worker may have restarted in a session lower than the known one,
-   * so its status is requested.
+   * A stale report has arrived, which carries no information, but it may be from the worker after a
+   * restart. Its status is requested at once if the report's token is from before the known boot,
+   * since nothing may be sent to a new boot in the belief that it is the known one; otherwise if no
+   * newer report arrives for longer than the report interval. A machine that does not respond gets
+   * no work.
    */
-  void staleReportReceived(Machine m) {
+  void staleReportReceived(Machine m, Report r) {
     staleReportCount++;
-    if (timers.now() - m.lastContactAt > settings.workers().reportS()) {
+    if (m.boot.mayHaveRestarted(r)) {
+      checkStatus(m, () -> suspect(m, "it may have restarted and does not respond"));
+    } else if (timers.now() - m.lastContactAt > settings.workers().reportS()) {
       checkStatus(m);
     }
   }
@@ -173,6 +177,11 @@
   }
 
   private void checkStatus(Machine m) {
+    checkStatus(m, () -> {});
+  }
+
+  /** Requests the status; the action runs if no valid response arrives in time. */
+  private void checkStatus(Machine m, Runnable onFailure) {
     if (m.statusCheckPending) {
       return;
     }
@@ -190,6 +199,7 @@
             replyReceived(m, known, status);
           } else {
             checkFailed(m);
+            onFailure.run();
           }
         });
   }
--- a/src/main/java/dev/dunefront/book/WorkerCommands.java
+++ b/src/main/java/dev/dunefront/book/WorkerCommands.java
@@ -241,6 +241,7 @@
     }
     if (!runs.isEmpty()) {
       m.boot = m.boot.afterStarts();
+      m.unansweredStartUntil = timers.now() + COMMAND_TIMEOUT_S;
     }
     String endpoint = m.endpoint;
     ReportSequence known = m.boot.reports();
@@ -264,6 +265,9 @@
     if (reply.status() == 200 || reply.status() == 409) {
       try {
         Report r = Report.fromDocument(Document.decode(reply.body()));
+        if (!runs.isEmpty()) {
+          m.unansweredStartUntil = Double.NEGATIVE_INFINITY;
+        }
         if (reply.status() == 409) {
           // The worker has carried out nothing of this request, so its starts may be sent again
           // if they are still wanted. Starts of earlier requests may yet be carried out and are
