A restart that a response has shown raises the token at once

Cause: the token was raised only when the next report was processed.

Change: the holder raises it when the response that shows the restart is processed.

Evidence: RestartedWorkerTest.restartedMachineGetsAHigherTokenAtOnce failed before.

--- a/src/main/java/dev/dunefront/book/HeldMachines.java
+++ b/src/main/java/dev/dunefront/book/HeldMachines.java
@@ -241,6 +241,12 @@
     reconcile(m);
   }
 
+  /** The worker has responded from a new boot. It gets no commands before the token is raised. */
+  void workerRestarted(Machine m, Report reply) {
+    reportApplier.workerRestarted(m, reply);
+    workerCommands.raiseToken(m);
+  }
+
   /** Stops holding the machine and notifies the other controllers. The reason is logged. */
   void release(Machine m, String reason) {
     if (machines.remove(m.host, m)) {
--- a/src/main/java/dev/dunefront/book/StatusChecks.java
+++ b/src/main/java/dev/dunefront/book/StatusChecks.java
@@ -236,7 +236,7 @@
     }
     if (known.provesRestart(r)) {
       m.lastContactAt = timers.now();
-      reportApplier.workerRestarted(m, r);
+      heldMachines.workerRestarted(m, r);
     } else {
       reportApplier.applyReply(m, r);
     }
--- a/src/test/java/dev/dunefront/story/RestartedWorkerTest.java
+++ b/src/test/java/dev/dunefront/story/RestartedWorkerTest.java
@@ -59,6 +59,17 @@
     assertEquals(List.of(), cluster.users.operationHistory.violations);
   }
 
+  // Guards against a restarted machine that gets no work until its next report.
+  @Example
+  void restartedMachineGetsAHigherTokenAtOnce() {
+    startCluster();
+    long token = worker.token();
+    cluster.machines.restart(worker);
+    cluster.machines.deliverReport(cluster.machines.holderOf("host-1"), worker.report());
+    cluster.advance(0.1);
+    assertTrue(worker.token() > token, "the token after the restart is " + worker.token());
+  }
+
   // Guards against ran_twice: the lease is counted from a report before an unnoticed restart.
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void startThatWaitsAtARestartedMachineDoesNotRunBesideAnotherAttempt(
