Ends that go with the first step of emptying a large job are applied to the chunks that remain

Cause: a job with more chunks than one transaction can remove is emptied in steps. ClaimWriter.committed returned after the first step without applying the ends that belonged to the chunks left, which then showed ended attempts as placed for ever.

Change: applyUnwrittenEnds. committed() is split into what happens to an end, to a placement and to a start, without a change of behaviour.

--- a/src/main/java/dev/dunefront/claim/ClaimWriter.java
+++ b/src/main/java/dev/dunefront/claim/ClaimWriter.java
@@ -354,27 +354,7 @@
       List<Integer> removedChunks,
       String writeId,
       long revision) {
-    for (EndedAttempt ended : plan.ends()) {
-      if (ended.outcome() == AttemptOutcome.LOST) {
-        // A view that arrived during the write may show this attempt, which still counted as placed
-        // then; it is compared again.
-        claim.hostsToCompare.add(ended.placement().host());
-      } else {
-        MachineTable.Entry machine = machineTable.get(ended.placement().host());
-        if (machine != null) {
-          context
-              .peers()
-              .send(
-                  machine.holder(),
-                  new Message.ClearTask(
-                      ended.placement().host(),
-                      claim.record.term(),
-                      claim.id(),
-                      ended.number(),
-                      ended.placement().attempt()));
-        }
-      }
-    }
+    plan.ends().forEach(ended -> endRecorded(claim, ended));
     if (finalStatus != null && newRecord == null) {
       // The replica may have applied the end before the response arrived.
       claims.jobFinished(claim, finalStatus, revision);
@@ -384,58 +364,7 @@
       // Recorded just before another controller took over the claim; that one reads it.
       return;
     }
-    for (PlannedStart start : plan.starts()) {
-      Message.Offer offer = start.receivedOffer().offer();
-      if (!claim.isStartable()) {
-        // The job was cancelled during the write: the attempt is never started, and its holder will
-        // deny it when queried.
-        decline(start.receivedOffer());
-        continue;
-      }
-      if (claim.strays.blocks(start.number())) {
-        // The placement is recorded but never started; its holder denies the attempt when queried,
-        // and the task is placed again.
-        context
-            .safety()
-            .invariantViolated(
-                Invariant.STARTED_BESIDE_ANOTHER_ATTEMPT,
-                claim.id()
-                    + "/"
-                    + start.number()
-                    + " on "
-                    + offer.host()
-                    + " as "
-                    + start.placement());
-        decline(start.receivedOffer());
-        continue;
-      }
-      LOG.log(
-          Level.DEBUG,
-          "placed task {0}/{1} on {2}: attempt {3}, term {4}, offer from {5}, token {6},"
-              + " session {7}, hold revision {8}",
-          claim.id(),
-          start.number(),
-          offer.host(),
-          start.placement().attempt(),
-          claim.record.term(),
-          start.receivedOffer().holder(),
-          offer.token(),
-          offer.session(),
-          offer.holdRevision());
-      context
-          .peers()
-          .send(
-              start.receivedOffer().holder(),
-              new Message.StartTask(
-                  offer.offerId(),
-                  offer.host(),
-                  offer.token(),
-                  start.placement().session(),
-                  claim.record.term(),
-                  claim.id(),
-                  start.number(),
-                  start.placement().attempt()));
-    }
+    plan.starts().forEach(start -> placementRecorded(claim, start));
     if (newRecord != null) {
       if (revision > claim.revision) {
         // Otherwise another controller has cancelled the job since, and the replica has applied
@@ -449,6 +378,7 @@
     if (finalStatus != null) {
       removedChunks.forEach(claim.chunks::remove);
       claim.clearLiveAttempts();
+      applyUnwrittenEnds(claim, plan);
       flush(claim);
       return;
     }
@@ -461,6 +391,101 @@
     claims.reevaluate(claim);
   }
 
+  /**
+   * Applies ends to the chunks that later transactions remove. They are not written, because the
+   * job's record already has its final status; left out, their tasks would count as placed forever.
+   */
+  private static void applyUnwrittenEnds(Claim claim, PlannedTransaction plan) {
+    plan.chunks()
+        .forEach(
+            (i, chunk) -> {
+              Chunk stored = claim.chunks.get(i);
+              if (stored != null) {
+                claim.installChunk(i, chunk.copy(stored.revision));
+              }
+            });
+  }
+
+  /** The end of an attempt is recorded, so its worker no longer has to report it. */
+  private void endRecorded(Claim claim, EndedAttempt ended) {
+    String host = ended.placement().host();
+    if (ended.outcome() == AttemptOutcome.LOST) {
+      // A view that arrived during the write may show this attempt, which still counted as placed
+      // then; it is compared again.
+      claim.hostsToCompare.add(host);
+      return;
+    }
+    MachineTable.Entry machine = machineTable.get(host);
+    if (machine != null) {
+      long term = claim.record.term();
+      long attempt = ended.placement().attempt();
+      context
+          .peers()
+          .send(
+              machine.holder(),
+              new Message.ClearTask(host, term, claim.id(), ended.number(), attempt));
+    }
+  }
+
+  /** A placement is recorded, so its start is sent unless the attempt must not run any more. */
+  private void placementRecorded(Claim claim, PlannedStart start) {
+    Message.Offer offer = start.receivedOffer().offer();
+    if (!claim.isStartable()) {
+      // The job was cancelled during the write: the attempt is never started, and its holder will
+      // deny it when queried.
+      decline(start.receivedOffer());
+      return;
+    }
+    if (claim.strays.blocks(start.number())) {
+      // The placement is recorded but never started; its holder denies the attempt when queried,
+      // and the task is placed again.
+      context
+          .safety()
+          .invariantViolated(
+              Invariant.STARTED_BESIDE_ANOTHER_ATTEMPT,
+              claim.id()
+                  + "/"
+                  + start.number()
+                  + " on "
+                  + offer.host()
+                  + " as "
+                  + start.placement());
+      decline(start.receivedOffer());
+      return;
+    }
+    sendStart(claim, start);
+  }
+
+  private void sendStart(Claim claim, PlannedStart start) {
+    Message.Offer offer = start.receivedOffer().offer();
+    LOG.log(
+        Level.DEBUG,
+        "placed task {0}/{1} on {2}: attempt {3}, term {4}, offer from {5}, token {6},"
+            + " session {7}, hold revision {8}",
+        claim.id(),
+        start.number(),
+        offer.host(),
+        start.placement().attempt(),
+        claim.record.term(),
+        start.receivedOffer().holder(),
+        offer.token(),
+        offer.session(),
+        offer.holdRevision());
+    context
+        .peers()
+        .send(
+            start.receivedOffer().holder(),
+            new Message.StartTask(
+                offer.offerId(),
+                offer.host(),
+                offer.token(),
+                start.placement().session(),
+                claim.record.term(),
+                claim.id(),
+                start.number(),
+                start.placement().attempt()));
+  }
+
   /** Reads the team's record again after another controller has changed it, then retries. */
   private void refreshQuota(Quotas.Quota quota, Claim claim) {
     context
--- a/src/test/java/dev/dunefront/story/SimulatedCluster.java
+++ b/src/test/java/dev/dunefront/story/SimulatedCluster.java
@@ -54,6 +54,9 @@
   /** The state service's limit on the size of a value. */
   double valueKb = 16;
 
+  /** The number of changes that controllers may put into one transaction. */
+  int txnOps = FakeStateService.MAX_TXN_OPS;
+
   /** The state service's limit on requests per second. */
   double rps = 600;
 
@@ -389,7 +392,7 @@
     toml.append("[facts.state]\nrps = ").append(rps);
     toml.append("\nwrite_rps = ").append(writeRps).append("\nvalue_kb = ");
     toml.append(valueKb).append("\ntxn_ops = ");
-    toml.append(FakeStateService.MAX_TXN_OPS).append("\n");
+    toml.append(txnOps).append("\n");
     toml.append("[facts.cloud]\nrps = 5.0\nlist_lag_s = 2.0\n");
     toml.append("[facts.limits]\ncores = 1.0\nmemory_mb = 256.0\nfd_limit = 500\n");
     try {
