A machine that was released and is held again gets a token that its worker cannot have

Found while the related paths were gone through.

Cause: a hold that the same process resumes without a write began with the first token of the hold again, unless the token had been raised before, so a machine that restarted in between shared it with its boot before.

Change: HeldMachines.firstUnusedToken.

Evidence: FormerBootReportTest.reportFromBeforeAMachineRestartDoesNotEndAttemptAfterItsHoldIsResumed failed on: the running attempt was ended and begun anew twice.

--- a/src/main/java/dev/dunefront/book/HeldMachines.java
+++ b/src/main/java/dev/dunefront/book/HeldMachines.java
@@ -150,12 +150,14 @@
   }
 
   /**
-   * The highest token under which this process may have held the machine, given the first token
-   * under which it holds it now.
+   * The lowest token that this process has not given to the machine's worker yet, which may have
+   * restarted since the machine was released.
+   *
+   * @param token the first token under which this process holds the machine
    */
-  long lastTokenGiven(String host, long token) {
+  long firstUnusedToken(String host, long token) {
     ReleasedHold released = releasedHolds.get(host);
-    return released == null ? token : Math.max(token, released.lastToken);
+    return released == null ? token : Math.max(token, released.lastToken + 1);
   }
 
   /**
--- a/src/main/java/dev/dunefront/book/HoldAcquisition.java
+++ b/src/main/java/dev/dunefront/book/HoldAcquisition.java
@@ -171,7 +171,7 @@
     boolean heldHere = holds.isHeldBy(settings.node(), hold);
     if (heldHere && !mayResumeHolds()) {
       answer.send(503, null, 1);
-    } else if (heldHere && r.token() <= lastTokenGiven(hold)) {
+    } else if (heldHere && r.token() < firstUnusedToken(hold)) {
       resumeHold(hold, r, answer);
     } else if (membership.ownIncarnation() == null || !catalog.isLoaded() || hold == null) {
       answer.send(503, null, 1);
@@ -197,8 +197,8 @@
     return HoldTable.tokenFor(hold, membership.firstRegistrationRevision());
   }
 
-  private long lastTokenGiven(HoldTable.Hold hold) {
-    return heldMachines.lastTokenGiven(hold.host(), firstToken(hold));
+  private long firstUnusedToken(HoldTable.Hold hold) {
+    return heldMachines.firstUnusedToken(hold.host(), firstToken(hold));
   }
 
   /** Another controller holds the machine, but the worker reports here. */
@@ -251,11 +251,8 @@
    * one of these.
    */
   private void resumeHold(HoldTable.Hold hold, Report r, Responder answer) {
-    long token = firstToken(hold);
-    long lastGiven = lastTokenGiven(hold);
-    // A machine that was released may have restarted since, so it gets a token that it cannot have.
-    WorkerBoot boot = WorkerBoot.unknown(lastGiven == token ? token : lastGiven + 1);
-    Machine m = new Machine(r, boot, token, hold.revision(), timers.now());
+    WorkerBoot boot = WorkerBoot.unknown(firstUnusedToken(hold));
+    Machine m = new Machine(r, boot, firstToken(hold), hold.revision(), timers.now());
     m.resumed = true;
     heldMachines.addMachine(m);
     if (timers.now() - incarnationStartedAt > settings.workers().leaseS()) {
--- a/src/test/java/dev/dunefront/story/FormerBootReportTest.java
+++ b/src/test/java/dev/dunefront/story/FormerBootReportTest.java
@@ -99,6 +99,39 @@
     assertTaskRunsOnce(other);
   }
 
+  /** The machine restarts while its holder has released it, and is held again without a write. */
+  @Example
+  void reportFromBeforeAMachineRestartDoesNotEndAttemptAfterItsHoldIsResumed() {
+    cluster = new SimulatedCluster(List.of("a", "a", "b"), SimulatedCluster.ONE_TEAM);
+    worker = cluster.machines.addMachine("host-1", "small", "b", "node-0");
+    cluster.nodes.get("node-0").start();
+    cluster.nodes.get("node-1").start();
+    cluster.advance(4);
+    worker.newSession();
+    cluster.advance(4);
+    assertEquals("node-0", cluster.machines.holderOf("host-1"));
+    formerReport = worker.report();
+    int writes = cluster.stateService.writes("w/h/");
+    // The controller in the machine's zone starts, is assigned the machine, and cannot be reached
+    // by it.
+    cluster.network.dropDelivery = (from, to) -> from.equals("host-1:9") && to.equals("node-2");
+    cluster.nodes.get("node-2").start();
+    for (int i = 0; i < 100 && cluster.machines.holderOf("host-1").equals("node-0"); i++) {
+      cluster.advance(0.1);
+    }
+    assertEquals("node-2", cluster.machines.holderOf("host-1"));
+    cluster.machines.restart(worker);
+    cluster.advance(8);
+    assertEquals(
+        writes, cluster.stateService.writes("w/h/"), "the hold is resumed without a write");
+    submitTask();
+    FakeWorker other = cluster.machines.addMachine("host-2", "small", "a", "node-1");
+    cluster.advance(4);
+    cluster.machines.deliverReport("node-0", formerReport);
+    cluster.advance(6);
+    assertTaskRunsOnce(other);
+  }
+
   /** The machine hangs meanwhile, so that the duplicate is all that the new process receives. */
   @Example
   void reportFromBeforeAMachineRestartDoesNotEndAttemptWhileTheMachineHangs() {
