A response from before a restart that is known changes nothing

What callers would see: a task is ended and begun anew, or runs twice, when the response to a command arrives after the machine has restarted and the restart is known. Found while the related paths were gone through.

Cause: a response was compared with what was known when its request was sent, not with the present boot.

Change: WorkerBoot.isSameAs; a response to a request to another boot is dropped.

Evidence: RestartedWorkerTest.lateResponseOfAnEarlierBootDoesNotEndAnAttempt failed on: three starts in place of two.

--- a/src/main/java/dev/dunefront/book/StatusChecks.java
+++ b/src/main/java/dev/dunefront/book/StatusChecks.java
@@ -2,7 +2,8 @@
 
 import dev.dunefront.claim.ControllerContext;
 import dev.dunefront.config.Settings;
-import dev.dunefront.evidence.ReportSequence;
+import dev.dunefront.evidence.ReportSequence.Classification;
+import dev.dunefront.evidence.WorkerBoot;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpCaller;
 import dev.dunefront.net.Timers;
@@ -138,8 +139,7 @@
    * still receives its reports.
    */
   void reportedElsewhere(Machine m, Message.HoldQuery query) {
-    if (m.boot.classify(query.session(), query.serial(), query.token())
-        != ReportSequence.Classification.NEW) {
+    if (m.boot.classify(query.session(), query.serial(), query.token()) != Classification.NEW) {
       return;
     }
     boolean later = query.session() > m.session && m.session > 0;
@@ -186,7 +186,7 @@
       return;
     }
     m.statusCheckPending = true;
-    ReportSequence known = m.boot.reports();
+    WorkerBoot known = m.boot;
     m.responsiveness = m.responsiveness.checkSent(timers.now(), STATUS_TIMEOUT_S);
     requestStatus(
         m.endpoint,
@@ -221,10 +221,10 @@
   }
 
   /**
-   * The worker has responded to a request sent when {@code known} was the known report sequence.
+   * The worker has responded to a request sent when {@code known} was what was known of its boot.
    * Returns whether the machine is still held here.
    */
-  boolean replyReceived(Machine m, ReportSequence known, Report r) {
+  boolean replyReceived(Machine m, WorkerBoot known, Report r) {
     if (m.responsiveness.unresponsive()) {
       LOG.log(Level.INFO, "{0} responds again", m.host);
     }
@@ -234,7 +234,11 @@
       heldMachines.release(m, "its worker has reported a higher token");
       return false;
     }
-    if (known.provesRestart(r)) {
+    if (!m.boot.isSameAs(known)) {
+      // The response is from before a restart that has been noticed since.
+      return true;
+    }
+    if (known.reports().provesRestart(r)) {
       m.lastContactAt = timers.now();
       heldMachines.workerRestarted(m, r);
     } else {
--- a/src/main/java/dev/dunefront/book/WorkerCommands.java
+++ b/src/main/java/dev/dunefront/book/WorkerCommands.java
@@ -1,7 +1,7 @@
 package dev.dunefront.book;
 
 import dev.dunefront.claim.ControllerContext;
-import dev.dunefront.evidence.ReportSequence;
+import dev.dunefront.evidence.WorkerBoot;
 import dev.dunefront.net.DecisionLock;
 import dev.dunefront.net.HttpCaller;
 import dev.dunefront.net.Timers;
@@ -244,7 +244,7 @@
       m.unansweredStartUntil = timers.now() + COMMAND_TIMEOUT_S;
     }
     String endpoint = m.endpoint;
-    ReportSequence known = m.boot.reports();
+    WorkerBoot known = m.boot;
     decisionLock.defer(
         () ->
             caller.call(
@@ -257,7 +257,7 @@
   }
 
   private void replyReceived(
-      Machine m, ReportSequence known, List<TaskId> runs, HttpCaller.Response reply) {
+      Machine m, WorkerBoot known, List<TaskId> runs, HttpCaller.Response reply) {
     m.commandsInFlight = false;
     if (heldMachines.get(m.host) != m) {
       return;
@@ -268,7 +268,7 @@
         if (!runs.isEmpty()) {
           m.unansweredStartUntil = Double.NEGATIVE_INFINITY;
         }
-        if (reply.status() == 409) {
+        if (reply.status() == 409 && m.boot.isSameAs(known)) {
           // The worker has carried out nothing of this request, so its starts may be sent again
           // if they are still wanted. Starts of earlier requests may yet be carried out and are
           // not sent again.
--- a/src/main/java/dev/dunefront/evidence/WorkerBoot.java
+++ b/src/main/java/dev/dunefront/evidence/WorkerBoot.java
@@ -29,6 +29,11 @@
     return reports.highestToken() >= firstToken;
   }
 
+  /** Whether this is a later state of the other boot. */
+  public boolean isSameAs(WorkerBoot other) {
+    return firstToken == other.firstToken;
+  }
+
   /** Whether a token may have been given by this holder; a higher one is another holder's. */
   public boolean mayHaveGiven(long token) {
     return token <= commandToken;
--- a/src/test/java/dev/dunefront/story/RestartedWorkerTest.java
+++ b/src/test/java/dev/dunefront/story/RestartedWorkerTest.java
@@ -70,6 +70,34 @@
     assertTrue(worker.token() > token, "the token after the restart is " + worker.token());
   }
 
+  // Guards against ran_twice: a response from before a restart arrives after the restart is known.
+  @Example
+  void lateResponseOfAnEarlierBootDoesNotEndAnAttempt() {
+    startCluster();
+    worker.newSession();
+    cluster.advance(4);
+    cluster.network.deliveryPolicy =
+        (from, path, body) ->
+            body.contains("try_no=1")
+                ? SimulatedNetwork.Delivery.RESPONSE_DELAYED
+                : SimulatedNetwork.Delivery.ON_TIME;
+    assertEquals(201, cluster.users.submit("node-1", SimulatedCluster.job("wk-1", 1, 1)).status());
+    cluster.advance(0.3);
+    assertEquals(List.of("wk-1/0#1"), worker.starts());
+    cluster.machines.restart(worker);
+    cluster.machines.deliverReport(cluster.machines.holderOf("host-1"), worker.report());
+    cluster.advance(2);
+    assertEquals(List.of("wk-1/0"), worker.running(), "the task runs again after the restart");
+    FakeWorker other = cluster.machines.addMachine("host-2", "small", "a", "node-2");
+    cluster.advance(6);
+
+    assertEquals(List.of(), cluster.users.overlappingRuns);
+    assertEquals(List.of(), other.starts());
+    assertEquals(2, worker.starts().size());
+    cluster.machines.completeAllTasks();
+    assertEquals(List.of(), cluster.users.drainAndCheck());
+  }
+
   // Guards against ran_twice: the lease is counted from a report before an unnoticed restart.
   @Property(generation = GenerationMode.EXHAUSTIVE)
   void startThatWaitsAtARestartedMachineDoesNotRunBesideAnotherAttempt(
