ReleasedHolds: what is remembered of released machines is a module of its own

No change of behaviour.

DelayedMessageTest.deniedAttemptStaysRefusedWhenMachineReturnsToItsHolder took an unchanged token for the sign that the hold was kept without a write.

--- a/src/main/java/dev/dunefront/book/HeldMachines.java
+++ b/src/main/java/dev/dunefront/book/HeldMachines.java
@@ -14,7 +14,6 @@
 import dev.dunefront.store.Membership;
 import dev.dunefront.store.PauseDetector;
 import dev.dunefront.wire.Report;
-import dev.dunefront.wire.TaskId;
 import java.lang.System.Logger.Level;
 import java.util.Collection;
 import java.util.HashMap;
@@ -53,18 +52,7 @@
   private final DecisionLock decisionLock;
   private final Map<String, Machine> machines = new HashMap<>();
 
-  /** Former holds of this process, by host. Removed once the machine is held under a new record. */
-  private final Map<String, ReleasedHold> releasedHolds = new HashMap<>();
-
-  /**
-   * What has to be known of a released machine if it is held again under the same token.
-   *
-   * @param token the first token of the hold
-   * @param lastToken the highest token that was given to the worker
-   * @param deniedAttempts the attempts denied under it, whose start requests may still be in
-   *     transit to this controller
-   */
-  private record ReleasedHold(long token, long lastToken, Map<TaskId, Long> deniedAttempts) {}
+  private final ReleasedHolds releasedHolds = new ReleasedHolds();
 
   private final ViewPublisher viewPublisher;
   private final Preemption preemption;
@@ -149,27 +137,15 @@
     return machines.get(host);
   }
 
-  /**
-   * The lowest token that this process has not given to the machine's worker yet, which may have
-   * restarted since the machine was released.
-   *
-   * @param token the first token under which this process holds the machine
-   */
-  long firstUnusedToken(String host, long token) {
-    ReleasedHold released = releasedHolds.get(host);
-    return released == null ? token : Math.max(token, released.lastToken + 1);
+  /** What is remembered of machines that were held here before. */
+  ReleasedHolds releasedHolds() {
+    return releasedHolds;
   }
 
-  /**
-   * Starts to hold the machine. If it is held again under the token of an earlier hold here, the
-   * attempts denied then stay denied.
-   */
+  /** Starts to hold the machine. */
   void addMachine(Machine m) {
     machines.put(m.host, m);
-    ReleasedHold released = releasedHolds.remove(m.host);
-    if (released != null && released.token == m.token) {
-      m.deniedAttempts.putAll(released.deniedAttempts);
-    }
+    releasedHolds.heldAgain(m);
     LOG.log(
         Level.INFO,
         "holding {0} of type {1}: token {2}, hold revision {3}, session {4}",
@@ -252,7 +228,7 @@
   /** Stops holding the machine and notifies the other controllers. The reason is logged. */
   void release(Machine m, String reason) {
     if (machines.remove(m.host, m)) {
-      releasedHolds.put(m.host, new ReleasedHold(m.token, m.boot.commandToken(), m.deniedAttempts));
+      releasedHolds.released(m);
       LOG.log(
           Level.INFO,
           "released {0}: {1}; token {2}, hold revision {3}, session {4}",
@@ -275,8 +251,7 @@
   public void holdChanged(String host) {
     holdChanges.holdChanged(host);
     if (!machines.containsKey(host)) {
-      // Any later hold of this machine has a higher token.
-      releasedHolds.remove(host);
+      releasedHolds.recordChanged(host);
     }
   }
 
--- a/src/main/java/dev/dunefront/book/HoldAcquisition.java
+++ b/src/main/java/dev/dunefront/book/HoldAcquisition.java
@@ -198,7 +198,7 @@
   }
 
   private long firstUnusedToken(HoldTable.Hold hold) {
-    return heldMachines.firstUnusedToken(hold.host(), firstToken(hold));
+    return heldMachines.releasedHolds().firstUnusedToken(hold.host(), firstToken(hold));
   }
 
   /** Another controller holds the machine, but the worker reports here. */
--- a/src/test/java/dev/dunefront/story/DelayedMessageTest.java
+++ b/src/test/java/dev/dunefront/story/DelayedMessageTest.java
@@ -52,7 +52,7 @@
     // The controller in the machine's zone starts, is assigned the machine, and cannot be reached
     // by it.
     w.network.dropDelivery = (from, to) -> from.equals("host-1:9") && to.equals("node-2");
-    long token = a.token();
+    int writes = w.stateService.writes("w/h/host-1");
     w.nodes.get("node-2").start();
     for (String next : List.of("node-2", "node-0")) {
       for (int i = 0; i < 100 && !next.equals(w.machines.holderOf("host-1")); i++) {
@@ -61,7 +61,7 @@
       assertEquals(next, w.machines.holderOf("host-1"));
     }
     w.advance(SimulatedCluster.REPORT_S);
-    assertEquals(token, a.token(), "the hold is kept without a write");
+    assertEquals(writes, w.stateService.writes("w/h/host-1"), "the hold is kept without a write");
     w.network.deliverHeld();
     w.advance(4);
     assertEquals(List.of(), a.starts());
