--- a/src/test/java/dev/dunefront/load/MessageFaults.java
+++ b/src/test/java/dev/dunefront/load/MessageFaults.java
@@ -15,7 +15,9 @@
     /** The message arrives, and its response is lost. */
     RESPONSE_LOST,
     /** A command arrives late and without response; a report arrives on time, a duplicate late. */
-    DELAYED
+    DELAYED,
+    /** A command arrives on time, and a duplicate of it late. */
+    DUPLICATED
   }
 
   private static final double MIN_DELAY_S = 1;
@@ -25,6 +27,7 @@
   private volatile double duplicatedReportShare;
   private volatile double lostCommandShare;
   private volatile double delayedCommandShare;
+  private volatile double duplicatedCommandShare;
 
   /** Sets the share of reports that are lost or whose responses are lost. */
   void loseReports(double share) {
@@ -46,12 +49,20 @@
     delayedCommandShare = share;
   }
 
+  /** Sets the share of commands of which a duplicate arrives late. */
+  void duplicateCommands(double share) {
+    duplicatedCommandShare = share;
+  }
+
   Delivery drawForReport(Random random) {
     return draw(random, lostReportShare, duplicatedReportShare);
   }
 
   Delivery drawForCommand(Random random) {
-    return draw(random, lostCommandShare, delayedCommandShare);
+    Delivery delivery = draw(random, lostCommandShare, delayedCommandShare);
+    return delivery == Delivery.ON_TIME && random.nextDouble() < duplicatedCommandShare
+        ? Delivery.DUPLICATED
+        : delivery;
   }
 
   /** Draws the delay of a late message, in seconds. */
--- a/src/test/java/dev/dunefront/load/SimulatedWorker.java
+++ b/src/test/java/dev/dunefront/load/SimulatedWorker.java
@@ -68,6 +68,11 @@
   private int session = 1;
   private final WorkerEvents events = new WorkerEvents();
   private int restarts;
+
+  /** The last report of the present boot and of the one before; null before the first. */
+  private byte[] lastReport;
+
+  private byte[] formerBootReport;
   private boolean hanging;
   private boolean inboundLost;
   private boolean outboundLost;
@@ -152,25 +157,38 @@
     endAllTasks();
     restarts++;
     deferred.clear();
+    formerBootReport = lastReport;
     worker.restart();
     session++;
     leaseRenewed(timers.now());
     scheduleReport(0);
   }
 
+  /** Sends a duplicate of the last report before the latest restart to a controller. */
+  void sendFormerBootReport(int target) {
+    if (formerBootReport != null) {
+      recordEvent(() -> "report of the boot before arrives at " + target);
+      postReport(target, formerBootReport, reply -> {});
+    }
+  }
+
   /** Answers a status request; sends no response if the request is lost. */
   void handleStatusRequest(Consumer<Response> callback) {
     if (hanging) {
       deferred.add(() -> handleStatusRequest(callback));
     } else if (failed) {
       callback.accept(Response.NO_RESPONSE);
-    } else if (!inboundLost
-        && context.faults().drawForCommand(random) == MessageFaults.Delivery.ON_TIME) {
+    } else if (!inboundLost && respondsTo(context.faults().drawForCommand(random))) {
       expireLeaseIfDue();
       callback.accept(new Response(200, worker.report(), 0));
     }
   }
 
+  private static boolean respondsTo(MessageFaults.Delivery delivery) {
+    return delivery == MessageFaults.Delivery.ON_TIME
+        || delivery == MessageFaults.Delivery.DUPLICATED;
+  }
+
   /** Receives direct commands; sends no response if the request is lost. */
   void handleCommands(byte[] body, Consumer<Response> callback) {
     MessageFaults.Delivery delivery = context.faults().drawForCommand(random);
@@ -181,11 +199,15 @@
     if (inboundLost || delivery == MessageFaults.Delivery.LOST) {
       return;
     }
-    if (delivery == MessageFaults.Delivery.DELAYED) {
+    if (delivery == MessageFaults.Delivery.DELAYED
+        || delivery == MessageFaults.Delivery.DUPLICATED) {
       int restartsWhenSent = restarts;
       timers.after(
           context.faults().drawDelayS(random),
           () -> receiveDelayedCommands(body, restartsWhenSent));
+    }
+    if (delivery == MessageFaults.Delivery.DELAYED) {
+      recordEvent(() -> "command delayed");
     } else if (delivery == MessageFaults.Delivery.RESPONSE_LOST) {
       receiveCommands(body, reply -> {});
     } else {
@@ -244,6 +266,7 @@
     double sentAt = lastReportAt;
     int reportSession = session;
     byte[] body = worker.report();
+    lastReport = body;
     traffic.reports++;
     traffic.bytesOut += body.length;
     MessageFaults.Delivery delivery = context.faults().drawForReport(random);
--- a/src/test/java/dev/dunefront/load/SoakFault.java
+++ b/src/test/java/dev/dunefront/load/SoakFault.java
@@ -44,6 +44,8 @@
     COMMANDS_LOST,
     /** Commands arrive late. */
     COMMANDS_DELAYED,
+    /** Commands arrive on time and once more late. */
+    COMMANDS_DUPLICATED,
     /** Workers hang, mostly for about the duration of their lease. */
     WORKERS_HANG,
     /** Messages to workers are lost. */
@@ -51,7 +53,14 @@
     /** Messages from workers are lost. */
     WORKERS_OUTBOUND_LOST,
     /** Workers are restarted and lose all state. */
-    WORKERS_RESTARTED
+    WORKERS_RESTARTED,
+    /** Workers are restarted and hang shortly after for most of their new lease. */
+    RESTARTED_WORKERS_HANG,
+    /**
+     * Workers are restarted; when the fault ends, a controller is killed and started again at once,
+     * and receives duplicates of reports from before the workers' restart.
+     */
+    REPORTS_OF_FORMER_BOOTS
   }
 
   double endS() {
--- a/src/test/java/dev/dunefront/load/SoakFaults.java
+++ b/src/test/java/dev/dunefront/load/SoakFaults.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * Injects the faults of a soak run and ends them. If two faults of one kind overlap on the same
@@ -21,6 +22,14 @@
   /** Seconds until a replacement for a deleted machine is running. */
   private static final double REPLACEMENT_DELAY_S = 1;
 
+  /** Seconds from a worker's restart until it hangs, about the time of its first report. */
+  private static final double HANG_AFTER_RESTART_S = 0.1;
+
+  /** Interval in seconds at which duplicates arrive at a controller that is starting. */
+  private static final double FORMER_REPORT_INTERVAL_S = 0.15;
+
+  private static final int FORMER_REPORT_COPIES = 20;
+
   private final Deployment deployment;
   private final List<SoakFault> schedule;
   private final Timers timers;
@@ -125,10 +134,13 @@
       case REPORTS_DUPLICATED -> messages.duplicateReports(share);
       case COMMANDS_LOST -> messages.loseCommands(share);
       case COMMANDS_DELAYED -> messages.delayCommands(share);
+      case COMMANDS_DUPLICATED -> messages.duplicateCommands(share);
       case WORKERS_HANG -> applyToWorkers(fault, on, SimulatedWorker::setHanging);
       case WORKERS_INBOUND_LOST -> applyToWorkers(fault, on, SimulatedWorker::setInboundLost);
       case WORKERS_OUTBOUND_LOST -> applyToWorkers(fault, on, SimulatedWorker::setOutboundLost);
       case WORKERS_RESTARTED -> applyToWorkers(fault, on, SoakFaults::restartWorker);
+      case RESTARTED_WORKERS_HANG -> restartAndHang(fault, on);
+      case REPORTS_OF_FORMER_BOOTS -> deliverFormerReports(fault, on);
       default -> throw new IllegalStateException("unknown fault kind " + fault.kind());
     }
   }
@@ -145,6 +157,38 @@
     }
   }
 
+  private void restartAndHang(SoakFault fault, boolean on) {
+    applyToWorkers(fault, on, SoakFaults::restartWorker);
+    if (on) {
+      timers.after(
+          HANG_AFTER_RESTART_S, () -> forAffectedWorkers(fault, worker -> worker.setHanging(true)));
+    } else {
+      forAffectedWorkers(fault, worker -> worker.setHanging(false));
+    }
+  }
+
+  /** Restarts workers, or restarts a controller that then receives their reports from before. */
+  private void deliverFormerReports(SoakFault fault, boolean on) {
+    applyToWorkers(fault, on, SoakFaults::restartWorker);
+    if (on) {
+      return;
+    }
+    int controller = fault.first() % deployment.options().controllers();
+    setKilled(controller, true);
+    setKilled(controller, false);
+    for (int i = 1; i <= FORMER_REPORT_COPIES; i++) {
+      timers.after(
+          i * FORMER_REPORT_INTERVAL_S,
+          () -> forAffectedWorkers(fault, worker -> worker.sendFormerBootReport(controller)));
+    }
+  }
+
+  private void forAffectedWorkers(SoakFault fault, Consumer<SimulatedWorker> action) {
+    for (SimulatedWorker worker : affectedWorkers.getOrDefault(fault, List.of())) {
+      worker.thread().execute(() -> action.accept(worker));
+    }
+  }
+
   private void applyToWorkers(
       SoakFault fault, boolean on, BiConsumer<SimulatedWorker, Boolean> action) {
     if (on) {
@@ -154,9 +198,7 @@
       }
       affectedWorkers.put(fault, affected);
     }
-    for (SimulatedWorker worker : affectedWorkers.getOrDefault(fault, List.of())) {
-      worker.thread().execute(() -> action.accept(worker, on));
-    }
+    forAffectedWorkers(fault, worker -> action.accept(worker, on));
   }
 
   private void cutLink(int first, int second, boolean on) {
--- a/src/test/java/dev/dunefront/load/SoakSchedule.java
+++ b/src/test/java/dev/dunefront/load/SoakSchedule.java
@@ -25,7 +25,16 @@
    * Share of faults that are hangs of about a lease's duration, the failure that the service met in
    * operation.
    */
-  private static final double HANG_SHARE = 0.5;
+  private static final double HANG_SHARE = 0.4;
+
+  /** Share of faults in which messages meet a restarted worker or arrive twice. */
+  private static final double BOOT_FAULT_SHARE = 0.2;
+
+  private static final SoakFault.Kind[] BOOT_FAULTS = {
+    SoakFault.Kind.COMMANDS_DUPLICATED,
+    SoakFault.Kind.RESTARTED_WORKERS_HANG,
+    SoakFault.Kind.REPORTS_OF_FORMER_BOOTS
+  };
 
   /**
    * Share of faults that slow down the state service: a claiming controller then acts on older data
@@ -66,23 +75,39 @@
               + (HANG_BELOW_LEASE_S + HANG_ABOVE_LEASE_S) * random.nextDouble();
       return workerFault(startS, SoakFault.Kind.WORKERS_HANG, durationS);
     }
-    SoakFault.Kind[] kinds = SoakFault.Kind.values();
-    SoakFault.Kind kind =
-        drawn < HANG_SHARE + SLOW_STATE_SHARE
-            ? SoakFault.Kind.STATE_SLOW
-            : kinds[random.nextInt(kinds.length)];
+    SoakFault.Kind kind = drawKind(drawn - HANG_SHARE);
     double partitionS = MAX_PARTITION_S * random.nextDouble();
     return switch (kind) {
       case CONTROLLER_KILLED ->
           controllerFault(startS, kind, MAX_RESTART_S * random.nextDouble(), 0);
       case CONTROLLER_PAUSED -> controllerFault(startS, kind, MAX_PAUSE_S * random.nextDouble(), 0);
       case STATE_SLOW -> controllerFault(startS, kind, partitionS, random.nextDouble());
-      case WORKERS_HANG, WORKERS_INBOUND_LOST, WORKERS_OUTBOUND_LOST, WORKERS_RESTARTED ->
+      case RESTARTED_WORKERS_HANG ->
+          workerFault(startS, kind, options.leaseS() - HANG_BELOW_LEASE_S * random.nextDouble());
+      case WORKERS_HANG,
+          WORKERS_INBOUND_LOST,
+          WORKERS_OUTBOUND_LOST,
+          WORKERS_RESTARTED,
+          REPORTS_OF_FORMER_BOOTS ->
           workerFault(startS, kind, partitionS);
       default -> controllerFault(startS, kind, partitionS, MAX_FAULT_SHARE * random.nextDouble());
     };
   }
 
+  /**
+   * Draws the kind of a fault that is not a hang.
+   *
+   * @param drawn uniformly distributed, between 0 and the share of such faults
+   */
+  private SoakFault.Kind drawKind(double drawn) {
+    if (drawn < SLOW_STATE_SHARE) {
+      return SoakFault.Kind.STATE_SLOW;
+    }
+    SoakFault.Kind[] kinds =
+        drawn < SLOW_STATE_SHARE + BOOT_FAULT_SHARE ? BOOT_FAULTS : SoakFault.Kind.values();
+    return kinds[random.nextInt(kinds.length)];
+  }
+
   private SoakFault controllerFault(
       double startS, SoakFault.Kind kind, double durationS, double share) {
     int first = random.nextInt(options.controllers());
