--- a/src/test/java/dev/dunefront/load/SoakSchedule.java
+++ b/src/test/java/dev/dunefront/load/SoakSchedule.java
@@ -52,11 +52,18 @@
     this.random = new Random(options.seed());
   }
 
-  /** Returns the faults of a run, ordered by start time. */
+  /**
+   * Returns the faults of a run, ordered by start time. The first are one of each kind that
+   * concerns restarted workers and repeated messages, so that short runs play them as well.
+   */
   static List<SoakFault> of(LoadOptions options) {
     SoakSchedule schedule = new SoakSchedule(options);
     List<SoakFault> faults = new ArrayList<>();
     double startS = 0;
+    for (SoakFault.Kind kind : BOOT_FAULTS) {
+      startS += 2 * MEAN_INTERVAL_S * schedule.random.nextDouble();
+      faults.add(schedule.fault(startS, kind));
+    }
     while (true) {
       startS += 2 * MEAN_INTERVAL_S * schedule.random.nextDouble();
       if (startS > options.measureS() - QUIET_TAIL_S) {
@@ -75,7 +82,10 @@
               + (HANG_BELOW_LEASE_S + HANG_ABOVE_LEASE_S) * random.nextDouble();
       return workerFault(startS, SoakFault.Kind.WORKERS_HANG, durationS);
     }
-    SoakFault.Kind kind = drawKind(drawn - HANG_SHARE);
+    return fault(startS, drawKind(drawn - HANG_SHARE));
+  }
+
+  private SoakFault fault(double startS, SoakFault.Kind kind) {
     double partitionS = MAX_PARTITION_S * random.nextDouble();
     return switch (kind) {
       case CONTROLLER_KILLED ->
