--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Jobs of a zone that lost its machines keep equal jobs of another zone from starting.
-exec "$(dirname "$0")/../lib-2/run.sh" "$(dirname "$0")" ZoneWithoutRoom
+# A controller crashes that has the claims of jobs which name many machine types.
+exec "$(dirname "$0")/../lib-2/run.sh" "$(dirname "$0")" TakeoverOfLargeJobs
