Review: a held-back report of a machine's former boot proves a running task over

Shown by review/4/run.sh: a holder goes silent, a machine is taken over, its report under the new token is held back, the machine restarts and gets a task; then the report arrives, in the former boot's later session, and the task is started on a second machine while it runs on the first (ran_twice).

--- a/review/lib-2/review2/Site.java
+++ b/review/lib-2/review2/Site.java
@@ -283,7 +283,8 @@
     command.add(settings[i].toString());
     if (fdLimit > 0) {
       // The limit of sockets in the settings, as the platform sets it for the process.
-      command.addAll(0, List.of("/bin/sh", "-c", "ulimit -n " + fdLimit + "; exec \"$@\"", "sh"));
+      command.addAll(
+          0, List.of("/bin/sh", "-c", "ulimit -n " + fdLimit + "; exec \"$@\"", "sh"));
     }
     ProcessBuilder b = new ProcessBuilder(command);
     b.redirectError(
@@ -438,7 +439,8 @@
 
   // ---- users ----
 
-  Job newJob(String id, int pieces, double cpus, double ramGb, double runS, Consumer<Document> more) {
+  Job newJob(
+      String id, int pieces, double cpus, double ramGb, double runS, Consumer<Document> more) {
     Job j = new Job(id, pieces, cpus, ramGb, runS);
     j.body =
         Document.create()
@@ -560,7 +562,7 @@
   void runExecuted(Worker w, String piece, long attempt) {
     Job j = job(piece);
     if (j != null && !Double.isNaN(j.cancelledAt) && now() > j.cancelledAt) {
-      breaks("ran_cancelled: " + piece + " attempt " + attempt + " is started after its user was told cancelled");
+      breaks("ran_cancelled: " + piece + " starts after its user was told that it is cancelled");
     }
   }
 
@@ -578,8 +580,7 @@
     }
     String there = on.put(piece, w.host);
     if (there != null) {
-      broken.add("ran_twice: " + piece + " starts on " + w.host + " while on " + there);
-      log(broken.get(broken.size() - 1));
+      breaks("ran_twice: " + piece + " starts on " + w.host + " while on " + there);
     }
     if (!Double.isNaN(j.cancelledAt) && now() > j.cancelledAt + cancelS) {
       broken.add("ran_cancelled: " + piece + " starts on " + w.host);
@@ -606,8 +607,9 @@
           }
         }
       }
-      if (j.body.flag("same_place") && others > 0 || j.body.flag("apart") && same + 1 > (j.pieces + 1) / 2) {
-        breaks("wrong_place: " + piece + " on " + w.host + ": " + same + " there, " + others + " elsewhere");
+      if (j.body.flag("same_place") && others > 0
+          || j.body.flag("apart") && same + 1 > (j.pieces + 1) / 2) {
+        breaks("wrong_place: " + piece + " on " + w.host + " in " + w.zone);
       }
       String team = j.body.text("owner");
       double used = j.cpus;
--- a/review/lib-2/review2/Worker.java
+++ b/review/lib-2/review2/Worker.java
@@ -49,6 +49,17 @@
   /** How the cloud lists its machine. */
   String listedAs = "running";
 
+  /**
+   * Once it has learned a higher token, its next report is held back for so many seconds and it
+   * restarts while it waits for the answer; 0 for neither.
+   */
+  double holdReportAndRestartS;
+
+  /** How long after that report was sent the machine restarts. */
+  private static final double RESTART_S = 2;
+
+  private boolean holdNextReport;
+
   /** Messages from this worker to controllers and back are lost while true. */
   boolean mute;
 
@@ -78,6 +89,10 @@
     killAll("its machine is gone");
   }
 
+  long boots() {
+    return boot;
+  }
+
   long session() {
     return session;
   }
@@ -115,6 +130,14 @@
     }
   }
 
+  private static String text(byte[] body) {
+    try {
+      return Document.decode(body).toString();
+    } catch (MalformedMessageException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private void expire() {
     if (!gone && site.now() - leaseFrom > site.leaseS) {
       site.log(host + ": lease of session " + session + " is over, " + tasks.size() + " tasks");
@@ -180,12 +203,30 @@
     long inBoot = boot;
     byte[] body = report().encode();
     largestReport = Math.max(largestReport, StateService.jsonBytes(body));
+    if (holdNextReport) {
+      holdNextReport = false;
+      int to = node;
+      site.log(host + ": report to " + site.nodeName(to) + " is held back: " + text(body));
+      site.timers.after(
+          holdReportAndRestartS,
+          () -> {
+            site.log(host + ": the report that was held back arrives at " + site.nodeName(to));
+            site.caller.call(site.userAddress(to), "POST", "/hello", body, 4, r -> {});
+          });
+      site.timers.after(RESTART_S, this::restart);
+      return;
+    }
     if (mute) {
       site.timers.after(4, () -> answered(Response.NO_RESPONSE, sent, inSession, inBoot));
       return;
     }
     site.caller.call(
-        site.userAddress(node), "POST", "/hello", body, 4, r -> answered(mute ? Response.NO_RESPONSE : r, sent, inSession, inBoot));
+        site.userAddress(node),
+        "POST",
+        "/hello",
+        body,
+        4,
+        r -> answered(mute ? Response.NO_RESPONSE : r, sent, inSession, inBoot));
   }
 
   private void answered(Response r, double sent, long inSession, long inBoot) {
@@ -198,9 +239,14 @@
       if (r.status() == 200) {
         Document d = Document.decode(r.body());
         if (inSession == session && d.countOr("baton", 0) >= token && d.has("baton")) {
+          boolean higher = d.count("baton") > token;
           token = d.count("baton");
           leaseFrom = Math.max(leaseFrom, sent);
           execute(d.documents("orders"));
+          if (higher && holdReportAndRestartS > 0 && boot == 1) {
+            holdNextReport = true;
+            changed();
+          }
         }
         schedule(site.reportS * (0.75 + site.random.nextDouble() / 2));
         return;
@@ -315,14 +361,14 @@
       site.timers.after(
           site.fetchS,
           () -> {
-            if (!gone && boot == inBoot && session == inSession && tasks.get(key) == t && t.why == null) {
+            if (isLive(key, t, inBoot, inSession)) {
               t.status = "running";
               site.taskOn(this, piece, attempt);
               changed();
               site.timers.after(
                   site.runS(piece),
                   () -> {
-                    if (!gone && boot == inBoot && session == inSession && tasks.get(key) == t && t.why == null) {
+                    if (isLive(key, t, inBoot, inSession)) {
                       exit(t, "done");
                     }
                   });
@@ -332,6 +378,14 @@
     changed();
   }
 
+  private boolean isLive(String key, Task t, long inBoot, long inSession) {
+    return !gone
+        && boot == inBoot
+        && session == inSession
+        && tasks.get(key) == t
+        && t.why == null;
+  }
+
   private boolean fits(String piece, Task added) {
     Site.Job j = site.job(piece);
     Site.Type ty = site.types.get(type);
