A takeover over 64 KiB is split, and nothing malformed is repeated

Cause: up to 12 jobs were taken over in one transaction, whatever the size of their records. Over 64 KiB, counted as JSON, the state service answers 400; that was taken for a lost lease or a passing fault and repeated for ever, and the batch kept its jobs and all batches after it waiting.

Change: Txn counts its own size as JSON, TxnLimits are checked in one place before anything is sent, and a takeover asks Txn whether the next record fits. A 400 that names no lost lease is an outcome of its own, MALFORMED, logged with the size, counted in dunefront_state_malformed and not repeated. A rejected takeover is split; a job that is rejected alone waits until its record changes and holds up no other. A job whose placements are rejected writes again after 1 s, 2 s and so on up to 64 s.

--- a/src/main/java/dev/dunefront/claim/Claim.java
+++ b/src/main/java/dev/dunefront/claim/Claim.java
@@ -168,6 +168,11 @@
   /** No task is placed before this time, after failures or as a requeue delay. */
   double notBefore;
 
+  /** Transactions of the job in a row that were malformed, and from when it writes again. */
+  int malformedWrites;
+
+  double writableFrom;
+
   /** Image fetches longer than this lose to waiting for a machine with a faster fetch. */
   double maxFetchS = Double.POSITIVE_INFINITY;
 
--- a/src/main/java/dev/dunefront/claim/ClaimWriter.java
+++ b/src/main/java/dev/dunefront/claim/ClaimWriter.java
@@ -12,6 +12,7 @@
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.peer.Message;
 import dev.dunefront.store.StateStore;
+import dev.dunefront.store.StateStore.Outcome;
 import dev.dunefront.store.Txn;
 import dev.dunefront.wire.Priority;
 import dev.dunefront.wire.Resources;
@@ -55,6 +56,9 @@
   /** Time within which other controllers answer a request to lend write budget. */
   private static final double BORROWED_BUDGET_REPLY_S = 0.05;
 
+  /** Longest time until a job whose transaction was malformed writes again. */
+  private static final double MAX_MALFORMED_RETRY_S = 64;
+
   /** A job returns granted quota that it has not used for this time. */
   private static final double UNUSED_GRANT_RETURN_S = 30;
 
@@ -153,7 +157,7 @@
 
   /** Records the pending changes of a claim if they are due and no transaction is in flight. */
   void flush(Claim claim) {
-    if (claim.committing || claim.loading || claim.released) {
+    if (claim.committing || claim.loading || claim.released || context.now() < claim.writableFrom) {
       return;
     }
     if (!claim.isStartable()) {
@@ -299,6 +303,7 @@
               claim.committing = false;
               claim.startsInFlight = 0;
               if (result.ok()) {
+                claim.malformedWrites = 0;
                 if (grantChanged) {
                   quotas.applyUpdate(quota, Quotas.toDocument(used, writeId), result.revision());
                 }
@@ -315,6 +320,8 @@
                                 removedChunks,
                                 writeId,
                                 result.revision()));
+              } else if (!claim.released && result.outcome() == Outcome.MALFORMED) {
+                commitMalformed(claim, plan);
               } else if (!claim.released) {
                 commitRejected(claim, plan, result);
               } else {
@@ -494,7 +501,7 @@
             quota.key(),
             StateStore.RequestPriority.CORE,
             result -> {
-              if (result.outcome() == StateStore.Outcome.OK) {
+              if (result.outcome() == Outcome.OK) {
                 quotas.applyUpdate(quota, result.value(), result.revision());
               }
               quota.release();
@@ -502,6 +509,29 @@
             });
   }
 
+  /**
+   * The transaction would be rejected again, and so might what is planned next. The ends are kept
+   * and tried again ever more rarely; the job's offers go to others meanwhile.
+   */
+  private void commitMalformed(Claim claim, PlannedTransaction plan) {
+    plan.starts().forEach(start -> decline(start.receivedOffer()));
+    declineAll(claim);
+    claim.unrecordedEnds.addAll(plan.ends());
+    double delayS = Math.min(MAX_MALFORMED_RETRY_S, Math.scalb(1.0, claim.malformedWrites));
+    claim.malformedWrites++;
+    claim.writableFrom = context.now() + delayS;
+    claim.notBefore = Math.max(claim.notBefore, claim.writableFrom);
+    LOG.log(
+        Level.ERROR,
+        "a transaction for job {0} with {1} placements and {2} ends is malformed; trying again in"
+            + " {3} s",
+        claim.id(),
+        plan.starts().size(),
+        plan.ends().size(),
+        delayS);
+    context.schedule(delayS, () -> flush(claim));
+  }
+
   private void commitRejected(Claim claim, PlannedTransaction plan, StateStore.WriteResult result) {
     Set<String> failed = new HashSet<>(result.failedKeys());
     LOG.log(
--- a/src/main/java/dev/dunefront/claim/Takeover.java
+++ b/src/main/java/dev/dunefront/claim/Takeover.java
@@ -4,7 +4,10 @@
 import dev.dunefront.job.JobRecord.Status;
 import dev.dunefront.job.JobTable;
 import dev.dunefront.store.Membership;
+import dev.dunefront.store.StateStore;
+import dev.dunefront.store.StateStore.Outcome;
 import dev.dunefront.store.Txn;
+import dev.dunefront.store.TxnLimits;
 import dev.dunefront.wire.Priority;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -30,7 +33,7 @@
   /** How long a node waits for each preferred node before it that makes no progress. */
   static final double RANK_WAIT_S = 0.4;
 
-  /** Maximum number of job records per transaction, which keeps its size within limits. */
+  /** Maximum number of jobs claimed at once, so that other controllers get their part of them. */
   private static final int MAX_BATCH_JOBS = 12;
 
   /** A response to a write that has not arrived within this time is considered lost. */
@@ -45,6 +48,12 @@
   /** When a job was first seen without a live claim, or with an own claim that is not adopted. */
   private final Map<String, Double> unownedSince = new HashMap<>();
 
+  /**
+   * Jobs whose claim the state service has called malformed, with the revision of the record. They
+   * are left alone until their record changes.
+   */
+  private final Map<String, Long> unwritable = new HashMap<>();
+
   /** When each controller was last seen to take over a job from another one. */
   private final Map<String, Double> lastTakeoverAt = new HashMap<>();
 
@@ -137,6 +146,7 @@
       }
     }
     unownedSince.keySet().retainAll(found);
+    unwritable.keySet().retainAll(found);
     for (JobTable.Entry entry : unadopted) {
       // The job was accepted and claimed in one write whose response was lost. For all other
       // controllers it has a live claim, so without adoption here it would wait forever.
@@ -159,7 +169,7 @@
     unowned.forEach(
         (id, entry) -> {
           double since = unownedSince.computeIfAbsent(id, k -> now);
-          if (!claiming.contains(id) && !claims.has(id)) {
+          if (!claiming.contains(id) && !claims.has(id) && !isUnwritable(entry)) {
             Priority priority = entry.record().spec().priority();
             jobs.add(
                 new UnownedJob(
@@ -172,7 +182,7 @@
           }
         });
     boolean writeInFlight = !claiming.isEmpty();
-    List<JobTable.Entry> batch = new ArrayList<>();
+    ClaimBatch batch = new ClaimBatch();
     // Admission iterates over all claims, so a refusal is reused for equivalent jobs.
     Set<SearchThrottle.EquivalenceClass> refused = new HashSet<>();
     for (String id : claimable(jobs, lastTakeoverAt, now)) {
@@ -185,18 +195,18 @@
             SearchThrottle.EquivalenceClass.of(entry.record().spec());
         if (!refused.contains(equivalenceClass) && claims.admits(entry.record().spec())
             || startOverdue(entry) && !claims.hasUnstartedEquivalent(equivalenceClass)) {
-          write(List.of(entry));
+          ClaimBatch single = new ClaimBatch();
+          single.add(entry);
+          write(single);
         } else {
           refused.add(equivalenceClass);
         }
-      } else if (!writeInFlight && batch.size() < MAX_BATCH_JOBS) {
+      } else if (!writeInFlight && !batch.full()) {
         // One batch at a time, so that the next one excludes jobs claimed by others meanwhile.
         batch.add(entry);
       }
     }
-    if (!batch.isEmpty()) {
-      write(batch);
-    }
+    write(batch);
   }
 
   private boolean startOverdue(JobTable.Entry entry) {
@@ -225,43 +235,97 @@
     return (id + "@" + node).hashCode() * 0x9E3779B9 >>> 1;
   }
 
-  private void write(List<JobTable.Entry> batch) {
-    String self = context.membership().ownIncarnation();
-    String writeId = context.store().newWriteId();
-    Txn txn = new Txn();
-    Map<String, JobRecord> newRecords = new HashMap<>();
-    for (JobTable.Entry entry : batch) {
+  private boolean isUnwritable(JobTable.Entry entry) {
+    return Long.valueOf(entry.revision()).equals(unwritable.get(entry.record().spec().id()));
+  }
+
+  /** Jobs that are claimed in one transaction. */
+  private final class ClaimBatch {
+    private final String self = context.membership().ownIncarnation();
+    private final String writeId = context.store().newWriteId();
+    private final Txn txn = new Txn();
+    private final Map<String, JobRecord> records = new LinkedHashMap<>();
+    private final Map<String, Long> revisions = new HashMap<>();
+
+    private boolean tooLargeForNext;
+
+    /** Whether no further job may be added; the first that does not fit begins the next batch. */
+    boolean full() {
+      return tooLargeForNext || records.size() >= MAX_BATCH_JOBS;
+    }
+
+    /** Adds a job if the transaction has room for its record. */
+    void add(JobTable.Entry entry) {
       JobRecord record = entry.record().withClaimant(self);
       String id = record.spec().id();
-      newRecords.put(id, record);
-      claiming.add(id);
-      txn.requireRevision(JobRecord.key(id), entry.revision())
-          .put(JobRecord.key(id), record.toDocument(writeId));
+      Txn claim =
+          new Txn()
+              .requireRevision(JobRecord.key(id), entry.revision())
+              .put(JobRecord.key(id), record.toDocument(writeId));
+      TxnLimits limits = context.store().txnLimits();
+      if (!claim.fits(limits)) {
+        LOG.log(Level.ERROR, "job {0} cannot be claimed: its record is too large", id);
+        unwritable.put(id, entry.revision());
+      } else if (txn.addIfItFits(claim, limits)) {
+        records.put(id, record);
+        revisions.put(id, entry.revision());
+      } else {
+        tooLargeForNext = true;
+      }
     }
+  }
+
+  private void write(ClaimBatch batch) {
+    if (batch.records.isEmpty()) {
+      return;
+    }
+    claiming.addAll(batch.records.keySet());
     context
         .store()
         .commit(
-            txn,
-            writeId,
+            batch.txn,
+            batch.writeId,
             result -> {
-              if (!self.equals(context.membership().ownIncarnation())) {
+              if (!batch.self.equals(context.membership().ownIncarnation())) {
                 return;
               }
-              claiming.removeAll(newRecords.keySet());
-              if (!result.ok()) {
-                return;
+              claiming.removeAll(batch.records.keySet());
+              if (result.ok()) {
+                batch.records.forEach((id, record) -> claimed(id, record, batch, result));
+              } else if (result.outcome() == Outcome.MALFORMED) {
+                rejectedAsMalformed(batch);
               }
-              newRecords.forEach(
-                  (id, record) -> {
-                    LOG.log(
-                        Level.INFO,
-                        "claimed job {0} in term {1}, written at revision {2}",
-                        id,
-                        record.term(),
-                        result.revision());
-                    context.jobs().applyOwnWrite(id, record, writeId, result.revision());
-                    claims.adopt(id, false);
-                  });
             });
   }
+
+  private void claimed(
+      String id, JobRecord record, ClaimBatch batch, StateStore.WriteResult result) {
+    LOG.log(
+        Level.INFO,
+        "claimed job {0} in term {1}, written at revision {2}",
+        id,
+        record.term(),
+        result.revision());
+    context.jobs().applyOwnWrite(id, record, batch.writeId, result.revision());
+    claims.adopt(id, false);
+  }
+
+  /**
+   * One of the records cannot be written. Each is tried alone, so that it keeps no other job from
+   * being claimed; the one that is rejected alone is not tried again.
+   */
+  private void rejectedAsMalformed(ClaimBatch batch) {
+    boolean alone = batch.records.size() == 1;
+    for (String id : batch.records.keySet()) {
+      JobTable.Entry entry = context.jobs().get(id);
+      if (alone) {
+        LOG.log(Level.ERROR, "job {0} cannot be claimed: its record is malformed", id);
+        unwritable.put(id, batch.revisions.get(id));
+      } else if (entry != null && entry.revision() == batch.revisions.get(id)) {
+        ClaimBatch single = new ClaimBatch();
+        single.add(entry);
+        write(single);
+      }
+    }
+  }
 }
--- a/src/main/java/dev/dunefront/cli/Controller.java
+++ b/src/main/java/dev/dunefront/cli/Controller.java
@@ -213,6 +213,7 @@
     meters.gauge("dunefront.cancellations.waiting", jobs.cancellations()::count);
     meters.gauge("dunefront.cancellations.oldest.seconds", jobs.cancellations()::oldestS);
     meters.gauge("dunefront.state.down", () -> store.unavailable() ? 1 : 0);
+    meters.gauge("dunefront.state.malformed", store::malformedCount);
     meters.gauge("dunefront.decisions.failed", loopWatchdog::failures);
     meters.gauge("dunefront.peer.sent.records", () -> (int) peers.sentTraffic().records());
     meters.gauge("dunefront.peer.sent.kilobytes", () -> (int) (peers.sentTraffic().bytes() / 1024));
--- a/src/main/java/dev/dunefront/standin/FakeStateService.java
+++ b/src/main/java/dev/dunefront/standin/FakeStateService.java
@@ -17,6 +17,9 @@
   /** Maximum number of changes in a transaction; it may have four times as many conditions. */
   public static final int MAX_TXN_OPS = 24;
 
+  /** Maximum size of a transaction as JSON, in bytes. */
+  private static final int MAX_TXN_BYTES = 64 * 1024;
+
   /** Changes kept for watches; older ones are discarded. */
   private static final int MAX_CHANGES_KEPT = 10_000;
 
@@ -34,6 +37,8 @@
   private long revision = 1;
   private long lastLease = 6;
   private int failedTxnOps;
+  private int malformedTxns;
+  private int maxValueBytes = Integer.MAX_VALUE;
   private boolean inOutage;
   private boolean watchesReportEveryChange;
 
@@ -62,6 +67,16 @@
     return failedTxnOps;
   }
 
+  /** Transactions rejected because they were too large. */
+  public int malformedTxns() {
+    return malformedTxns;
+  }
+
+  /** Sets the limit on the size of a value as JSON, in kB. */
+  public void setValueKb(double kb) {
+    maxValueBytes = (int) (kb * 1024);
+  }
+
   /** Expires a lease early, which removes its keys. */
   public void endLease(long id) {
     leaseExpiries.computeIfPresent(id, (k, until) -> Double.NEGATIVE_INFINITY);
@@ -171,8 +186,8 @@
   }
 
   private void txn(Document txn, Consumer<Response> then) throws MalformedMessageException {
-    if (txn.documents("then").size() > MAX_TXN_OPS
-        || txn.documents("when").size() > 4 * MAX_TXN_OPS) {
+    if (isTooLarge(txn)) {
+      malformedTxns++;
       then.accept(response(400, Document.create().put("error", "too much")));
       return;
     }
@@ -210,6 +225,17 @@
     notifyWatches();
   }
 
+  private boolean isTooLarge(Document txn) throws MalformedMessageException {
+    boolean tooLarge =
+        txn.documents("then").size() > MAX_TXN_OPS
+            || txn.documents("when").size() > 4 * MAX_TXN_OPS
+            || txn.jsonBytes() > MAX_TXN_BYTES;
+    for (Document t : txn.documents("then")) {
+      tooLarge |= t.has("put") && t.document("data").jsonBytes() > maxValueBytes;
+    }
+    return tooLarge;
+  }
+
   private void notifyWatches() {
     if (changes.size() > MAX_CHANGES_KEPT) {
       changes.subList(0, changes.size() - MAX_CHANGES_KEPT).clear();
--- a/src/main/java/dev/dunefront/store/HttpStateStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStateStore.java
@@ -28,6 +28,7 @@
   private static final double QUEUE_TIMEOUT_S = 3.0;
   private static final double PROBE_INTERVAL_S = 0.3;
   private static final double PROBE_TIMEOUT_S = 0.8;
+  private static final String NO_LEASE_ERROR = "no such lease";
 
   /**
    * A request with a longer timeout is a blocking watch, for which a missing response is no sign of
@@ -48,6 +49,7 @@
   private final Timers timers;
   private final DecisionLock decisionLock;
   private final RateLimiter rateLimiter;
+  private final TxnLimits txnLimits;
   private final String writeIdPrefix;
   private final Map<RequestPriority, ArrayDeque<QueuedRequest>> queues =
       new EnumMap<>(RequestPriority.class);
@@ -68,6 +70,7 @@
 
   private boolean probePending;
   private long issuedWriteIds;
+  private int malformedCount;
 
   public HttpStateStore(
       Settings settings,
@@ -80,6 +83,7 @@
     this.timers = timers;
     this.decisionLock = decisionLock;
     this.rateLimiter = new RateLimiter(settings, timers.now());
+    this.txnLimits = TxnLimits.of(settings.stateLimits());
     this.writeIdPrefix = writeIdPrefix;
     this.usageSince = timers.now();
     for (RequestPriority priority : RequestPriority.values()) {
@@ -165,6 +169,16 @@
     dispatchQueued();
   }
 
+  @Override
+  public int malformedCount() {
+    return malformedCount;
+  }
+
+  @Override
+  public TxnLimits txnLimits() {
+    return txnLimits;
+  }
+
   @Override
   public String newWriteId() {
     return writeIdPrefix + "-" + ++issuedWriteIds;
@@ -239,6 +253,17 @@
 
   @Override
   public void tryTxn(Txn txn, RequestPriority priority, Consumer<WriteResult> callback) {
+    if (!txn.fits(txnLimits)) {
+      malformedCount++;
+      LOG.log(
+          Level.ERROR,
+          "a transaction that writes {0} is too large and not sent: {1}",
+          txn.readBackKey(),
+          txn.describeSize());
+      timers.after(
+          0, () -> decisionLock.run(() -> callback.accept(WriteResult.of(Outcome.MALFORMED))));
+      return;
+    }
     enqueue(
         priority,
         txn.writeCount(),
@@ -246,7 +271,18 @@
         "/txn",
         txn.encode(),
         CALL_TIMEOUT_S,
-        response -> callback.accept(toWriteResult(response, "ledger_rev")));
+        response -> {
+          WriteResult result = toWriteResult(response, "ledger_rev");
+          if (result.outcome() == Outcome.MALFORMED) {
+            malformedCount++;
+            LOG.log(
+                Level.ERROR,
+                "the state service calls a transaction that writes {0} malformed: {1}",
+                txn.readBackKey(),
+                txn.describeSize());
+          }
+          callback.accept(result);
+        });
   }
 
   @Override
@@ -268,13 +304,7 @@
         result -> {
           switch (result.outcome()) {
             case OK -> callback.accept(result);
-            case REFUSED, UNKNOWN, NOT_FOUND -> {
-              if (result.outcome() == Outcome.NOT_FOUND) {
-                LOG.log(
-                    Level.ERROR,
-                    "state service rejected transaction {0} as malformed; retrying",
-                    writeId);
-              }
+            case REFUSED, UNKNOWN -> {
               boolean unknownSoFar = outcomeUnknown || result.outcome() == Outcome.UNKNOWN;
               timers.after(
                   retryDelayS,
@@ -287,7 +317,8 @@
                           Math.min(1.0, retryDelayS * 2),
                           callback));
             }
-            case CONFLICT -> {
+            // Repeating a malformed transaction, or one whose lease is gone, cannot succeed.
+            case CONFLICT, MALFORMED, NOT_FOUND -> {
               if (outcomeUnknown) {
                 // An earlier attempt may have been applied and have caused the conflict.
                 readBack(txn, writeId, result, callback);
@@ -396,20 +427,29 @@
     } catch (MalformedMessageException e) {
       return new WriteResult(Outcome.UNKNOWN, 0, List.of());
     }
-    return new WriteResult(outcome(response), 0, List.of());
+    return WriteResult.of(outcome(response));
   }
 
   private static Outcome outcome(Response response) {
     return switch (response.status()) {
       case 200 -> Outcome.OK;
-      // A 400 can only mean an expired lease: this client builds the rest of each request.
-      case 400, 404 -> Outcome.NOT_FOUND;
+      case 400 -> namesNoLease(response) ? Outcome.NOT_FOUND : Outcome.MALFORMED;
+      case 404 -> Outcome.NOT_FOUND;
       case 409 -> Outcome.CONFLICT;
       case 429, 503 -> Outcome.REFUSED;
       default -> Outcome.UNKNOWN;
     };
   }
 
+  /** Whether a request was rejected because its lease has expired. */
+  private static boolean namesNoLease(Response response) {
+    try {
+      return Document.decode(response.body()).textOr("error", "").equals(NO_LEASE_ERROR);
+    } catch (MalformedMessageException e) {
+      return false;
+    }
+  }
+
   private void enqueue(
       RequestPriority priority,
       int writes,
--- a/src/main/java/dev/dunefront/store/StateStore.java
+++ b/src/main/java/dev/dunefront/store/StateStore.java
@@ -26,6 +26,8 @@
     CONFLICT,
     /** Not executed: rejected by the service, or expired while queued for the rate limit. */
     REFUSED,
+    /** Not executed and never will be: the request is malformed, or larger than allowed. */
+    MALFORMED,
     /** It is unknown whether the request was executed. */
     UNKNOWN
   }
@@ -55,6 +57,11 @@
    * whose conditions failed.
    */
   record WriteResult(Outcome outcome, long revision, List<String> failedKeys) {
+    /** The result of a request that was not executed, or whose outcome is unknown. */
+    static WriteResult of(Outcome outcome) {
+      return new WriteResult(outcome, 0, List.of());
+    }
+
     public boolean ok() {
       return outcome == Outcome.OK;
     }
@@ -78,8 +85,9 @@
   void tryTxn(Txn txn, RequestPriority priority, Consumer<WriteResult> callback);
 
   /**
-   * Repeats the transaction until its outcome is certain, also through outages. The first value put
-   * must contain {@code writeId} in the field {@link #WRITE_ID_FIELD}.
+   * Repeats the transaction until its outcome is certain, also through outages. A malformed one is
+   * not repeated. The first value put must contain {@code writeId} in the field {@link
+   * #WRITE_ID_FIELD}.
    */
   void commit(Txn txn, String writeId, RequestPriority priority, Consumer<WriteResult> callback);
 
@@ -136,6 +144,12 @@
    */
   boolean unavailable();
 
+  /** Number of requests that were malformed or too large. */
+  int malformedCount();
+
+  /** The state service's limits on one transaction. */
+  TxnLimits txnLimits();
+
   /** A write ID that has not been used before. */
   String newWriteId();
 }
--- a/src/main/java/dev/dunefront/wire/Document.java
+++ b/src/main/java/dev/dunefront/wire/Document.java
@@ -96,6 +96,15 @@
     }
   }
 
+  /** The size of this document as JSON, in which the protocol counts its limits, in bytes. */
+  public int jsonBytes() {
+    return JsonSize.of(this);
+  }
+
+  Map<String, Object> fields() {
+    return fields;
+  }
+
   private static void packValue(MessageBufferPacker out, Object value) throws IOException {
     if (value == null) {
       out.packNil();
--- a/src/test/java/dev/dunefront/store/HttpStateStoreTest.java
+++ b/src/test/java/dev/dunefront/store/HttpStateStoreTest.java
@@ -1,6 +1,7 @@
 package dev.dunefront.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dev.dunefront.config.InvalidSettingException;
@@ -18,6 +19,8 @@
 class HttpStateStoreTest {
   private final FakeClock timers = new FakeClock();
   private final List<String> sentPaths = new ArrayList<>();
+  private int txnStatus = 200;
+  private String txnError = "";
 
   private HttpStateStore newStore() throws InvalidSettingException {
     Settings settings =
@@ -52,8 +55,14 @@
     HttpCaller caller =
         (address, method, path, body, deadlineS, callback) -> {
           sentPaths.add(path);
-          byte[] response = Document.create().put("tenancy", 7).put("ledger_rev", 9).encode();
-          timers.after(0.01, () -> callback.accept(new HttpCaller.Response(200, response, 0)));
+          byte[] response =
+              Document.create()
+                  .put("tenancy", 7)
+                  .put("ledger_rev", 9)
+                  .put("error", txnError)
+                  .encode();
+          int status = path.equals("/txn") ? txnStatus : 200;
+          timers.after(0.01, () -> callback.accept(new HttpCaller.Response(status, response, 0)));
         };
     return new HttpStateStore(
         settings,
@@ -123,6 +132,36 @@
     assertTrue(meanS < 0.1, "mean delay of submissions: " + meanS + " s");
   }
 
+  private List<StateStore.Outcome> commit(HttpStateStore store, int valueBytes) {
+    List<StateStore.Outcome> outcomes = new ArrayList<>();
+    Document value =
+        Document.create().put(StateStore.WRITE_ID_FIELD, "m-1").put("text", "x".repeat(valueBytes));
+    store.commit(new Txn().put("w/x/1", value), "m-1", result -> outcomes.add(result.outcome()));
+    timers.advance(30);
+    return outcomes;
+  }
+
+  // Guards against left_waiting: a transaction that is rejected as malformed is repeated for ever.
+  @Test
+  void malformedTransactionIsNotRepeated() throws InvalidSettingException {
+    HttpStateStore store = newStore();
+    txnStatus = 400;
+    txnError = "too large";
+    assertEquals(List.of(StateStore.Outcome.MALFORMED), commit(store, 10));
+    txnError = "no such lease";
+    assertEquals(List.of(StateStore.Outcome.NOT_FOUND), commit(store, 10));
+    assertEquals(2, Collections.frequency(sentPaths, "/txn"));
+    assertEquals(1, store.malformedCount());
+  }
+
+  @Test
+  void tooLargeTransactionIsNotSent() throws InvalidSettingException {
+    HttpStateStore store = newStore();
+    assertEquals(List.of(StateStore.Outcome.MALFORMED), commit(store, 16 * 1024));
+    assertFalse(sentPaths.contains("/txn"));
+    assertEquals(1, store.malformedCount());
+  }
+
   private int leasesGranted;
 
   private void grantLease(HttpStateStore store) {
--- a/src/test/java/dev/dunefront/story/SimulatedCluster.java
+++ b/src/test/java/dev/dunefront/story/SimulatedCluster.java
@@ -143,6 +143,7 @@
   }
 
   SimulatedCluster start() {
+    stateService.setValueKb(valueKb);
     nodes.values().forEach(Node::start);
     return this;
   }
