Placements and ends of a job are planned within the size of a transaction

A job with a large record on many machines never ended in a story.

Cause: a transaction of a job had up to four chunks of task states beside the job's record. Each may have value_kb (16 or 32 KiB), so together they can exceed 64 KiB, and such a transaction was repeated for ever. Chunks were also estimated in MessagePack, not in JSON.

Change: TransactionSpace keeps the space that is left, by the sizes that Txn gives. What does not fit waits for the next transaction.

Evidence: LargeRecordTest.jobWithALargeRecordAndManyTasksOnManyMachinesEnds failed before.

--- a/src/main/java/dev/dunefront/claim/Chunk.java
+++ b/src/main/java/dev/dunefront/claim/Chunk.java
@@ -19,18 +19,15 @@
  */
 final class Chunk {
   /**
-   * Tasks per chunk. A placement takes about 12 bytes and a machine name about 15, so the value
-   * usually stays below 16 KiB even if every task is on a different machine.
+   * Tasks per chunk. As JSON a placement takes about 12 bytes and a machine name about 15, so the
+   * value usually stays below 16 KiB even if every task is on a different machine.
    */
   static final int TASKS_PER_CHUNK = 512;
 
-  /** Maximum encoded size of the numbers of one placement. */
-  private static final int PLACEMENT_BYTES = 16;
+  /** Size of a task number, host index or length of a range within a chunk, with its comma. */
+  private static final int INDEX_BYTES = 4;
 
-  /** Maximum encoded size of one range of done tasks. */
-  private static final int RANGE_BYTES = 8;
-
-  /** Maximum encoded size of the field names and delimiters. */
+  /** Maximum size of the field names, delimiters and the write id. */
   private static final int OVERHEAD_BYTES = 200;
 
   static String prefix(String job) {
@@ -82,28 +79,50 @@
     return chunk;
   }
 
-  /** Upper estimate of the encoded size, which the state service limits. */
+  /** Upper estimate of the size of its value as JSON, in bytes. */
   int estimatedBytes() {
-    int ranges = 0;
+    int total = OVERHEAD_BYTES;
     for (int from = done.nextSetBit(0);
         from >= 0;
         from = done.nextSetBit(done.nextClearBit(from))) {
-      ranges++;
+      total += 2 * INDEX_BYTES;
     }
     Set<String> hosts = new HashSet<>();
-    int nameBytes = 0;
     for (Placement placement : placed.values()) {
-      nameBytes += hosts.add(placement.host) ? placement.host.length() + 3 : 0;
+      total += numberBytes(placement) + (hosts.add(placement.host) ? nameBytes(placement.host) : 0);
+    }
+    for (var entry : lastAttempts.entrySet()) {
+      if (!placed.containsKey(entry.getKey())) {
+        total += INDEX_BYTES + digits(entry.getValue()) + 1;
+      }
     }
-    return OVERHEAD_BYTES
-        + nameBytes
-        + RANGE_BYTES * ranges
-        + PLACEMENT_BYTES * Math.max(placed.size(), lastAttempts.size());
+    return total;
+  }
+
+  /** The most bytes by which a placement makes the value larger. */
+  static int placementBytes(Placement placement) {
+    return numberBytes(placement) + nameBytes(placement.host);
   }
 
-  /** Maximum number of bytes that a placement on this machine adds. */
-  static int placementBytes(String host) {
-    return PLACEMENT_BYTES + host.length() + 3;
+  /** Task, attempt, host index and session, each with a comma. */
+  private static int numberBytes(Placement placement) {
+    return INDEX_BYTES
+        + (digits(placement.attempt) + 1)
+        + INDEX_BYTES
+        + (digits(placement.session) + 1);
+  }
+
+  /** The name with its quotes and a comma. */
+  private static int nameBytes(String host) {
+    return host.length() + 3;
+  }
+
+  private static int digits(long number) {
+    int digits = 1;
+    for (long rest = number / 10; rest > 0; rest /= 10) {
+      digits++;
+    }
+    return digits;
   }
 
   static Chunk fromDocument(Document doc, long revision) throws MalformedMessageException {
--- a/src/main/java/dev/dunefront/claim/TransactionPlanner.java
+++ b/src/main/java/dev/dunefront/claim/TransactionPlanner.java
@@ -19,9 +19,6 @@
  * the state service's limits, the team's limit and the zone constraints allow.
  */
 final class TransactionPlanner {
-  /** Number of chunks that are certain to fit into a 64 KiB transaction. */
-  private static final int MAX_CHUNKS = 4;
-
   /**
    * A job may be granted tasks ahead of their placement up to the team's remaining limit divided by
    * this and by the number of controllers.
@@ -63,11 +60,7 @@
    */
   PlannedTransaction plan(
       Claim claim, Quotas.Quota quota, boolean mustReturn, Consumer<ReceivedOffer> declined) {
-    int txnOps = context.settings().stateLimits().txnOps();
-    int maxChunks = Math.min(MAX_CHUNKS, txnOps - 4);
-    // The state service allows four times as many conditions as changes; some are needed for the
-    // job, its chunks, its team and the roster.
-    int maxHosts = 4 * txnOps - maxChunks - 3;
+    TransactionSpace space = new TransactionSpace(claim, context.store().txnLimits());
     Map<Integer, Chunk> chunks = new TreeMap<>();
     List<EndedAttempt> ends = new ArrayList<>();
     List<PlannedStart> starts = new ArrayList<>();
@@ -84,11 +77,10 @@
       String host = ended.placement().host();
       // Proofs that exceed the transaction's limits are left for the next one: all machines of a
       // zone may be lost at once, and an oversized transaction would be rejected on every retry.
-      if (!chunks.containsKey(index) && chunks.size() >= maxChunks
+      if (!space.takeChunk(index, claim.chunks.get(index))
           || ended.conditional()
-              && holdRevisions.size() >= maxHosts
-              && !holdRevisions.containsKey(host)
-          || ended.conditional() && !addCondition(holdRevisions, host, ended.holdRevision())) {
+              && (!space.takeCondition(host, ended.holdRevision())
+                  || !addCondition(holdRevisions, host, ended.holdRevision()))) {
         claim.unrecordedEnds.add(ended);
         continue;
       }
@@ -109,10 +101,6 @@
                 Math.min(
                     Integer.MAX_VALUE,
                     (long) claim.record.granted() + quota.remainingTasks(claim.size));
-    // Bytes by which each chunk may still grow: with long machine names, not all tasks of a chunk
-    // can be placed at the same time.
-    Map<Integer, Integer> bytesLeft = new HashMap<>();
-    int maxBytes = (int) (context.settings().stateLimits().valueKb() * 1024);
     int number = 0;
     int maxStarts =
         claim.isSuspectedFaulty() ? Math.max(0, 1 - claim.liveAttempts.size()) : Integer.MAX_VALUE;
@@ -125,31 +113,33 @@
         declined.accept(received);
         continue;
       }
-      if (holdRevisions.size() >= maxHosts && !holdRevisions.containsKey(offer.host())) {
-        // The transaction cannot hold a condition for another machine; the next one takes it.
+      if (!space.hasCondition(offer.host(), offer.holdRevision())) {
+        // The next transaction takes it.
         kept.add(received);
         continue;
       }
       number = claim.nextUnplaced(number);
       int index = number / Chunk.TASKS_PER_CHUNK;
+      int offset = number % Chunk.TASKS_PER_CHUNK;
+      Chunk old = claim.chunks.get(index);
+      Chunk present = chunks.getOrDefault(index, old);
+      long attempt = present == null ? 1 : present.lastAttempts.getOrDefault(offset, 0L) + 1;
+      Placement placement = new Placement(attempt, offer.host(), offer.session());
       boolean accept =
           claim.isStartable()
               && number < claim.spec.tasks()
               && starts.size() < maxStarts
               && placed + starts.size() < limit
               && context.now() >= claim.notBefore
-              && (chunks.containsKey(index) || chunks.size() < maxChunks)
-              && bytesLeft.computeIfAbsent(index, i -> maxBytes - chunkBytes(claim, chunks, i))
-                  >= Chunk.placementBytes(offer.host())
               && zoneConstraints.allowed(claim, offer.host(), startHosts)
+              && space.takeChunk(index, old)
+              && space.takePlacement(index, placement)
               && addCondition(holdRevisions, offer.host(), offer.holdRevision());
       if (!accept) {
         declined.accept(received);
         continue;
       }
-      Chunk old = claim.chunks.get(index);
       Chunk chunk = chunks.computeIfAbsent(index, i -> old == null ? new Chunk(0) : old.copy(0));
-      int offset = number % Chunk.TASKS_PER_CHUNK;
       if (chunk.placed.containsKey(offset)) {
         context
             .safety()
@@ -166,10 +156,7 @@
         number++;
         continue;
       }
-      bytesLeft.merge(index, -Chunk.placementBytes(offer.host()), Integer::sum);
-      Placement placement =
-          new Placement(
-              chunk.lastAttempts.getOrDefault(offset, 0L) + 1, offer.host(), offer.session());
+      space.takeCondition(offer.host(), offer.holdRevision());
       chunk.lastAttempts.put(offset, placement.attempt());
       chunk.placed.put(offset, placement);
       starts.add(new PlannedStart(received, number, placement));
@@ -182,11 +169,6 @@
         chunks, starts, ends, targetGrant(claim, quota, placed + starts.size(), ends, mustReturn));
   }
 
-  private static int chunkBytes(Claim claim, Map<Integer, Chunk> chunks, int index) {
-    Chunk chunk = chunks.getOrDefault(index, claim.chunks.get(index));
-    return chunk == null ? 0 : chunk.estimatedBytes();
-  }
-
   /** Whether a job holds more of its team's limit than it should keep. */
   boolean hasUnusedGrant(Claim claim, Quotas.Quota quota) {
     int placed = claim.liveAttempts.size();
--- a/src/main/java/dev/dunefront/job/JobRecord.java
+++ b/src/main/java/dev/dunefront/job/JobRecord.java
@@ -27,6 +27,14 @@
     DONE
   }
 
+  /** By how much a record may grow after it was accepted: claimant, term, grant, write id. */
+  private static final int MAX_GROWTH_BYTES = 512;
+
+  /** Upper limit of the size of the record in any later state as JSON, in bytes. */
+  public int maxBytes() {
+    return toDocument("").jsonBytes() + MAX_GROWTH_BYTES;
+  }
+
   public static String key(String id) {
     return PREFIX + id;
   }
--- a/src/test/java/dev/dunefront/story/LargeRecordTest.java
+++ b/src/test/java/dev/dunefront/story/LargeRecordTest.java
@@ -5,6 +5,7 @@
 import dev.dunefront.wire.Document;
 import java.util.ArrayList;
 import java.util.List;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
@@ -74,4 +75,20 @@
     cluster.advance(12);
     assertAllDone(jobs);
   }
+
+  // Guards against left_waiting: the record and the task states of one job exceed 64 KiB together.
+  @Example
+  void jobWithALargeRecordAndManyTasksOnManyMachinesEnds() {
+    startCluster(0);
+    String name = "a-machine-with-a-rather-long-name-in-the-catalog-of-the-cloud-";
+    for (int i = 0; i < 800; i++) {
+      cluster.machines.addMachine(name + i, "small", "a", "node-" + i % 3);
+    }
+    cluster.advance(8);
+    assertEquals(201, cluster.users.submit("node-0", largeJob("wk-0", 1000, 1400)).status());
+    cluster.advance(6);
+    cluster.nodes.get("node-0").crash();
+    cluster.advance(12);
+    assertAllDone(1);
+  }
 }
