A job that is too large to be stored is rejected with the reason

What callers saw: 503 for each repetition of a submission whose record exceeds value_kb; a record just below that would be accepted and could never be claimed.

Cause: nobody compared the size of a record with the limit, and the 400 of the state service counted as a passing fault.

Evidence: LargeRecordTest.jobThatCannotBeStoredIsRejectedWithAReason was answered 503 before.

--- a/src/main/java/dev/dunefront/job/Submissions.java
+++ b/src/main/java/dev/dunefront/job/Submissions.java
@@ -213,6 +213,15 @@
     if (team.isEmpty()) {
       return "owner is not a known team";
     }
+    int maxBytes = store.txnLimits().maxValueBytes();
+    int recordBytes = new JobRecord(spec, timers.wallClockMs(), null, 0, Status.OPEN, 0).maxBytes();
+    if (recordBytes > maxBytes) {
+      return "the job is too large to be stored: its record may need "
+          + recordBytes
+          + " bytes as JSON, and "
+          + maxBytes
+          + " are the most";
+    }
     if (!catalog.isLoaded()) {
       return null;
     }
--- a/src/test/java/dev/dunefront/story/LargeRecordTest.java
+++ b/src/test/java/dev/dunefront/story/LargeRecordTest.java
@@ -91,4 +91,12 @@
     cluster.advance(12);
     assertAllDone(1);
   }
+
+  // Guards against a record that is accepted and can then never be written again.
+  @Example
+  void jobThatCannotBeStoredIsRejectedWithAReason() {
+    startCluster(1);
+    assertEquals(422, cluster.users.submit("node-1", largeJob("wk-0", 1, 1700)).status());
+    assertEquals(0, cluster.stateService.malformedTxns());
+  }
 }
