A restarted worker gets a higher token at once; copies of starts after restarts

Cause of the part that is mended: the token of a new boot was sent only once the write that raises it in the hold record was answered. Until then copies were carried out, for as long as the state service was slow.

Change: the higher token, which is in the holder's own range, is sent as soon as the restart is known. Commands still wait for the write.

--- a/src/main/java/dev/dunefront/book/HeldMachines.java
+++ b/src/main/java/dev/dunefront/book/HeldMachines.java
@@ -236,9 +236,14 @@
     reconcile(m);
   }
 
-  /** The worker has responded from a new boot. It gets no commands before the token is raised. */
+  /**
+   * The worker has responded from a new boot. It gets no commands before the token is raised in the
+   * hold record. A higher token is sent to it at once, since until it has seen one it carries out
+   * copies of starts that were meant for the boot before.
+   */
   void workerRestarted(Machine m, Report reply) {
     reportApplier.workerRestarted(m, reply);
+    workerCommands.announceToken(m);
     workerCommands.raiseToken(m);
   }
 
--- a/src/main/java/dev/dunefront/book/WorkerCommands.java
+++ b/src/main/java/dev/dunefront/book/WorkerCommands.java
@@ -110,11 +110,15 @@
             return;
           }
           LOG.log(Level.DEBUG, "raised the token of {0} to {1}", m.host, m.token);
-          announceToken(m, m.session);
+          announceToken(m);
         });
   }
 
   /** Sends the token to the worker at once, in a request without commands. */
+  void announceToken(Machine m) {
+    announceToken(m, m.session);
+  }
+
   private void announceToken(Machine m, long session) {
     send(m, session, List.of());
   }
