Jobs that can start nowhere keep no equal job from being claimed

Cause: a controller's share of claims counted unstarted work of all zones and types, and work without any fitting machine most of all; and what was refused to one job was refused to all of its equivalence class, which knew neither zone nor types.

Change: only work that may run on the same machines counts against the share, and equivalence classes have all that decides on which machines a job may run.

--- a/src/main/java/dev/dunefront/claim/ClaimAdmission.java
+++ b/src/main/java/dev/dunefront/claim/ClaimAdmission.java
@@ -32,8 +32,11 @@
     for (Claim claim : claims) {
       int unstarted = claim.unstarted();
       anyUnstarted |= unstarted > 0;
-      // Only work of the same or a higher priority counts, as it is served first anyway.
-      if (unstarted > 0 && claim.spec.priority().compareTo(spec.priority()) <= 0) {
+      // Only work of the same or a higher priority counts, as it is served first anyway, and only
+      // if it wants the same machines: what waits for another zone takes no capacity here.
+      if (unstarted > 0
+          && claim.spec.priority().compareTo(spec.priority()) <= 0
+          && shareMachines(claim.spec, spec)) {
         load += (double) unstarted / Math.max(1, fittingTasks(claim.spec));
       }
     }
@@ -61,16 +64,30 @@
     return admits(spec, claims);
   }
 
+  /** Whether any known machine may run tasks of both jobs. */
+  private boolean shareMachines(JobSpec one, JobSpec other) {
+    for (MachineTable.Kind kind : machineTable.kinds()) {
+      if (machineTable.count(kind) > 0 && fitting(one, kind) > 0 && fitting(other, kind) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** How many tasks of the job would fit on all known machines if they were empty. */
   private long fittingTasks(JobSpec spec) {
     long fitting = 0;
     for (MachineTable.Kind kind : machineTable.kinds()) {
-      MachineType type = context.catalog().type(kind.type());
-      if (type != null && spec.allows(kind.type(), kind.zone(), kind.spot())) {
-        fitting +=
-            (long) machineTable.count(kind) * spec.taskResources().countFittingIn(type.resources());
-      }
+      fitting += machineTable.count(kind) * fitting(spec, kind);
     }
     return fitting;
   }
+
+  /** How many tasks of the job may run on an empty machine of this kind. */
+  private long fitting(JobSpec spec, MachineTable.Kind kind) {
+    MachineType type = context.catalog().type(kind.type());
+    return type != null && spec.allows(kind.type(), kind.zone(), kind.spot())
+        ? spec.taskResources().countFittingIn(type.resources())
+        : 0;
+  }
 }
--- a/src/main/java/dev/dunefront/claim/SearchThrottle.java
+++ b/src/main/java/dev/dunefront/claim/SearchThrottle.java
@@ -20,11 +20,31 @@
    */
   private static final int MAX_SEARCHING = 32;
 
-  /** Jobs with equal values are interchangeable when capacity is assigned. */
-  record EquivalenceClass(Priority priority, String jobClass, String team, Resources size) {
+  /**
+   * Jobs with equal values are interchangeable when capacity is assigned: they want the same
+   * machines, types and zones included.
+   */
+  record EquivalenceClass(
+      Priority priority,
+      String jobClass,
+      String team,
+      Resources size,
+      List<String> machineTypes,
+      String zone,
+      boolean spotAllowed,
+      boolean oneZone,
+      boolean spread) {
     static EquivalenceClass of(JobSpec spec) {
       return new EquivalenceClass(
-          spec.priority(), spec.jobClass(), spec.team(), spec.taskResources());
+          spec.priority(),
+          spec.jobClass(),
+          spec.team(),
+          spec.taskResources(),
+          spec.machineTypes(),
+          spec.zone(),
+          spec.spotAllowed(),
+          spec.oneZone(),
+          spec.spread());
     }
   }
 
