--- a/src/main/java/dev/dunefront/store/HttpStateStore.java
+++ b/src/main/java/dev/dunefront/store/HttpStateStore.java
@@ -28,7 +28,6 @@
   private static final double QUEUE_TIMEOUT_S = 3.0;
   private static final double PROBE_INTERVAL_S = 0.3;
   private static final double PROBE_TIMEOUT_S = 0.8;
-  private static final String NO_LEASE_ERROR = "no such lease";
 
   /**
    * A request with a longer timeout is a blocking watch, for which a missing response is no sign of
@@ -199,7 +198,7 @@
               Document d = Document.decode(response.body());
               callback.accept(new GetResult(Outcome.OK, d.document("data"), d.count("stamp")));
             } else {
-              callback.accept(new GetResult(outcome(response), null, 0));
+              callback.accept(new GetResult(StateResponses.outcome(response), null, 0));
             }
           } catch (MalformedMessageException e) {
             callback.accept(new GetResult(Outcome.UNKNOWN, null, 0));
@@ -229,7 +228,7 @@
         CALL_TIMEOUT_S * 2,
         response -> {
           if (!response.ok()) {
-            callback.accept(new RangeResult(outcome(response), List.of(), 0));
+            callback.accept(new RangeResult(StateResponses.outcome(response), List.of(), 0));
             return;
           }
           try {
@@ -272,7 +271,7 @@
         txn.encode(),
         CALL_TIMEOUT_S,
         response -> {
-          WriteResult result = toWriteResult(response, "ledger_rev");
+          WriteResult result = StateResponses.toWriteResult(response, "ledger_rev");
           if (result.outcome() == Outcome.MALFORMED) {
             malformedCount++;
             LOG.log(
@@ -368,7 +367,8 @@
         response -> {
           if (!response.ok()) {
             callback.accept(
-                new WatchResult(outcome(response), List.of(), from, response.status() == 410));
+                new WatchResult(
+                    StateResponses.outcome(response), List.of(), from, response.status() == 410));
             return;
           }
           try {
@@ -399,7 +399,7 @@
         "/leases",
         body,
         CALL_TIMEOUT_S,
-        r -> callback.accept(toWriteResult(r, "tenancy")));
+        r -> callback.accept(StateResponses.toWriteResult(r, "tenancy")));
   }
 
   @Override
@@ -411,43 +411,7 @@
         "/leases/" + leaseId + "/touch",
         Document.create().encode(),
         CALL_TIMEOUT_S,
-        r -> callback.accept(new WriteResult(outcome(r), leaseId, List.of())));
-  }
-
-  private static WriteResult toWriteResult(Response response, String field) {
-    try {
-      if (response.ok()) {
-        return new WriteResult(
-            Outcome.OK, Document.decode(response.body()).count(field), List.of());
-      }
-      if (response.status() == 409) {
-        Document d = Document.decode(response.body());
-        return new WriteResult(Outcome.CONFLICT, d.countOr("ledger_rev", 0), d.texts("failed"));
-      }
-    } catch (MalformedMessageException e) {
-      return new WriteResult(Outcome.UNKNOWN, 0, List.of());
-    }
-    return WriteResult.of(outcome(response));
-  }
-
-  private static Outcome outcome(Response response) {
-    return switch (response.status()) {
-      case 200 -> Outcome.OK;
-      case 400 -> namesNoLease(response) ? Outcome.NOT_FOUND : Outcome.MALFORMED;
-      case 404 -> Outcome.NOT_FOUND;
-      case 409 -> Outcome.CONFLICT;
-      case 429, 503 -> Outcome.REFUSED;
-      default -> Outcome.UNKNOWN;
-    };
-  }
-
-  /** Whether a request was rejected because its lease has expired. */
-  private static boolean namesNoLease(Response response) {
-    try {
-      return Document.decode(response.body()).textOr("error", "").equals(NO_LEASE_ERROR);
-    } catch (MalformedMessageException e) {
-      return false;
-    }
+        r -> callback.accept(new WriteResult(StateResponses.outcome(r), leaseId, List.of())));
   }
 
   private void enqueue(
