--- a/src/main/java/dev/dunefront/claim/TransactionPlanner.java
+++ b/src/main/java/dev/dunefront/claim/TransactionPlanner.java
@@ -65,33 +65,7 @@
     List<EndedAttempt> ends = new ArrayList<>();
     List<PlannedStart> starts = new ArrayList<>();
     Map<String, Long> holdRevisions = new HashMap<>();
-    List<EndedAttempt> pending = List.copyOf(claim.unrecordedEnds);
-    claim.unrecordedEnds.clear();
-    for (EndedAttempt ended : pending) {
-      int index = ended.number() / Chunk.TASKS_PER_CHUNK;
-      int offset = ended.number() % Chunk.TASKS_PER_CHUNK;
-      Chunk current = chunks.containsKey(index) ? chunks.get(index) : claim.chunks.get(index);
-      if (current == null || !ended.placement().equals(current.placed.get(offset))) {
-        continue;
-      }
-      String host = ended.placement().host();
-      // Proofs that exceed the transaction's limits are left for the next one: all machines of a
-      // zone may be lost at once, and an oversized transaction would be rejected on every retry.
-      if (!space.takeChunk(index, claim.chunks.get(index))
-          || ended.conditional()
-              && (!space.takeCondition(host, ended.holdRevision())
-                  || !addCondition(holdRevisions, host, ended.holdRevision()))) {
-        claim.unrecordedEnds.add(ended);
-        continue;
-      }
-      Chunk chunk = chunks.computeIfAbsent(index, i -> current.copy(0));
-      ends.add(ended);
-      chunk.placed.remove(offset);
-      if (ended.outcome() == AttemptOutcome.DONE) {
-        chunk.done.set(offset);
-        chunk.lastAttempts.remove(offset);
-      }
-    }
+    planEnds(claim, space, chunks, ends, holdRevisions);
     wantPlacement.sortOffers(claim);
     int placed = claim.liveAttempts.size() - ends.size();
     int limit =
@@ -169,6 +143,43 @@
         chunks, starts, ends, targetGrant(claim, quota, placed + starts.size(), ends, mustReturn));
   }
 
+  /**
+   * Takes the pending ends of a claim that fit, and applies them to their chunks. The others are
+   * left for the next transaction: all machines of a zone may be lost at once.
+   */
+  private static void planEnds(
+      Claim claim,
+      TransactionSpace space,
+      Map<Integer, Chunk> chunks,
+      List<EndedAttempt> ends,
+      Map<String, Long> holdRevisions) {
+    List<EndedAttempt> pending = List.copyOf(claim.unrecordedEnds);
+    claim.unrecordedEnds.clear();
+    for (EndedAttempt ended : pending) {
+      int index = ended.number() / Chunk.TASKS_PER_CHUNK;
+      int offset = ended.number() % Chunk.TASKS_PER_CHUNK;
+      Chunk current = chunks.containsKey(index) ? chunks.get(index) : claim.chunks.get(index);
+      if (current == null || !ended.placement().equals(current.placed.get(offset))) {
+        continue;
+      }
+      String host = ended.placement().host();
+      if (!space.takeChunk(index, claim.chunks.get(index))
+          || ended.conditional()
+              && (!space.takeCondition(host, ended.holdRevision())
+                  || !addCondition(holdRevisions, host, ended.holdRevision()))) {
+        claim.unrecordedEnds.add(ended);
+        continue;
+      }
+      Chunk chunk = chunks.computeIfAbsent(index, i -> current.copy(0));
+      ends.add(ended);
+      chunk.placed.remove(offset);
+      if (ended.outcome() == AttemptOutcome.DONE) {
+        chunk.done.set(offset);
+        chunk.lastAttempts.remove(offset);
+      }
+    }
+  }
+
   /** Whether a job holds more of its team's limit than it should keep. */
   boolean hasUnusedGrant(Claim claim, Quotas.Quota quota) {
     int placed = claim.liveAttempts.size();
