A token that is sent to a restarted worker at once is that of no answer

Cause: the token announced after a restart is sent as a direct command, which may be delayed into the next boot. The answer to the report that showed the restart had the same token, which WorkerBoot promises not to happen.

Change: the announcement and the answer have a token each. The doc comment says what delayed and copied commands may still do.

--- a/src/main/java/dev/dunefront/book/HeldMachines.java
+++ b/src/main/java/dev/dunefront/book/HeldMachines.java
@@ -197,6 +197,7 @@
           r.session());
     } else if (m.publishedSessionIsOfEarlierBoot(r)) {
       workerRestarted(m, r);
+      m.boot = m.boot.beforeUnconfirmedAnswer();
     } else {
       reportApplier.applyReport(m, r);
     }
@@ -243,6 +244,7 @@
    */
   void workerRestarted(Machine m, Report reply) {
     reportApplier.workerRestarted(m, reply);
+    m.boot = m.boot.beforeConfirmationRequest();
     workerCommands.announceToken(m);
     workerCommands.raiseToken(m);
   }
--- a/src/main/java/dev/dunefront/evidence/WorkerBoot.java
+++ b/src/main/java/dev/dunefront/evidence/WorkerBoot.java
@@ -9,7 +9,9 @@
  * token, so none of these numbers alone tells which boot a report is from or a command was meant
  * for. The token does: the holder gives each token to one boot only, also while it does not know
  * yet which boot it answers. A report under a lower token may be from an earlier boot and proves
- * nothing, and once a worker has reported a token it refuses all commands of earlier ones.
+ * nothing, and once a worker has reported a token it refuses all commands of earlier ones. A
+ * command that the network delivers late or twice may still teach the next boot a token of the one
+ * before; that boot is then known by its serial numbers.
  *
  * @param firstToken the lowest token that was given to this boot and to no earlier one
  * @param commandToken the token under which commands and answers are sent now
